--- /dev/null
+++ b/cmd/yuccahatch/main.go
@@ -0,0 +1,4 @@
+// Command yuccahatch is the command line for operators and experimenters.
+package main
+
+func main() {}
