--- /dev/null
+++ b/internal/peer/table/errors.go
@@ -0,0 +1,41 @@
+package table
+
+import (
+	"errors"
+
+	"github.com/samber/oops"
+)
+
+// Code classifies a failure of the table by what it says about the change.
+type Code string
+
+// Codes of table errors.
+const (
+	// CodeConflict: a condition failed and nothing was applied.
+	CodeConflict Code = "table_conflict"
+	// CodeUnavailable: the table refused the call before it took effect.
+	CodeUnavailable Code = "table_unavailable"
+	// CodeUnknown: the call may or may not have taken effect, because its
+	// answer did not arrive.
+	CodeUnknown Code = "table_unknown"
+	// CodeRejected: the call was malformed. It is a fault of the caller.
+	CodeRejected Code = "table_rejected"
+)
+
+// CodeOf returns the code of an error that this package returned, and the
+// empty code for any other error.
+func CodeOf(err error) Code {
+	var e oops.OopsError
+	if !errors.As(err, &e) {
+		return ""
+	}
+	code, ok := e.Code().(Code)
+	if !ok {
+		return ""
+	}
+	return code
+}
+
+func newError(code Code) oops.OopsErrorBuilder {
+	return oops.Code(code).In("table")
+}
