contract: read contract documents strictly and decide quiet hours

A contract is judged on every node, so a document must be read the same way everywhere and a refusal must tell the operator where to look. Parse decodes with go-toml in strict mode and reads the document a second time with its parser to locate the values that later checks refuse; positions of the decoder alone cover only its own errors.

time.Date was ruled out for boundaries near clock changes because it does not promise which instant it returns; the zone periods around it are examined instead.

--- /dev/null
+++ b/internal/contract/contract.go
@@ -0,0 +1,151 @@
+// Package contract holds the contract of one customer: the strict reading of
+// its TOML document and the decisions that follow from it.
+package contract
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/url"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	// Entry hosts may lack time zone data.
+	_ "time/tzdata"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// Priority is the class in which a customer's requests wait.
+type Priority string
+
+// Priorities, lowest first.
+const (
+	PriorityLow    Priority = "low"
+	PriorityNormal Priority = "normal"
+	PriorityHigh   Priority = "high"
+)
+
+// KeyHash is the SHA-256 hash of a bearer key.
+type KeyHash [sha256.Size]byte
+
+// keyHashPrefix names the hash function in a document.
+const keyHashPrefix = "sha256:"
+
+// HashKey returns the hash of a bearer key.
+func HashKey(bearerKey string) KeyHash { return sha256.Sum256([]byte(bearerKey)) }
+
+// String returns the hash as it is written in a document.
+func (h KeyHash) String() string { return keyHashPrefix + hex.EncodeToString(h[:]) }
+
+// Contract is one checked contract document. It does not change after Parse
+// and may be shared between goroutines.
+type Contract struct {
+	Customer ident.Customer
+	Priority Priority
+	// SharePercent is the upper limit of the customer's part of the fleet's
+	// capacity, above 0 and at most 100.
+	SharePercent float64
+	// Models lists the allowed models; empty allows all.
+	Models []string
+
+	keys          []KeyHash
+	quietHours    []quietWindow
+	nonIdempotent []nonIdempotentRule
+}
+
+// nonIdempotentRule matches requests that must not run twice.
+type nonIdempotentRule struct {
+	service    string
+	methods    []string // empty matches every method
+	pathPrefix string
+}
+
+// KeyHashes returns the hashes of the customer's bearer keys in the order of
+// the document.
+func (c *Contract) KeyHashes() []KeyHash { return slices.Clone(c.keys) }
+
+// MatchesKey reports whether the bearer key belongs to the customer. Its time
+// does not depend on the key or on which hash matches.
+func (c *Contract) MatchesKey(bearerKey string) bool {
+	hash := HashKey(bearerKey)
+	match := 0
+	for i := range c.keys {
+		match |= subtle.ConstantTimeCompare(hash[:], c.keys[i][:])
+	}
+	return match == 1
+}
+
+// AllowsModel reports whether the customer may use the model.
+func (c *Contract) AllowsModel(model string) bool {
+	return len(c.Models) == 0 || slices.Contains(c.Models, model)
+}
+
+// IsNonIdempotent reports whether a request to a plain service must not run
+// twice. The path is matched as it stands, unescaped and cleaned, so that
+// "//bookings" or "/%62ookings" does not evade a rule; prefixes are compared by
+// character, so that "/bookings" also matches "/bookings-v2".
+func (c *Contract) IsNonIdempotent(service, method, requestPath string) bool {
+	method = strings.ToUpper(method)
+	for _, rule := range c.nonIdempotent {
+		if rule.service != service {
+			continue
+		}
+		if len(rule.methods) > 0 && !slices.Contains(rule.methods, method) {
+			continue
+		}
+		if hasPathPrefix(requestPath, rule.pathPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasPathPrefix(requestPath, prefix string) bool {
+	rooted := "/" + strings.TrimPrefix(requestPath, "/")
+	if strings.HasPrefix(rooted, prefix) || strings.HasPrefix(path.Clean(rooted), prefix) {
+		return true
+	}
+	unescaped, err := url.PathUnescape(rooted)
+	return err == nil && strings.HasPrefix(path.Clean(unescaped), prefix)
+}
+
+// QuietUntil reports whether new work for the target must be refused at now
+// and, if so, when the quiet period ends. The target is "model:NAME" or
+// "service:NAME". Adjoining windows count as one period. An end more than
+// quietHorizon after now is reported as now plus quietHorizon.
+func (c *Contract) QuietUntil(target string, now time.Time) (until time.Time, quiet bool) {
+	until = now
+	limit := now.Add(quietHorizon)
+	for until.Before(limit) {
+		end, ok := c.windowEnd(target, until)
+		if !ok {
+			break
+		}
+		until, quiet = end, true
+	}
+	if !quiet {
+		return time.Time{}, false
+	}
+	if until.After(limit) {
+		until = limit
+	}
+	return until, true
+}
+
+// windowEnd returns the latest end of the windows that contain at.
+func (c *Contract) windowEnd(target string, at time.Time) (time.Time, bool) {
+	var latest time.Time
+	for i := range c.quietHours {
+		w := &c.quietHours[i]
+		if !w.appliesTo(target) {
+			continue
+		}
+		if end, ok := w.endAt(at); ok && end.After(latest) {
+			latest = end
+		}
+	}
+	return latest, !latest.IsZero()
+}
--- /dev/null
+++ b/internal/contract/parse.go
@@ -0,0 +1,377 @@
+package contract
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+
+	toml "github.com/pelletier/go-toml/v2"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// MaxDocumentBytes bounds a document.
+const MaxDocumentBytes = 64 << 10
+
+// maxQuietHours bounds the pairs of windows that are compared.
+const maxQuietHours = 64
+
+// maxNameBytes bounds names of models and services.
+const maxNameBytes = 128
+
+// customerPattern keeps customers usable in table keys and URL paths.
+var customerPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,63}$`)
+
+const customerAllowed = "1 to 64 lower-case letters, digits, '-', '_' and '.', starting with a letter or digit"
+
+var weekdays = []string{"sun", "mon", "tue", "wed", "thu", "fri", "sat"}
+
+var httpMethods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+// document mirrors the TOML keys. Pointers tell absent keys from zero values.
+type document struct {
+	Customer      *string              `toml:"customer"`
+	Keys          []string             `toml:"keys"`
+	Priority      *string              `toml:"priority"`
+	SharePercent  any                  `toml:"share_percent"`
+	Models        []string             `toml:"models"`
+	QuietHours    []quietHoursTable    `toml:"quiet_hours"`
+	NonIdempotent []nonIdempotentTable `toml:"non_idempotent"`
+}
+
+type quietHoursTable struct {
+	Days      []string `toml:"days"`
+	Start     *string  `toml:"start"`
+	End       *string  `toml:"end"`
+	TimeZone  *string  `toml:"time_zone"`
+	AppliesTo []string `toml:"applies_to"`
+}
+
+type nonIdempotentTable struct {
+	Service    *string  `toml:"service"`
+	Methods    []string `toml:"methods"`
+	PathPrefix *string  `toml:"path_prefix"`
+}
+
+// Parse reads and checks a document. Its error is a *DocumentError for the
+// first fault found.
+func Parse(text []byte) (*Contract, error) {
+	if len(text) > MaxDocumentBytes {
+		return nil, &DocumentError{
+			Code: CodeTooLarge, Found: fmt.Sprintf("%d bytes", len(text)),
+			Allowed: fmt.Sprintf("at most %d bytes", MaxDocumentBytes),
+		}
+	}
+	var doc document
+	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&doc); err != nil {
+		return nil, decodeError(text, err)
+	}
+	c := checker{positions: findPositions(text)}
+	return c.contract(&doc)
+}
+
+func decodeError(text []byte, err error) *DocumentError {
+	var missing *toml.StrictMissingError
+	if errors.As(err, &missing) && len(missing.Errors) > 0 {
+		first := &missing.Errors[0]
+		line, column := first.Position()
+		key := strings.Join(first.Key(), ".")
+		return &DocumentError{
+			Code: CodeUnknownKey, Line: line, Column: column, Key: key,
+			Found: fmt.Sprintf("unknown key %q", key), Allowed: allowedKeys(first.Key()),
+		}
+	}
+	var syntax *toml.DecodeError
+	if errors.As(err, &syntax) {
+		line, column := syntax.Position()
+		return &DocumentError{
+			Code: CodeSyntax, Line: line, Column: column, Key: strings.Join(syntax.Key(), "."),
+			Found: strconv.Quote(lineText(text, line)) + " (" + syntax.Error() + ")", Allowed: "a valid TOML document with values of the documented types",
+		}
+	}
+	return &DocumentError{Code: CodeSyntax, Found: strconv.Quote(err.Error()), Allowed: "a valid TOML document"}
+}
+
+// maxQuotedLine bounds the text of a line that an error repeats.
+const maxQuotedLine = 80
+
+func lineText(text []byte, line int) string {
+	lines := bytes.SplitN(text, []byte("\n"), line+1)
+	if line < 1 || line > len(lines) {
+		return ""
+	}
+	found := strings.TrimSpace(string(lines[line-1]))
+	if len(found) > maxQuotedLine {
+		found = found[:maxQuotedLine]
+	}
+	return found
+}
+
+func allowedKeys(path []string) string {
+	if len(path) > 1 {
+		switch path[0] {
+		case "quiet_hours":
+			return "days, start, end, time_zone, applies_to"
+		case "non_idempotent":
+			return "service, methods, path_prefix"
+		}
+	}
+	return "customer, keys, priority, share_percent, models, quiet_hours, non_idempotent"
+}
+
+// checker checks decoded values and locates faults.
+type checker struct {
+	positions positions
+}
+
+func (c *checker) bad(key, found, allowed string) *DocumentError {
+	at := c.positions.of(key)
+	return &DocumentError{Code: CodeBadValue, Line: at.line, Column: at.column, Key: key, Found: found, Allowed: allowed}
+}
+
+func (c *checker) missing(key, allowed string) *DocumentError {
+	err := c.bad(key, "nothing", allowed)
+	err.Code = CodeMissingKey
+	return err
+}
+
+func (c *checker) contract(doc *document) (*Contract, error) {
+	out := &Contract{Priority: PriorityNormal}
+	steps := []func(*document, *Contract) *DocumentError{
+		c.customer, c.keys, c.priority, c.share, c.models, c.quietHours, c.nonIdempotent,
+	}
+	for _, step := range steps {
+		if err := step(doc, out); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func (c *checker) customer(doc *document, out *Contract) *DocumentError {
+	switch {
+	case doc.Customer == nil:
+		return c.missing("customer", customerAllowed)
+	case !ValidCustomer(*doc.Customer):
+		return c.bad("customer", strconv.Quote(*doc.Customer), customerAllowed)
+	}
+	out.Customer = ident.Customer(*doc.Customer)
+	return nil
+}
+
+// ValidCustomer reports whether a name may be the customer of a contract.
+func ValidCustomer(name string) bool { return customerPattern.MatchString(name) }
+
+func (c *checker) keys(doc *document, out *Contract) *DocumentError {
+	const allowed = `"sha256:" and 64 lower-case hexadecimal digits, each hash once`
+	for i, text := range doc.Keys {
+		key := fmt.Sprintf("keys[%d]", i)
+		hash, ok := parseKeyHash(text)
+		if !ok || slices.Contains(out.keys, hash) {
+			return c.bad(key, strconv.Quote(text), allowed)
+		}
+		out.keys = append(out.keys, hash)
+	}
+	return nil
+}
+
+func parseKeyHash(text string) (hash KeyHash, ok bool) {
+	digits, ok := strings.CutPrefix(text, keyHashPrefix)
+	if !ok || len(digits) != hex.EncodedLen(len(hash)) || strings.ToLower(digits) != digits {
+		return hash, false
+	}
+	_, err := hex.Decode(hash[:], []byte(digits))
+	return hash, err == nil
+}
+
+func (c *checker) priority(doc *document, out *Contract) *DocumentError {
+	if doc.Priority == nil {
+		return nil
+	}
+	switch p := Priority(*doc.Priority); p {
+	case PriorityLow, PriorityNormal, PriorityHigh:
+		out.Priority = p
+		return nil
+	}
+	return c.bad("priority", strconv.Quote(*doc.Priority), `"low", "normal" or "high"`)
+}
+
+func (c *checker) share(doc *document, out *Contract) *DocumentError {
+	const key, allowed = "share_percent", "a number above 0 and at most 100"
+	switch v := doc.SharePercent.(type) {
+	case nil:
+		return c.missing(key, allowed)
+	case int64:
+		out.SharePercent = float64(v)
+	case float64:
+		out.SharePercent = v
+	default:
+		return c.bad(key, fmt.Sprintf("%v", v), allowed)
+	}
+	// The negated form also refuses NaN.
+	if !(out.SharePercent > 0 && out.SharePercent <= 100) {
+		return c.bad(key, fmt.Sprintf("%v", doc.SharePercent), allowed)
+	}
+	return nil
+}
+
+func (c *checker) models(doc *document, out *Contract) *DocumentError {
+	for i, model := range doc.Models {
+		if !validName(model) || slices.Contains(out.Models, model) {
+			return c.bad(fmt.Sprintf("models[%d]", i), strconv.Quote(model), nameAllowed+", each model once")
+		}
+		out.Models = append(out.Models, model)
+	}
+	return nil
+}
+
+const nameAllowed = "a name of 1 to 128 bytes without spaces, control characters and '*'"
+
+func validName(name string) bool {
+	return name != "" && len(name) <= maxNameBytes && !strings.ContainsFunc(name, func(r rune) bool {
+		return r == '*' || unicode.IsSpace(r) || unicode.IsControl(r)
+	})
+}
+
+func (c *checker) nonIdempotent(doc *document, out *Contract) *DocumentError {
+	for i, table := range doc.NonIdempotent {
+		prefix := fmt.Sprintf("non_idempotent[%d].", i)
+		switch {
+		case table.Service == nil:
+			return c.missing(prefix+"service", nameAllowed)
+		case !validName(*table.Service):
+			return c.bad(prefix+"service", strconv.Quote(*table.Service), nameAllowed)
+		}
+		for j, method := range table.Methods {
+			if !slices.Contains(httpMethods, method) {
+				return c.bad(fmt.Sprintf("%smethods[%d]", prefix, j), strconv.Quote(method), strings.Join(httpMethods, ", "))
+			}
+		}
+		rule := nonIdempotentRule{service: *table.Service, methods: table.Methods, pathPrefix: "/"}
+		if table.PathPrefix != nil {
+			rule.pathPrefix = *table.PathPrefix
+		}
+		if !strings.HasPrefix(rule.pathPrefix, "/") {
+			return c.bad(prefix+"path_prefix", strconv.Quote(rule.pathPrefix), "a path that starts with '/'")
+		}
+		out.nonIdempotent = append(out.nonIdempotent, rule)
+	}
+	return nil
+}
+
+func (c *checker) quietHours(doc *document, out *Contract) *DocumentError {
+	if len(doc.QuietHours) > maxQuietHours {
+		return c.bad("quiet_hours", fmt.Sprintf("%d entries", len(doc.QuietHours)), fmt.Sprintf("at most %d entries", maxQuietHours))
+	}
+	for i := range doc.QuietHours {
+		window, err := c.window(fmt.Sprintf("quiet_hours[%d].", i), &doc.QuietHours[i])
+		if err != nil {
+			return err
+		}
+		for j := range out.quietHours {
+			target, common := window.commonTarget(&out.quietHours[j])
+			if common && window.overlaps(&out.quietHours[j]) {
+				err := c.bad(fmt.Sprintf("quiet_hours[%d]", i), fmt.Sprintf("times that overlap with quiet_hours[%d] for %q", j, target),
+					"quiet hours of one target that do not overlap")
+				err.Code = CodeOverlap
+				return err
+			}
+		}
+		out.quietHours = append(out.quietHours, *window)
+	}
+	return nil
+}
+
+func (c *checker) window(prefix string, table *quietHoursTable) (*quietWindow, *DocumentError) {
+	w := &quietWindow{}
+	for i, day := range table.Days {
+		index := slices.Index(weekdays, day)
+		if index < 0 || w.days[index] {
+			return nil, c.bad(fmt.Sprintf("%sdays[%d]", prefix, i), strconv.Quote(day), "mon, tue, wed, thu, fri, sat, sun, each day once")
+		}
+		w.days[index] = true
+	}
+	if len(table.Days) == 0 {
+		w.days = [7]bool{true, true, true, true, true, true, true}
+	}
+	if err := c.times(prefix, table, w); err != nil {
+		return nil, err
+	}
+	if err := c.zone(prefix+"time_zone", table.TimeZone, w); err != nil {
+		return nil, err
+	}
+	return w, c.targets(prefix+"applies_to", table.AppliesTo, w)
+}
+
+func (c *checker) times(prefix string, table *quietHoursTable, w *quietWindow) *DocumentError {
+	const startAllowed, endAllowed = `a time from "00:00" to "23:59"`, `a time from "00:00" to "24:00" other than the start`
+	if table.Start == nil {
+		return c.missing(prefix+"start", startAllowed)
+	}
+	if table.End == nil {
+		return c.missing(prefix+"end", endAllowed)
+	}
+	var ok bool
+	if w.start, ok = parseMinutes(*table.Start); !ok || w.start == minutesPerDay {
+		return c.bad(prefix+"start", strconv.Quote(*table.Start), startAllowed)
+	}
+	if w.end, ok = parseMinutes(*table.End); !ok || w.end == w.start {
+		return c.bad(prefix+"end", strconv.Quote(*table.End), endAllowed)
+	}
+	return nil
+}
+
+// parseMinutes reads "HH:MM" up to and including "24:00".
+func parseMinutes(text string) (minutes int, ok bool) {
+	if text == "24:00" {
+		return minutesPerDay, true
+	}
+	if len(text) != len("15:04") {
+		return 0, false
+	}
+	t, err := time.Parse("15:04", text)
+	if err != nil {
+		return 0, false
+	}
+	return t.Hour()*60 + t.Minute(), true
+}
+
+func (c *checker) zone(key string, name *string, w *quietWindow) *DocumentError {
+	const allowed = `a name of the IANA time zone database such as "Europe/Lisbon"`
+	if name == nil {
+		return c.missing(key, allowed)
+	}
+	// LoadLocation reads "" as UTC and "Local" as the zone of the host, which
+	// may differ between hosts.
+	if *name == "" || *name == "Local" {
+		return c.bad(key, strconv.Quote(*name), allowed)
+	}
+	zone, err := time.LoadLocation(*name)
+	if err != nil {
+		return c.bad(key, strconv.Quote(*name), allowed)
+	}
+	w.zone = zone
+	return nil
+}
+
+func (c *checker) targets(key string, targets []string, w *quietWindow) *DocumentError {
+	const allowed = `"model:NAME", "service:NAME", "model:*" or "service:*", each target once`
+	if len(targets) == 0 {
+		return c.missing(key, "at least one of "+allowed)
+	}
+	for i, target := range targets {
+		kind, name, _ := strings.Cut(target, ":")
+		if kind != "model" && kind != "service" || name != "*" && !validName(name) || slices.Contains(w.appliesOn, target) {
+			return c.bad(fmt.Sprintf("%s[%d]", key, i), strconv.Quote(target), allowed)
+		}
+		w.appliesOn = append(w.appliesOn, target)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/contract/quiet.go
@@ -0,0 +1,218 @@
+package contract
+
+import (
+	"strings"
+	"time"
+)
+
+const (
+	// quietHorizon bounds the search for the end of a quiet period. A period
+	// longer than a week repeats without end, since windows repeat weekly; the
+	// eighth day covers clock changes.
+	quietHorizon = 8 * 24 * time.Hour
+
+	minutesPerDay  = 24 * 60
+	minutesPerWeek = 7 * minutesPerDay
+)
+
+// quietWindow is one entry of quiet_hours. Times are minutes after midnight of
+// the local wall clock.
+type quietWindow struct {
+	days  [7]bool // by time.Weekday: days on which the window starts
+	start int
+	// end is at most 24*60. It lies on the next day if it is not after start.
+	end       int
+	zone      *time.Location
+	appliesOn []string // targets; "model:*" and "service:*" match every name
+}
+
+func (w *quietWindow) appliesTo(target string) bool {
+	for _, pattern := range w.appliesOn {
+		if targetsIntersect(pattern, target) {
+			return true
+		}
+	}
+	return false
+}
+
+// endAt returns the end of the window's occurrence that contains the instant.
+func (w *quietWindow) endAt(at time.Time) (time.Time, bool) {
+	year, month, day := at.In(w.zone).Date()
+	// An occurrence lasts at most a day plus a clock change, so that it
+	// started today, yesterday or the day before.
+	for back := 2; back >= 0; back-- {
+		start, end, ok := w.occurrence(year, month, day-back)
+		if ok && !at.Before(start) && at.Before(end) {
+			return end, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// occurrence returns the half-open interval of the window that starts on the
+// date, if the window applies to that weekday.
+func (w *quietWindow) occurrence(year int, month time.Month, day int) (start, end time.Time, ok bool) {
+	date := time.Date(year, month, day, 0, 0, 0, 0, time.UTC)
+	if !w.days[date.Weekday()] {
+		return time.Time{}, time.Time{}, false
+	}
+	endMinutes := w.end
+	if endMinutes <= w.start {
+		endMinutes += minutesPerDay
+	}
+	start = firstInstant(date.Add(time.Duration(w.start)*time.Minute), w.zone)
+	end = lastInstant(date.Add(time.Duration(endMinutes)*time.Minute), w.zone)
+	return start, end, true
+}
+
+// firstInstant returns the first instant at which the wall clock of the zone
+// shows wall, a time written in UTC. A wall-clock time that the clock skips
+// yields the first instant after the skipped period.
+func firstInstant(wall time.Time, zone *time.Location) time.Time {
+	first, _ := instants(wall, zone)
+	return first
+}
+
+// lastInstant is like firstInstant but returns the last such instant.
+func lastInstant(wall time.Time, zone *time.Location) time.Time {
+	_, last := instants(wall, zone)
+	return last
+}
+
+// instants returns the first and the last instant at which the wall clock of
+// the zone shows wall. time.Date does not promise which instant it returns near
+// a clock change, so the periods around it are examined here.
+func instants(wall time.Time, zone *time.Location) (first, last time.Time) {
+	near := time.Date(wall.Year(), wall.Month(), wall.Day(), wall.Hour(), wall.Minute(), 0, 0, zone)
+	periodStart, periodEnd := near.ZoneBounds()
+	probes := []time.Time{near}
+	if !periodStart.IsZero() {
+		probes = append(probes, periodStart.Add(-time.Second))
+	}
+	if !periodEnd.IsZero() {
+		probes = append(probes, periodEnd)
+	}
+	for _, probe := range probes {
+		offset := offsetAt(probe, zone)
+		t := wall.Add(-offset)
+		if offsetAt(t, zone) != offset {
+			continue
+		}
+		if first.IsZero() || t.Before(first) {
+			first = t
+		}
+		if last.IsZero() || t.After(last) {
+			last = t
+		}
+	}
+	if !first.IsZero() {
+		return first.In(zone), last.In(zone)
+	}
+	// The clock skips wall: it jumps over it at one of the two bounds.
+	for _, change := range []time.Time{periodStart, periodEnd} {
+		if change.IsZero() {
+			continue
+		}
+		before := change.Add(offsetAt(change.Add(-time.Second), zone))
+		after := change.Add(offsetAt(change, zone))
+		if !wall.Before(before.UTC()) && wall.Before(after.UTC()) {
+			return change, change
+		}
+	}
+	return near, near
+}
+
+func offsetAt(t time.Time, zone *time.Location) time.Duration {
+	_, seconds := t.In(zone).Zone()
+	return time.Duration(seconds) * time.Second
+}
+
+// targetsIntersect reports whether some target matches both patterns.
+func targetsIntersect(a, b string) bool {
+	kindA, nameA, _ := strings.Cut(a, ":")
+	kindB, nameB, _ := strings.Cut(b, ":")
+	return kindA == kindB && (nameA == nameB || nameA == "*" || nameB == "*")
+}
+
+// commonTarget returns a target pattern on which both windows apply.
+func (w *quietWindow) commonTarget(other *quietWindow) (string, bool) {
+	for _, a := range w.appliesOn {
+		for _, b := range other.appliesOn {
+			if targetsIntersect(a, b) {
+				if strings.HasSuffix(a, ":*") {
+					return b, true
+				}
+				return a, true
+			}
+		}
+	}
+	return "", false
+}
+
+// overlaps reports whether the wall-clock times of two windows overlap in some
+// week, for any difference between their zones' offsets.
+func (w *quietWindow) overlaps(other *quietWindow) bool {
+	for _, difference := range offsetDifferences(w.zone, other.zone) {
+		for _, a := range w.weekly(0) {
+			for _, b := range other.weekly(difference) {
+				if intervalsOverlap(a, b) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// weekly returns [start, end) in minutes after Sunday midnight for each
+// occurrence, shifted by a number of minutes.
+func (w *quietWindow) weekly(shift int) [][2]int {
+	length := w.end - w.start
+	if length <= 0 {
+		length += minutesPerDay
+	}
+	var intervals [][2]int
+	for day, on := range w.days {
+		if on {
+			start := ((day*minutesPerDay+w.start+shift)%minutesPerWeek + minutesPerWeek) % minutesPerWeek
+			intervals = append(intervals, [2]int{start, start + length})
+		}
+	}
+	return intervals
+}
+
+// intervalsOverlap compares two intervals of a repeating week.
+func intervalsOverlap(a, b [2]int) bool {
+	for _, week := range []int{-minutesPerWeek, 0, minutesPerWeek} {
+		if a[0] < b[1]+week && b[0]+week < a[1] {
+			return true
+		}
+	}
+	return false
+}
+
+// Span in which the offsets of two zones are compared. It is fixed so that
+// every node judges a document alike.
+const (
+	offsetSpanFirstYear = 2024
+	offsetSpanLastYear  = 2037
+)
+
+// offsetDifferences returns every number of minutes by which zone a was ahead
+// of zone b at noon of some day of the span.
+func offsetDifferences(a, b *time.Location) []int {
+	if a.String() == b.String() {
+		return []int{0}
+	}
+	var differences []int
+	seen := map[int]bool{}
+	last := time.Date(offsetSpanLastYear+1, 1, 1, 0, 0, 0, 0, time.UTC)
+	for t := time.Date(offsetSpanFirstYear, 1, 1, 12, 0, 0, 0, time.UTC); t.Before(last); t = t.AddDate(0, 0, 1) {
+		minutes := int((offsetAt(t, a) - offsetAt(t, b)) / time.Minute)
+		if !seen[minutes] {
+			seen[minutes] = true
+			differences = append(differences, minutes)
+		}
+	}
+	return differences
+}
