contractlog: commit contract changes in one transaction and resolve lost answers

A change's answer can be lost after it took effect, and other operators may change the same contract meanwhile, so the contract's row alone cannot tell whether a change took effect. Each change therefore also writes a row named after its id, on condition that it is absent; a change of unknown outcome is repeated with new conditions until the outcome is certain or 3 s are over. Then it is reported as unknown with its id, and a repetition is idempotent.

Reading the outcome without repeating the transaction was ruled out: a call that is still on its way could take effect after the read.

--- a/internal/contract/parse.go
+++ b/internal/contract/parse.go
@@ -77,6 +77,18 @@
 	return c.contract(&doc)
 }
 
+// CustomerOf returns the customer that a document names, also if the document
+// is refused for another reason; empty if it cannot be told.
+func CustomerOf(text []byte) ident.Customer {
+	var doc struct {
+		Customer string `toml:"customer"`
+	}
+	if len(text) > MaxDocumentBytes || toml.Unmarshal(text, &doc) != nil || !ValidCustomer(doc.Customer) {
+		return ""
+	}
+	return ident.Customer(doc.Customer)
+}
+
 func decodeError(text []byte, err error) *DocumentError {
 	var missing *toml.StrictMissingError
 	if errors.As(err, &missing) && len(missing.Errors) > 0 {
--- /dev/null
+++ b/internal/contractlog/history_test.go
@@ -0,0 +1,217 @@
+package contractlog
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/yuccahatch/yuccahatch/api/platformapi"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/table/tabletest"
+)
+
+// slowTable delays calls before and after they take effect, so that those of
+// different operators interleave.
+type slowTable struct {
+	*tabletest.Table
+	random *rand.Rand // used by one goroutine
+}
+
+func (s slowTable) delay() { time.Sleep(time.Duration(s.random.Int64N(int64(30 * time.Millisecond)))) }
+
+func (s slowTable) Txn(ctx context.Context, txn platformapi.TxnRequest) (platformapi.TxnResponse, error) {
+	s.delay()
+	defer s.delay()
+	return s.Table.Txn(ctx, txn)
+}
+
+func (s slowTable) Read(ctx context.Context, keys ...string) ([]platformapi.Row, error) {
+	s.delay()
+	defer s.delay()
+	return s.Table.Read(ctx, keys...)
+}
+
+// putInput and putOutput are one call of Put in a history.
+type putInput struct {
+	customer, id string
+	base         int
+}
+
+type putOutput struct {
+	code    Code
+	version int // of the entry, or the newest one on a conflict
+}
+
+// contractModel says what one contract with atomic changes answers. Its state
+// lists the change id of each version.
+func contractModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+			parts := map[string][]porcupine.Operation{}
+			for _, op := range history {
+				customer := op.Input.(putInput).customer
+				parts[customer] = append(parts[customer], op)
+			}
+			return slices.Collect(maps.Values(parts))
+		},
+		Init: func() []any { return []any{[]string(nil)} },
+		Step: func(state, input, output any) []any {
+			return stepContract(state.([]string), input.(putInput), output.(putOutput))
+		},
+		Equal: func(a, b any) bool { return slices.Equal(a.([]string), b.([]string)) },
+	}
+	return model.ToModel()
+}
+
+func stepContract(made []string, in putInput, out putOutput) []any {
+	version := slices.Index(made, in.id) + 1
+	changed := append(slices.Clone(made), in.id)
+	mayChange := version == 0 && in.base == len(made)
+	switch out.code {
+	case "":
+		if version > 0 && out.version == version {
+			return []any{made}
+		}
+		if mayChange && out.version == len(changed) {
+			return []any{changed}
+		}
+	case CodeConflict:
+		if version == 0 && in.base != len(made) && out.version == len(made) {
+			return []any{made}
+		}
+	case CodeStoreUnavailable, CodeBusy:
+		return []any{made}
+	case CodeOutcomeUnknown:
+		if mayChange {
+			return []any{made, changed}
+		}
+		return []any{made}
+	}
+	return nil
+}
+
+// operators runs concurrent operators that change two contracts and records
+// their history. An operator repeats a change of unknown outcome in half of the
+// cases.
+func operators(t *testing.T, seed uint64, shared *tabletest.Table, log *[]porcupine.Operation) {
+	var mu sync.Mutex // guards log
+	var group sync.WaitGroup
+	for client := range 4 {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(client)))
+			l := New(slowTable{shared, random}, &records{}, "h1", time.Now)
+			known, in, repeat := map[string]int{}, putInput{}, false
+			for n := range 10 {
+				if !repeat {
+					customer := []string{"a", "b"}[random.IntN(2)]
+					in = putInput{customer: customer, id: fmt.Sprintf("c%d-%d", client, n), base: known[customer]}
+				}
+				call := time.Now().UnixNano()
+				entry, err := l.Put(t.Context(), document(in.customer, client+1), ident.ContractVersion(in.base), in.id, "op")
+				out := putOutput{code: CodeOf(err), version: int(entry.Version)}
+				if current, ok := CurrentOf(err); ok {
+					out.version = int(current.Version)
+				}
+				back := time.Now().UnixNano()
+				if out.code == CodeOutcomeUnknown {
+					back = math.MaxInt64 // it may still take effect
+				} else {
+					known[in.customer] = max(known[in.customer], out.version)
+				}
+				if out.code == CodeStoreUnavailable {
+					time.Sleep(time.Second)
+				}
+				repeat = out.code == CodeOutcomeUnknown && random.IntN(2) == 0
+				mu.Lock()
+				*log = append(*log, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: call, Return: back})
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+}
+
+// checkRows checks the table itself: positions without gaps, versions that rise
+// by one, each change id once, and a record of each change.
+func checkRows(t *testing.T, table *tabletest.Table) int {
+	t.Helper()
+	l := New(table, &records{}, "h1", time.Now)
+	entries, head, err := l.After(t.Context(), 0)
+	if err != nil || int(head) != len(entries) {
+		t.Fatalf("%d entries, head %d, %v", len(entries), head, err)
+	}
+	ids, versions := map[string]bool{}, map[ident.Customer]ident.ContractVersion{}
+	for i, entry := range entries {
+		versions[entry.Customer]++
+		if entry.Version != versions[entry.Customer] || ids[entry.ChangeID] {
+			t.Errorf("entry %d has version %d and change id %s", i+1, entry.Version, entry.ChangeID)
+		}
+		ids[entry.ChangeID] = true
+	}
+	audited, _, err := table.Scan(t.Context(), "audit/", "", 1000)
+	if err != nil || len(audited) != len(entries) {
+		t.Errorf("%d audit records for %d changes, %v", len(audited), len(entries), err)
+	}
+	newest, _, err := l.Load(t.Context())
+	for _, entry := range newest {
+		if entry.Version != versions[entry.Customer] {
+			t.Errorf("row of contract %s has version %d, the log %d", entry.Customer, entry.Version, versions[entry.Customer])
+		}
+	}
+	if err != nil || len(newest) != len(versions) {
+		t.Errorf("%d contracts, %d in the log, %v", len(newest), len(versions), err)
+	}
+	return len(entries)
+}
+
+// TestConcurrentOperators checks that concurrent changes under lost answers,
+// lost calls and outages look as if each had taken place at one instant.
+// YUCCAHATCH_SEED replaces the first seed.
+func TestConcurrentOperators(t *testing.T) {
+	first := uint64(1)
+	if text := os.Getenv("YUCCAHATCH_SEED"); text != "" {
+		first, _ = strconv.ParseUint(text, 10, 64)
+	}
+	outcomes, changes := map[Code]int{}, 0
+	for seed := first; seed < first+60; seed++ {
+		var history []porcupine.Operation
+		shared := tabletest.New()
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 99)) // used under the table's lock
+			start := time.Now()
+			shared.SetFaults(func(string) tabletest.Fault {
+				// Outages of four seconds outlast resolveLimit.
+				if seed%2 == 0 && time.Since(start)%(4200*time.Millisecond) > 200*time.Millisecond {
+					return tabletest.FaultUnavailable
+				}
+				return tabletest.Fault(max(0, random.IntN(12)-8)) // a fault in 3 of 12 calls
+			})
+			operators(t, seed, shared, &history)
+		})
+		shared.SetFaults(func(string) tabletest.Fault { return tabletest.FaultNone })
+		changes += checkRows(t, shared)
+		for _, op := range history {
+			outcomes[op.Output.(putOutput).code]++
+		}
+		if !porcupine.CheckOperations(contractModel(), history) {
+			t.Fatalf("seed %d: the history is not linearizable: %+v", seed, history)
+		}
+	}
+	t.Logf("seeds %d to %d: %d changes, outcomes %v", first, first+59, changes, outcomes)
+	for _, code := range []Code{"", CodeConflict, CodeStoreUnavailable, CodeOutcomeUnknown} {
+		if outcomes[code] == 0 {
+			t.Errorf("no call ended with code %q; the test proves nothing about it", code)
+		}
+	}
+}
--- /dev/null
+++ b/internal/contractlog/rows.go
@@ -0,0 +1,96 @@
+package contractlog
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/platformapi"
+	"github.com/yuccahatch/yuccahatch/internal/contractset"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// Keys of the table.
+const (
+	contractPrefix = "contract/"        // + customer: newest version
+	headKey        = "contractlog/head" // newest position
+	// logPrefix covers the entries and not the head: positions are written with
+	// 19 digits, of which the first is 0 for the next 10^18 changes.
+	logPrefix    = "contractlog/0"
+	changePrefix = "contractchange/" // + change id: position of the change
+)
+
+func contractKey(customer ident.Customer) string { return contractPrefix + string(customer) }
+
+func entryKey(sequence ident.LogSequence) string { return fmt.Sprintf("contractlog/%019d", sequence) }
+
+func changeKey(id string) string { return changePrefix + id }
+
+// changeIDPattern keeps change ids usable in keys.
+var changeIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
+// entryRow is the value of contract and log rows.
+type entryRow struct {
+	Sequence  int64     `json:"sequence"`
+	Customer  string    `json:"customer"`
+	Version   int64     `json:"version"`
+	Document  string    `json:"document"`
+	ChangedBy string    `json:"changed_by"`
+	ChangedAt time.Time `json:"changed_at"`
+	ChangeID  string    `json:"change_id"`
+	// Previous is the position of the version before, 0 for the first. It
+	// leads through the history of one customer without a scan of the log.
+	Previous int64 `json:"previous,omitempty"`
+}
+
+type headRow struct {
+	Sequence int64 `json:"sequence"`
+}
+
+// changeRow makes a change id usable once, also after later changes replaced
+// the contract's row.
+type changeRow struct {
+	Sequence int64 `json:"sequence"`
+}
+
+func (r entryRow) entry() contractset.Entry {
+	return contractset.Entry{
+		Sequence: ident.LogSequence(r.Sequence), Customer: ident.Customer(r.Customer),
+		Version: ident.ContractVersion(r.Version), Document: r.Document,
+		ChangedBy: r.ChangedBy, ChangedAt: r.ChangedAt, ChangeID: r.ChangeID,
+	}
+}
+
+// decode reads a row's value; an absent row leaves the zero value.
+func decode(row platformapi.Row, into any) error {
+	if row.Version == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(row.Value, into); err != nil {
+		return newError(CodeCorrupt).Wrapf(err, "decode row %q", row.Key)
+	}
+	return nil
+}
+
+func encode(key string, value any) (platformapi.Write, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return platformapi.Write{}, newError(CodeCorrupt).Wrapf(err, "encode row %q", key)
+	}
+	return platformapi.Write{Key: key, Value: encoded}, nil
+}
+
+// readEntry reads one log entry, which must exist.
+func (l *Log) readEntry(ctx context.Context, sequence int64) (entryRow, error) {
+	var entry entryRow
+	rows, err := l.table.Read(ctx, entryKey(ident.LogSequence(sequence)))
+	if err != nil {
+		return entry, unavailable(err, "read the change log")
+	}
+	if rows[0].Version == 0 {
+		return entry, newError(CodeCorrupt).Errorf("change log has no entry %d", sequence)
+	}
+	return entry, decode(rows[0], &entry)
+}
