--- /dev/null
+++ b/internal/peer/operator/errors.go
@@ -0,0 +1,124 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/samber/oops"
+
+	"github.com/yuccahatch/yuccahatch/api/operatorapi"
+	"github.com/yuccahatch/yuccahatch/internal/audit"
+	"github.com/yuccahatch/yuccahatch/internal/contract"
+	"github.com/yuccahatch/yuccahatch/internal/contractlog"
+	"github.com/yuccahatch/yuccahatch/internal/contractset"
+)
+
+// Code classifies a failure of a call of an operator. It is the code of the
+// answer's body.
+type Code string
+
+// Codes of answers to operators.
+const (
+	CodeUnauthorized     Code = "unauthorized"
+	CodeBadRequest       Code = "bad_request"
+	CodeTooLarge         Code = "too_large"
+	CodeNotFound         Code = "not_found"
+	CodeMethod           Code = "method_not_allowed"
+	CodeRefused          Code = "contract_refused"
+	CodeConflict         Code = "version_conflict"
+	CodeChangeIDReused   Code = "change_id_reused"
+	CodeStoreUnavailable Code = "store_unavailable"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeInternal         Code = "internal"
+)
+
+// statuses maps codes to HTTP statuses.
+var statuses = map[Code]int{
+	CodeUnauthorized:     http.StatusUnauthorized,
+	CodeBadRequest:       http.StatusBadRequest,
+	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeNotFound:         http.StatusNotFound,
+	CodeMethod:           http.StatusMethodNotAllowed,
+	CodeRefused:          http.StatusUnprocessableEntity,
+	CodeConflict:         http.StatusConflict,
+	CodeChangeIDReused:   http.StatusConflict,
+	CodeStoreUnavailable: http.StatusServiceUnavailable,
+	CodeOutcomeUnknown:   http.StatusGatewayTimeout,
+	CodeInternal:         http.StatusInternalServerError,
+}
+
+// logCodes translates codes of the change log.
+var logCodes = map[contractlog.Code]Code{
+	contractlog.CodeRefused:          CodeRefused,
+	contractlog.CodeBadChangeID:      CodeBadRequest,
+	contractlog.CodeChangeIDReused:   CodeChangeIDReused,
+	contractlog.CodeConflict:         CodeConflict,
+	contractlog.CodeStoreUnavailable: CodeStoreUnavailable,
+	contractlog.CodeBusy:             CodeStoreUnavailable,
+	contractlog.CodeOutcomeUnknown:   CodeOutcomeUnknown,
+	contractlog.CodeCorrupt:          CodeInternal,
+}
+
+// NewError returns an error that a Backend may return to choose the answer's
+// code itself, for example CodeNotFound.
+func NewError(code Code, format string, args ...any) error {
+	return oops.Code(code).In("operator").Errorf(format, args...)
+}
+
+// codeOf translates the error of a Backend.
+func codeOf(err error) Code {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return CodeTooLarge
+	}
+	var e oops.OopsError
+	if !errors.As(err, &e) {
+		return CodeInternal
+	}
+	switch code := e.Code().(type) {
+	case Code:
+		if _, known := statuses[code]; known {
+			return code
+		}
+	case contractlog.Code:
+		if translated, known := logCodes[code]; known {
+			return translated
+		}
+	case audit.Code:
+		if code == audit.CodeUnavailable {
+			return CodeStoreUnavailable
+		}
+	}
+	return CodeInternal
+}
+
+// answerTo returns the status and body for an error. The text of an internal
+// error stays in the log of the node.
+func answerTo(err error) (int, operatorapi.Error) {
+	code := codeOf(err)
+	body := operatorapi.Error{Code: string(code), Message: err.Error()}
+	if code == CodeInternal {
+		body.Message = "internal error; see the log of the node"
+	}
+	var de *contract.DocumentError
+	if errors.As(err, &de) {
+		body.Line, body.Key, body.Message = de.Line, de.Key, de.Error()
+	}
+	if current, ok := contractlog.CurrentOf(err); ok {
+		c := ContractOf(current)
+		body.Current = &c
+	}
+	if id := contractlog.ChangeIDOf(err); id != "" && code == CodeOutcomeUnknown {
+		body.Message = fmt.Sprintf("the change may have taken effect; repeat it with %s: %s to find out", operatorapi.HeaderChangeID, id)
+	}
+	return statuses[code], body
+}
+
+// ContractOf translates an entry of the change log.
+func ContractOf(e contractset.Entry) operatorapi.Contract {
+	return operatorapi.Contract{
+		Customer: string(e.Customer), Version: int64(e.Version), Sequence: int64(e.Sequence), Document: e.Document,
+		ChangedBy: e.ChangedBy, ChangedAt: e.ChangedAt, ChangeID: e.ChangeID,
+	}
+}
