cli: add the commands for operators

The commands validate, put, get, list, history and watch for contracts, and status, explain and audit, are thin calls of the interface for operators. A client tries the next node when one does not answer; it may repeat a change because every change carries an id, which is printed when the outcome stays unknown.

Errors of commands get a code when they leave a command, so that what remains without one comes from cobra and is reported as wrong usage; the exit statuses are in the help.

--- a/cmd/yuccahatch/main.go
+++ b/cmd/yuccahatch/main.go
@@ -1,4 +1,17 @@
 // Command yuccahatch is the command line for operators and experimenters.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/yuccahatch/yuccahatch/internal/cli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(cli.Run(ctx, cli.New(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cli/put.go
@@ -0,0 +1,173 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/yuccahatch/yuccahatch/api/operatorapi"
+	"github.com/yuccahatch/yuccahatch/internal/contract"
+)
+
+// waitInterval separates two looks at the status; nodes exchange their
+// sequences as often.
+const waitInterval = 500 * time.Millisecond
+
+// putFlags are the flags of contract put.
+type putFlags struct {
+	base      int64
+	changeID  string
+	wait      bool
+	waitLimit time.Duration
+}
+
+func (a *app) putCommand() *cobra.Command {
+	var flags putFlags
+	cmd := &cobra.Command{
+		Use: "put FILE", Short: "Make a document the next version of its customer's contract",
+		Long: `Make a document the next version of its customer's contract. '-' reads the
+standard input.
+
+Without --base the change applies to the newest version; with it, the change is
+refused (exit status 4) if the contract has another version by now. 0 means that
+the contract must not exist yet.
+
+If the outcome is unknown, repeat the command with the --change-id that it
+printed: a change with one id takes effect at most once.`,
+		Example: `  yuccahatch contract put arejo.toml --wait
+  yuccahatch contract put arejo.toml --base 3`,
+		Args: cobra.ExactArgs(1),
+	}
+	cmd.Flags().Int64Var(&flags.base, "base", -1, "version that the change is based on; 0: no contract yet")
+	cmd.Flags().StringVar(&flags.changeID, "change-id", "", "id of the change (default random)")
+	cmd.Flags().BoolVar(&flags.wait, "wait", false, "wait until the change is in force on every live node")
+	cmd.Flags().DurationVar(&flags.waitLimit, "wait-limit", 2*time.Minute, "give up waiting after this time")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if cmd.Flags().Changed("base") && flags.base < 0 {
+			return NewError(CodeUsage, "--base is %d; allowed: a version number from 0", flags.base)
+		}
+		return a.put(cmd, args[0], flags)
+	}
+	return cmd
+}
+
+func (a *app) put(cmd *cobra.Command, file string, flags putFlags) error {
+	c, err := a.client()
+	if err != nil {
+		return err
+	}
+	document, err := readDocument(cmd, file)
+	if err != nil {
+		return err
+	}
+	customer := contract.CustomerOf(document)
+	if customer == "" {
+		// Without a customer there is no address to send the document to.
+		return NewError(CodeRefused, "%s: %s", file, validateDocument(file, document).Message)
+	}
+	if flags.changeID == "" {
+		flags.changeID = a.newID()
+	}
+	header := map[string]string{operatorapi.HeaderChangeID: flags.changeID, "Content-Type": "application/toml"}
+	if flags.base >= 0 {
+		header[operatorapi.HeaderBaseVersion] = strconv.FormatInt(flags.base, 10)
+	}
+	var result operatorapi.PutResult
+	status, err := c.call(cmd.Context(), http.MethodPut, contractPath(string(customer)), header, document, &result)
+	if err != nil {
+		// A node may have taken the change without its answer arriving.
+		if status == 0 || status >= http.StatusInternalServerError {
+			fmt.Fprintf(cmd.ErrOrStderr(), "To repeat this change safely, add: --change-id %s\n", flags.changeID)
+		}
+		return err
+	}
+	if flags.wait {
+		if result, err = a.waitForChange(cmd, c, result, flags.waitLimit); err != nil {
+			return err
+		}
+	}
+	return a.print(cmd.OutOrStdout(), result, func(w io.Writer) { printPut(w, result) })
+}
+
+func printPut(w io.Writer, r operatorapi.PutResult) {
+	state := "accepted"
+	if !r.Accepted {
+		state = "recorded, not yet in force on a majority of the hosts"
+	}
+	fmt.Fprintf(w, "%s: version %d %s; in force on %d of %d nodes\n",
+		r.Contract.Customer, r.Contract.Version, state, len(r.InForce), len(r.InForce)+len(r.Pending))
+	if len(r.Pending) > 0 {
+		fmt.Fprintf(w, "waiting for: %s\n", strings.Join(r.Pending, ", "))
+	}
+}
+
+// waitForChange polls the status until every live node has the change.
+func (a *app) waitForChange(cmd *cobra.Command, c *client, result operatorapi.PutResult, limit time.Duration) (operatorapi.PutResult, error) {
+	deadline := time.Now().Add(limit)
+	last := ""
+	for {
+		var status operatorapi.Status
+		err := c.get(cmd.Context(), operatorapi.RouteStatus, &status)
+		if err == nil {
+			result.InForce, result.Pending = spread(status, result.Contract.Sequence)
+			total := len(result.InForce) + len(result.Pending)
+			// A node without a host list knows no node but itself.
+			if total > 0 && len(result.Pending) == 0 {
+				result.Accepted = true
+			}
+			progress := fmt.Sprintf("version %d in force on %d of %d nodes", result.Contract.Version, len(result.InForce), total)
+			if progress != last {
+				fmt.Fprintln(cmd.ErrOrStderr(), progress)
+				last = progress
+			}
+			if total > 0 && len(result.Pending) == 0 {
+				return result, nil
+			}
+		} else if codeOf(err) != CodeUnreachable {
+			return result, err
+		}
+		if time.Now().After(deadline) {
+			return result, NewError(CodeFailed, "version %d is recorded but not in force everywhere after %s; waiting for: %s",
+				result.Contract.Version, limit, strings.Join(result.Pending, ", "))
+		}
+		if !sleep(cmd.Context(), waitInterval) {
+			return result, NewError(CodeFailed, "interrupted; version %d is recorded", result.Contract.Version)
+		}
+	}
+}
+
+// spread tells on which live nodes a position of the change log is in force.
+func spread(status operatorapi.Status, sequence int64) (inForce, pending []string) {
+	nodes := status.Nodes
+	listed := false
+	for _, node := range nodes {
+		listed = listed || node.HostID == status.HostID
+	}
+	if !listed {
+		nodes = append(nodes, operatorapi.NodeStatus{HostID: status.HostID, Sequence: status.Sequence})
+	}
+	for _, node := range nodes {
+		switch {
+		case node.State == "dead" || node.State == "left":
+		case node.Sequence >= sequence:
+			inForce = append(inForce, node.HostID)
+		default:
+			pending = append(pending, node.HostID)
+		}
+	}
+	return inForce, pending
+}
+
+func (a *app) printChange(w io.Writer, c operatorapi.Contract) error {
+	if a.output == outputJSON {
+		return json.NewEncoder(w).Encode(c)
+	}
+	_, err := fmt.Fprintf(w, "%s  %s version %d by %s (position %d)\n", c.ChangedAt.Format(timeLayout), c.Customer, c.Version, c.ChangedBy, c.Sequence)
+	return err
+}
