contractset: keep a restarted node out of majorities until it is restored

Hosts keep no state: with the store down, a restarted host and a host that never had an accepted change formed a majority of three and admitted work without the change. The random test failed as soon as it could restart nodes (first with one host: change, restart, 5 s).

A new process now counts as heard, by itself and by its peers, only after a proof of freshness from after its start or after it heard a strict majority of other hosts. It says so by a negative fresh_age_ms. A proof that a peer passes on and that is older than the process was ruled out as enough: the process may have acknowledged a change between that proof and its restart (found with -rapid.checks 20000 -rapid.seed 11, now in TestReport).

--- a/internal/contractset/freshness.go
+++ b/internal/contractset/freshness.go
@@ -16,26 +16,29 @@
 // current less than limit ago: either because of the store (fresh is the
 // instant of the newest proof that every committed change up to then is
 // applied) or because it heard a strict majority of the listed hosts (heard
-// holds the instant of the newest answer of each peer whose entries are all
-// applied). The node itself counts as heard if it is listed.
-func Admission(now time.Time, limit time.Duration, self ident.HostID, fresh time.Time,
+// holds the instant of the newest answer of each host whose entries are all
+// applied; the node itself is among them unless it lost its knowledge in a
+// restart).
+func Admission(now time.Time, limit time.Duration, fresh time.Time,
 	heard map[ident.HostID]time.Time, listed []ident.HostID) (ok bool, reason string) {
-	if len(listed) == 0 {
+	switch {
+	case len(listed) == 0:
 		return false, ReasonNoHosts
-	}
-	if recent(now, limit, fresh) {
+	case recent(now, limit, fresh), hearsMajority(now, limit, heard, listed):
 		return true, ""
 	}
+	return false, ReasonIsolated
+}
+
+func hearsMajority(now time.Time, limit time.Duration, heard map[ident.HostID]time.Time, listed []ident.HostID) bool {
+	hosts := distinct(listed)
 	count := 0
-	for _, host := range distinct(listed) {
-		if host == self || recent(now, limit, heard[host]) {
+	for _, host := range hosts {
+		if recent(now, limit, heard[host]) {
 			count++
 		}
 	}
-	if 2*count > len(distinct(listed)) {
-		return true, ""
-	}
-	return false, ReasonIsolated
+	return 2*count > len(hosts)
 }
 
 // recent refuses instants of the future: they come from a clock that was set
@@ -73,15 +76,28 @@
 	return out
 }
 
+// oldestAge is reported for a node that knows the contracts but has no proof of
+// freshness left. A negative age would tell peers that it knows nothing.
+const oldestAge = 365 * 24 * time.Hour
+
 // Freshness collects the proofs of freshness of one node. A proof counts from
 // the instant at which the node sent the request that returned it, and only
 // once every entry up to the position that came with it is applied. Freshness
 // is not safe for concurrent use.
+//
+// A node that restarts has lost the changes that it acknowledged before. Until
+// it is restored, by a proof of freshness from after its start or by a strict
+// majority of other hosts, it counts as heard neither by itself nor by its
+// peers: otherwise, with the store down, a restarted node and a node that never
+// had an accepted change could form a majority and admit work without it. An
+// older proof, passed on by a peer, may leave out what it acknowledged last.
 type Freshness struct {
-	self  ident.HostID
-	limit time.Duration
-	fresh time.Time
-	heard map[ident.HostID]time.Time
+	self     ident.HostID
+	limit    time.Duration
+	started  time.Time
+	restored bool
+	fresh    time.Time
+	heard    map[ident.HostID]time.Time
 	// pending holds proofs whose entries are not all applied yet.
 	pending []proof
 }
@@ -91,14 +107,14 @@
 type proof struct {
 	host     ident.HostID // empty for a read of the table
 	heard    time.Time
-	fresh    time.Time // zero if the host has no proof
+	fresh    time.Time
 	sequence ident.LogSequence
 }
 
-// NewFreshness returns the state of a node without any proof. Proofs older than
-// the limit do not count.
-func NewFreshness(self ident.HostID, limit time.Duration) *Freshness {
-	return &Freshness{self: self, limit: limit, heard: map[ident.HostID]time.Time{}}
+// NewFreshness returns the state of a node whose process started at an instant,
+// without any proof. Proofs older than the limit do not count.
+func NewFreshness(self ident.HostID, limit time.Duration, started time.Time) *Freshness {
+	return &Freshness{self: self, limit: limit, started: started, heard: map[ident.HostID]time.Time{}}
 }
 
 // HeadRead records that a read of the table sent at sentAt returned the head of
@@ -108,15 +124,13 @@
 }
 
 // PeerHeard records the answer of a peer to a request sent at sentAt: the
-// peer's sequence and the age of its own newest proof, negative if it has none.
-// Requests of a peer must not be recorded, since the delay of their delivery is
-// unknown.
+// peer's sequence and the age that its Report gave. Requests of a peer must not be recorded, since the delay of their delivery is
+// unknown. A peer without an age is not restored yet and does not count.
 func (f *Freshness) PeerHeard(peer ident.HostID, sentAt time.Time, sequence ident.LogSequence, freshAge time.Duration, applied ident.LogSequence) {
-	p := proof{host: peer, heard: sentAt, sequence: sequence}
-	if freshAge >= 0 {
-		p.fresh = sentAt.Add(-freshAge)
+	if freshAge < 0 {
+		return
 	}
-	f.add(p, applied)
+	f.add(proof{host: peer, heard: sentAt, fresh: sentAt.Add(-freshAge), sequence: sequence}, applied)
 }
 
 func (f *Freshness) add(p proof, applied ident.LogSequence) {
@@ -135,6 +149,7 @@
 		if p.fresh.After(f.fresh) {
 			f.fresh = p.fresh
 		}
+		f.restored = f.restored || p.host == "" || p.fresh.After(f.started)
 		if p.host != "" && p.heard.After(f.heard[p.host]) {
 			f.heard[p.host] = p.heard
 		}
@@ -158,23 +173,34 @@
 	}
 }
 
-// Reset forgets every proof. A node calls it when it finds that it was paused.
+// Reset forgets every proof. A node calls it when it finds that it was paused;
+// unlike after a restart, it still has the changes that it acknowledged.
 func (f *Freshness) Reset() {
 	f.fresh = time.Time{}
 	f.heard = map[ident.HostID]time.Time{}
 	f.pending = nil
 }
 
-// Age returns the age of the newest proof, for `fresh_age_ms` of heartbeats;
-// negative if there is none.
-func (f *Freshness) Age(now time.Time) time.Duration {
-	if f.fresh.IsZero() || f.fresh.After(now) {
-		return -1
+// Report returns what a heartbeat says: the set's sequence and the age of the
+// newest proof that it is current (`fresh_age_ms`), negative until the node is
+// restored. The age is taken before the sequence, so that it never belongs to a
+// higher sequence than the one reported.
+func (f *Freshness) Report(now time.Time, set *Set) (sequence ident.LogSequence, age time.Duration) {
+	age = oldestAge
+	switch {
+	case !f.restored:
+		age = -1
+	case !f.fresh.IsZero() && !f.fresh.After(now):
+		age = min(oldestAge, now.Sub(f.fresh))
 	}
-	return now.Sub(f.fresh)
+	return set.Sequence(), age
 }
 
 // Admission decides whether the node may admit work now.
 func (f *Freshness) Admission(now time.Time, listed []ident.HostID) (ok bool, reason string) {
-	return Admission(now, f.limit, f.self, f.fresh, f.heard, listed)
+	f.restored = f.restored || hearsMajority(now, f.limit, f.heard, listed)
+	if f.restored {
+		f.heard[f.self] = now
+	}
+	return Admission(now, f.limit, f.fresh, f.heard, listed)
 }
--- a/internal/contractset/isolation_test.go
+++ b/internal/contractset/isolation_test.go
@@ -35,12 +35,18 @@
 	for i := range size {
 		host := ident.HostID(fmt.Sprintf("h%d", i))
 		c.hosts = append(c.hosts, host)
-		c.sets[host] = New()
-		c.fresh[host] = NewFreshness(host, stalenessLimit)
+		c.restart(host)
 	}
 	return c
 }
 
+// restart replaces a node by a new process that has lost everything. Answers
+// under way to the old process are lost with it.
+func (c *cluster) restart(host ident.HostID) {
+	c.sets[host] = New()
+	c.fresh[host] = NewFreshness(host, stalenessLimit, c.now)
+}
+
 func (c *cluster) connected(a, b ident.HostID) bool {
 	return a == b || !c.cut[string(min(a, b)+max(a, b))]
 }
@@ -84,10 +90,11 @@
 	if !c.connected(host, "table") {
 		return
 	}
-	sentAt, after, log := c.now, c.sets[host].Sequence(), c.log
+	set, fresh := c.sets[host], c.fresh[host]
+	sentAt, after, log := c.now, set.Sequence(), c.log
 	c.inFlight = append(c.inFlight, func() {
-		c.sets[host].ApplyRange(after, ident.LogSequence(len(log)), log[after:])
-		c.fresh[host].HeadRead(sentAt, ident.LogSequence(len(log)), c.sets[host].Sequence())
+		set.ApplyRange(after, ident.LogSequence(len(log)), log[after:])
+		fresh.HeadRead(sentAt, ident.LogSequence(len(log)), set.Sequence())
 	})
 }
 
@@ -97,15 +104,17 @@
 	if host == peer || !c.connected(host, peer) {
 		return
 	}
-	sentAt, sequence, age := c.now, c.sets[peer].Sequence(), c.fresh[peer].Age(c.now)
+	set, fresh := c.sets[host], c.fresh[host]
+	sentAt := c.now
+	sequence, age := c.fresh[peer].Report(c.now, c.sets[peer])
 	fetch := rapid.Bool().Draw(t, "fetch")
 	c.inFlight = append(c.inFlight, func() {
-		c.fresh[host].PeerHeard(peer, sentAt, sequence, age, c.sets[host].Sequence())
+		fresh.PeerHeard(peer, sentAt, sequence, age, set.Sequence())
 		if fetch && c.connected(host, peer) {
-			after := c.sets[host].Sequence()
+			after := set.Sequence()
 			entries, through := c.sets[peer].Entries(after)
-			c.sets[host].ApplyRange(after, through, entries)
-			c.fresh[host].Advance(c.sets[host].Sequence())
+			set.ApplyRange(after, through, entries)
+			fresh.Advance(set.Sequence())
 		}
 	})
 }
@@ -130,13 +139,14 @@
 
 // TestNoStaleAdmission checks P8: a node that admits work more than the
 // staleness limit after a change was accepted has the change, whatever links
-// and table do and however late answers arrive.
+// and table do, however late answers arrive and whichever nodes restart.
 func TestNoStaleAdmission(t *testing.T) {
 	staleAdmissions := 0
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(rapid.IntRange(1, 5).Draw(t, "hosts"))
 		host := func(name string) ident.HostID { return rapid.SampledFrom(c.hosts).Draw(t, name) }
 		t.Repeat(map[string]func(*rapid.T){
+			"restart":   func(*rapid.T) { c.restart(host("host")) },
 			"change":    func(t *rapid.T) { c.change(t, host("host")) },
 			"poll":      func(*rapid.T) { c.poll(host("host")) },
 			"heartbeat": func(t *rapid.T) { c.heartbeat(t, host("host"), host("peer")) },
--- a/internal/contractset/set_test.go
+++ b/internal/contractset/set_test.go
@@ -144,16 +144,50 @@
 		{"read of the table", ago(limit - 1), nil, hosts, true},
 		{"read too old", ago(limit), nil, hosts, false},
 		{"read in the future", now.Add(1), nil, hosts, false},
-		{"half of the hosts", time.Time{}, map[ident.HostID]time.Time{"b": now}, hosts, false},
-		{"majority with itself", time.Time{}, map[ident.HostID]time.Time{"b": now, "c": now}, hosts, true},
-		{"one of them too old", time.Time{}, map[ident.HostID]time.Time{"b": now, "c": ago(limit)}, hosts, false},
+		{"half of the hosts", time.Time{}, map[ident.HostID]time.Time{"a": now, "b": now}, hosts, false},
+		{"majority with itself", time.Time{}, map[ident.HostID]time.Time{"a": now, "b": now, "c": now}, hosts, true},
+		{"one of them too old", time.Time{}, map[ident.HostID]time.Time{"a": now, "b": now, "c": ago(limit)}, hosts, false},
 		{"unlisted hosts", time.Time{}, map[ident.HostID]time.Time{"x": now, "y": now, "z": now}, hosts, false},
-		{"host listed twice", time.Time{}, map[ident.HostID]time.Time{"b": now}, []ident.HostID{"a", "a", "b", "c", "d"}, false},
-		{"not listed itself", time.Time{}, map[ident.HostID]time.Time{"b": now}, []ident.HostID{"b", "c"}, false},
-		{"only host", time.Time{}, nil, []ident.HostID{"a"}, true},
+		{"host listed twice", time.Time{}, map[ident.HostID]time.Time{"a": now, "b": now}, []ident.HostID{"a", "a", "b", "c", "d"}, false},
+		{"not listed itself", time.Time{}, map[ident.HostID]time.Time{"a": now, "b": now}, []ident.HostID{"b", "c"}, false},
+		{"only host", time.Time{}, map[ident.HostID]time.Time{"a": now}, []ident.HostID{"a"}, true},
 	} {
-		if got, reason := Admission(now, limit, "a", tc.fresh, tc.heard, tc.hosts); got != tc.want || got == (reason != "") {
+		if got, reason := Admission(now, limit, tc.fresh, tc.heard, tc.hosts); got != tc.want || got == (reason != "") {
 			t.Errorf("%s: admission = %v %q", tc.name, got, reason)
 		}
 	}
 }
+
+// A paused node that returns has lost its proofs but not its entries; a new
+// process has neither, and its peers must be able to tell the two apart.
+func TestReport(t *testing.T) {
+	now, set := time.Unix(1000, 0), New()
+	hosts := []ident.HostID{"a", "b", "c"}
+	f := NewFreshness("a", 5*time.Second, now.Add(-time.Second))
+	if _, age := f.Report(now, set); age >= 0 {
+		t.Errorf("age of a new process = %s", age)
+	}
+	// Found by TestNoStaleAdmission with -rapid.checks 20000 -rapid.seed 11: the
+	// proof of c is older than the process.
+	f.PeerHeard("b", now, 0, -1, 0)
+	f.PeerHeard("c", now, 0, 2*time.Second, 0)
+	f.Admission(now, hosts)
+	if _, age := f.Report(now, set); age >= 0 {
+		t.Error("proof from before the start restores a process")
+	}
+	if ok, _ := f.Admission(now.Add(4*time.Second), hosts); ok {
+		t.Error("new process admits work after hearing one restored host of three")
+	}
+	f.HeadRead(now, 0, 0)
+	if _, age := f.Report(now.Add(time.Second), set); age != time.Second {
+		t.Errorf("age = %s", age)
+	}
+	f.Reset()
+	if _, age := f.Report(now, set); age != oldestAge {
+		t.Errorf("age after a pause = %s", age)
+	}
+	f.PeerHeard("b", now, 0, oldestAge, 0)
+	if ok, _ := f.Admission(now, hosts); !ok {
+		t.Error("node refuses work although it and another of three hosts know the contracts")
+	}
+}
