contractset: say when a pushed entry may be acknowledged

The rule that an entry above a gap is not acknowledged was only in the comment of Sequence and in the random test; the node assembly needs it as a method.

--- a/internal/contractset/isolation_test.go
+++ b/internal/contractset/isolation_test.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		c.sets[peer].Apply(e)
-		if c.sets[peer].Sequence() >= e.Sequence {
+		if c.sets[peer].Acknowledges(e) {
 			acknowledged = append(acknowledged, peer)
 		}
 	}
--- a/internal/contractset/set.go
+++ b/internal/contractset/set.go
@@ -152,9 +152,12 @@
 	}
 }
 
-// Sequence returns the highest position up to which every entry is applied. A
-// node acknowledges a pushed entry only when Sequence has reached its position:
-// a peer that hears this node learns the entries up to Sequence and no others.
+// Acknowledges reports whether the node may acknowledge a pushed entry. It may
+// not while an earlier entry is missing: a peer that hears this node fetches the
+// entries up to Sequence and no others.
+func (s *Set) Acknowledges(pushed Entry) bool { return s.Sequence() >= pushed.Sequence }
+
+// Sequence returns the highest position up to which every entry is applied.
 func (s *Set) Sequence() ident.LogSequence {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/internal/contractset/set_test.go
+++ b/internal/contractset/set_test.go
@@ -50,6 +50,9 @@
 		for _, i := range rapid.SliceOfN(rapid.IntRange(0, total-1), 1, 30).Draw(t, "order") {
 			e := log[i]
 			s.Apply(e)
+			if s.Acknowledges(e) != (s.Sequence() >= e.Sequence) {
+				t.Fatalf("acknowledgement of %d at sequence %d", e.Sequence, s.Sequence())
+			}
 			seen[e.Sequence] = true
 			newest[e.Customer] = max(newest[e.Customer], e.Version)
 			want := ident.LogSequence(0)
