Add the static settings

Decoding and unknown keys are left to go-toml's strict mode. Its errors do not say what is allowed and give no position for values that reach encoding.TextUnmarshaler, so positions are taken from its parser.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,126 @@
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Load reads, decodes and checks the settings file at path.
+func Load(path string) (*Settings, error) {
+	doc, err := os.ReadFile(path)
+	if err != nil {
+		return nil, newError(CodeUnreadable).Wrapf(err, "read settings")
+	}
+	return Parse(path, doc)
+}
+
+// Parse decodes and checks a settings document. The name stands for the file
+// in errors.
+func Parse(name string, doc []byte) (*Settings, error) {
+	s := defaults()
+	decoder := toml.NewDecoder(bytes.NewReader(doc)).DisallowUnknownFields()
+	problems := decodeProblems(doc, decoder.Decode(s))
+	if len(problems) == 0 {
+		problems = check(s, locate(doc))
+	}
+	if len(problems) == 0 {
+		return s, nil
+	}
+	slices.SortStableFunc(problems, func(a, b Problem) int { return a.Line - b.Line })
+	for i := range problems {
+		problems[i].File = name
+	}
+	return nil, newError(CodeInvalid).Wrap(problems)
+}
+
+// decodeProblems translates an error of the TOML library.
+func decodeProblems(doc []byte, err error) Problems {
+	var missing *toml.StrictMissingError
+	var decode *toml.DecodeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &missing):
+		var problems Problems
+		for _, e := range missing.Errors {
+			line, _ := e.Position()
+			key := strings.Join(e.Key(), ".")
+			problems = append(problems, Problem{Line: line, Key: key, Found: "an unknown key", Allowed: keysBeside(key)})
+		}
+		return problems
+	case errors.As(err, &decode):
+		return Problems{decodeProblem(doc, decode)}
+	}
+	if problems := unquotedProblems(doc); len(problems) > 0 {
+		return problems
+	}
+	return Problems{{Found: err.Error(), Allowed: "a TOML document"}}
+}
+
+// unquotedProblems finds numbers and other bare values where a string is
+// required. The library passes them to encoding.TextUnmarshaler and reports its
+// error without a position.
+func unquotedProblems(doc []byte) Problems {
+	var problems Problems
+	for name, at := range locate(doc) {
+		for _, k := range Reference() {
+			if k.quoted && k.Name == withoutIndexes(name) && !strings.HasPrefix(at.raw, `"`) && !strings.HasPrefix(at.raw, "'") {
+				problems = append(problems, Problem{Line: at.line, Key: name, Found: at.raw, Allowed: k.Allowed})
+			}
+		}
+	}
+	return problems
+}
+
+func decodeProblem(doc []byte, e *toml.DecodeError) Problem {
+	line, _ := e.Position()
+	key := strings.Join(e.Key(), ".")
+	problem := Problem{Line: line, Key: key, Found: lineText(doc, line), Allowed: "valid TOML"}
+	if at, ok := valueOnLine(locate(doc), key, line); ok {
+		problem.Found = at.raw
+	}
+	for _, k := range Reference() {
+		if k.Name == key {
+			problem.Allowed = k.Allowed
+			return problem
+		}
+	}
+	if key != "" {
+		problem.Allowed = keysBeside(key)
+	}
+	problem.Found += " (" + strings.TrimPrefix(e.Error(), "toml: ") + ")"
+	return problem
+}
+
+func lineText(doc []byte, line int) string {
+	lines := strings.Split(string(doc), "\n")
+	if line < 1 || line > len(lines) {
+		return "nothing"
+	}
+	return strings.TrimSpace(lines[line-1])
+}
+
+// keysBeside lists the keys that the section of key may hold.
+func keysBeside(key string) string {
+	section := key[:strings.LastIndexByte(key, '.')+1]
+	var names []string
+	for _, k := range Reference() {
+		rest, ok := strings.CutPrefix(k.Name, section)
+		if !ok {
+			continue
+		}
+		name, _, _ := strings.Cut(rest, ".")
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return keysBeside(strings.TrimSuffix(section, "."))
+	}
+	return "one of the keys " + strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,174 @@
+// Package settings decodes and checks the static settings of a node.
+//
+// The struct tags of Settings are the single description of every key: they
+// provide defaults, limits and docs/settings.md.
+package settings
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+)
+
+// Settings is a complete, checked settings document. Tags of a key: `default`
+// (absent: the key is required, or optional if `optional` is set), `min` and
+// `max` (inclusive), `oneof` (allowed words), `form` (see forms), `unit` and
+// `doc`.
+type Settings struct {
+	Host        Host         `toml:"host"`
+	DataCentres []DataCentre `toml:"data_centres" doc:"Data centres of the deployment; at least one."`
+	Listen      Listen       `toml:"listen"`
+	Platform    Platform     `toml:"platform"`
+	Security    Security     `toml:"security"`
+	Contracts   Contracts    `toml:"contracts"`
+	Membership  Membership   `toml:"membership"`
+	Copies      Copies       `toml:"copies"`
+	Resume      Resume       `toml:"resume"`
+	Detection   Detection    `toml:"detection"`
+	Admission   Admission    `toml:"admission"`
+	Limits      Limits       `toml:"limits"`
+	Leave       Leave        `toml:"leave"`
+	Log         Log          `toml:"log"`
+}
+
+// Host identifies the host that the node runs on.
+type Host struct {
+	ID          string   `toml:"id" form:"name" doc:"Id of this host as in the host list."`
+	DataCentre  string   `toml:"data_centre" form:"name" doc:"Data centre of this host; one of data_centres."`
+	NearRegions []string `toml:"near_regions" optional:"true" form:"name" doc:"Other regions, nearest first; used when this region has no other data centre. Regions not named here come last, by name."`
+}
+
+// DataCentre is one data centre of the deployment.
+type DataCentre struct {
+	Name   string `toml:"name" form:"name" doc:"Name of the data centre."`
+	Region string `toml:"region" form:"name" doc:"Region; data centres of one region are close to each other."`
+}
+
+// Listen holds the addresses that the node listens on.
+type Listen struct {
+	Callers   Address `toml:"callers" doc:"HTTP address for callers."`
+	Operators Address `toml:"operators" doc:"HTTP address for operators and metrics."`
+	Nodes     Address `toml:"nodes" doc:"gRPC address for other nodes."`
+}
+
+// Platform locates the platform's services.
+type Platform struct {
+	URL     string   `toml:"url" form:"url" doc:"Base URL of table, object store, host list and weight store."`
+	Timeout Duration `toml:"timeout" default:"2s" min:"10ms" max:"60s" doc:"Limit of one call of the platform."`
+}
+
+// Security holds keys and certificates.
+type Security struct {
+	CursorKeyFile     string   `toml:"cursor_key_file" form:"text" doc:"File with the deployment's key that authenticates cursors."`
+	OperatorKeyHashes []string `toml:"operator_key_hashes" optional:"true" form:"sha256" doc:"SHA-256 hashes of the bearer keys of operators; none means that no operator is let in."`
+	CAFile            string   `toml:"ca_file" optional:"true" doc:"PEM file with the deployment authority for connections between nodes."`
+	CertificateFile   string   `toml:"certificate_file" optional:"true" doc:"PEM file with this node's certificate."`
+	PrivateKeyFile    string   `toml:"private_key_file" optional:"true" doc:"PEM file with this node's private key."`
+	Insecure          bool     `toml:"insecure" default:"false" doc:"Plaintext between nodes. Required to be true when the three TLS files are empty, and false when they are set."`
+	ReloadInterval    Duration `toml:"reload_interval" default:"10s" min:"100ms" max:"1h" doc:"How often the TLS files are read again."`
+}
+
+// Contracts sets how contract changes are followed.
+type Contracts struct {
+	PollInterval   Duration `toml:"poll_interval" default:"500ms" min:"10ms" max:"60s" doc:"How often the contract log is polled."`
+	StalenessLimit Duration `toml:"staleness_limit" default:"5s" min:"100ms" max:"60s" doc:"Age of the last proof of freshness at which the node counts as isolated."`
+}
+
+// Membership sets how the states of nodes are determined.
+type Membership struct {
+	HeartbeatInterval Duration `toml:"heartbeat_interval" default:"500ms" min:"10ms" max:"10s" doc:"Time between heartbeats to a peer."`
+	SuspectAfter      Duration `toml:"suspect_after" default:"2s" min:"50ms" max:"60s" doc:"Silence after which a node is suspected; above heartbeat_interval."`
+	DeadAfter         Duration `toml:"dead_after" default:"10s" min:"100ms" max:"10m" doc:"Silence after which a node is dead; above suspect_after."`
+	HostListInterval  Duration `toml:"host_list_interval" default:"1s" min:"10ms" max:"60s" doc:"How often the host list is polled."`
+}
+
+// Copies sets the replication of journals.
+type Copies struct {
+	Mode               string   `toml:"mode" default:"acknowledged" oneof:"acknowledged behind off" doc:"acknowledged: tokens are released after a copy is acknowledged; behind: copies follow; off: no copies."`
+	FlushInterval      Duration `toml:"flush_interval" default:"2ms" min:"100us" max:"1s" doc:"Shortest time between two messages to one replica node."`
+	AcknowledgeTimeout Duration `toml:"acknowledge_timeout" default:"50ms" min:"1ms" max:"10s" doc:"Time without acknowledgement after which another replica node is chosen."`
+	MemoryLimitMiB     int      `toml:"memory_limit_mib" default:"256" min:"1" max:"1048576" unit:"MiB" doc:"Memory for copies held for other nodes."`
+	Retention          Duration `toml:"retention" default:"2m" min:"1s" max:"24h" doc:"How long a copy is kept after its last change."`
+}
+
+// Resume sets how interrupted generations continue.
+type Resume struct {
+	Weight        float64 `toml:"weight" default:"0.85" min:"0" max:"1" unit:"fraction" doc:"0 saves resources, 1 saves latency."`
+	MaxAttempts   int     `toml:"max_attempts" default:"5" min:"1" max:"100" unit:"attempts" doc:"Attempts of one generation, the first included."`
+	BudgetRatio   float64 `toml:"budget_ratio" default:"0.2" min:"0" max:"1" unit:"resumes per new generation" doc:"Resumes that each new generation adds to the retry budget."`
+	BudgetMinimum int     `toml:"budget_minimum" default:"10" min:"0" max:"100000" unit:"resumes" doc:"Capacity of the retry budget of an idle node."`
+}
+
+// Detection sets the silence timeout of a stream.
+type Detection struct {
+	Minimum     Duration `toml:"minimum" default:"250ms" min:"1ms" max:"60s" doc:"Lower limit of the silence timeout."`
+	Maximum     Duration `toml:"maximum" default:"1.5s" min:"1ms" max:"60s" doc:"Upper limit of the silence timeout; at least minimum."`
+	GapMultiple float64  `toml:"gap_multiple" default:"4" min:"1" max:"100" unit:"multiple" doc:"Silence timeout as a multiple of the 99th percentile of recent gaps."`
+}
+
+// Admission sets the queues of a node.
+type Admission struct {
+	MaxWait                  Duration `toml:"max_wait" default:"2s" min:"0s" max:"60s" doc:"Expected wait above which a request is refused at once."`
+	QueueRequestsPerCustomer int      `toml:"queue_requests_per_customer" default:"256" min:"1" max:"100000" unit:"requests" doc:"Requests of one customer that may wait in this node."`
+}
+
+// Limits bounds what one caller can use of a node.
+type Limits struct {
+	MaxBodyBytes    int64 `toml:"max_body_bytes" default:"4194304" min:"1024" max:"1073741824" unit:"bytes" doc:"Largest request body."`
+	MaxConnections  int   `toml:"max_connections" default:"4096" min:"1" max:"1000000" unit:"connections" doc:"Open connections of callers."`
+	MaxOutputTokens int   `toml:"max_output_tokens" default:"32768" min:"1" max:"10000000" unit:"tokens" doc:"Upper limit of the tokens of one answer."`
+}
+
+// Leave sets the graceful shutdown.
+type Leave struct {
+	Grace Duration `toml:"grace" default:"2s" min:"0s" max:"60s" doc:"Time between the announcement and the refusal of new work."`
+	Limit Duration `toml:"limit" default:"0s" min:"0s" max:"24h" doc:"Time after which requests in flight are cut off; 0s means never."`
+}
+
+// Log sets the log.
+type Log struct {
+	Level string `toml:"level" default:"info" oneof:"debug info warning error" doc:"Least severe level that is written."`
+}
+
+// RegionOf returns the region of a data centre, or "" if it is not listed.
+func (s *Settings) RegionOf(dataCentre string) string {
+	for _, dc := range s.DataCentres {
+		if dc.Name == dataCentre {
+			return dc.Region
+		}
+	}
+	return ""
+}
+
+// TLS reports whether connections between nodes use mutual TLS.
+func (s *Settings) TLS() bool { return s.Security.CAFile != "" }
+
+// Duration is a time span that documents write with a unit, e.g. "500ms".
+type Duration struct{ time.Duration }
+
+var errDuration = errors.New("not a duration with a unit")
+
+// UnmarshalText implements encoding.TextUnmarshaler. It refuses a bare "0",
+// which time.ParseDuration accepts.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil || string(text) == "0" {
+		return errDuration
+	}
+	d.Duration = parsed
+	return nil
+}
+
+// Address is IP:port. Host names are not accepted because nodes must start
+// without name resolution.
+type Address struct{ netip.AddrPort }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (a *Address) UnmarshalText(text []byte) error {
+	parsed, err := netip.ParseAddrPort(string(text))
+	if err != nil {
+		return err
+	}
+	a.AddrPort = parsed
+	return nil
+}
