Add the log, event codes and metrics

Each call of NewMetrics has its own Prometheus registry: the default registry panics when two nodes of one process register the same metric. Timers are histograms because summaries cannot be added up over hosts.

--- /dev/null
+++ b/internal/telemetry/events.go
@@ -0,0 +1,157 @@
+package telemetry
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Event is the stable code of a kind of log line.
+type Event string
+
+// Events of a node.
+const (
+	EventNodeStarted         Event = "node_started"
+	EventNodeLeaving         Event = "node_leaving"
+	EventNodeStopped         Event = "node_stopped"
+	EventClockJump           Event = "clock_jump"
+	EventListenFailed        Event = "listen_failed"
+	EventPeerState           Event = "peer_state"
+	EventPeerCallFailed      Event = "peer_call_failed"
+	EventPeerRefused         Event = "peer_refused"
+	EventHostListFailed      Event = "host_list_failed"
+	EventCertificateReloaded Event = "certificate_reloaded"
+	EventCertificateFailed   Event = "certificate_failed"
+	EventContractApplied     Event = "contract_applied"
+	EventContractRefused     Event = "contract_refused"
+	EventContractPollFailed  Event = "contract_poll_failed"
+	EventNodeIsolated        Event = "node_isolated"
+	EventAttemptLost         Event = "attempt_lost"
+	EventAttemptResumed      Event = "attempt_resumed"
+	EventGenerationFailed    Event = "generation_failed"
+	EventCopyUnprotected     Event = "copy_unprotected"
+	EventCopyMoved           Event = "copy_moved"
+	EventTakeover            Event = "takeover"
+	EventClaimUnknown        Event = "claim_unknown"
+	EventRequestQuarantined  Event = "request_quarantined"
+	EventBackendState        Event = "backend_state"
+	EventOrderSent           Event = "order_sent"
+	EventOrderFailed         Event = "order_failed"
+	EventLeaseChanged        Event = "lease_changed"
+	EventAuditFailed         Event = "audit_failed"
+	EventExplainFailed       Event = "explain_failed"
+	EventRingOverflow        Event = "ring_overflow"
+)
+
+// Limits of repeated events. An outage repeats one event thousands of times a
+// second, and the log must stay readable and cheap during an outage.
+const (
+	eventWindow          = time.Second
+	eventLinesPerWindow  = 10
+	eventFlushedSeverity = logrus.InfoLevel
+)
+
+// Limiter bounds the lines of each event code per window and counts what it
+// suppresses. It holds no clock.
+type Limiter struct {
+	mu     sync.Mutex
+	counts map[Event]*eventCount // guarded by mu
+}
+
+type eventCount struct {
+	windowStart time.Time
+	lines       int
+	suppressed  uint64
+}
+
+// NewLimiter returns a limiter that has seen no events.
+func NewLimiter() *Limiter { return &Limiter{counts: map[Event]*eventCount{}} }
+
+// Allow reports whether a line of the event may be written now, and how many
+// lines of the event were suppressed since the last one that was allowed.
+func (l *Limiter) Allow(now time.Time, event Event) (bool, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.counts[event]
+	if c == nil {
+		c = &eventCount{windowStart: now}
+		l.counts[event] = c
+	}
+	if now.Sub(c.windowStart) >= eventWindow {
+		c.windowStart, c.lines = now, 0
+	}
+	if c.lines >= eventLinesPerWindow {
+		c.suppressed++
+		return false, 0
+	}
+	c.lines++
+	suppressed := c.suppressed
+	c.suppressed = 0
+	return true, suppressed
+}
+
+// Suppressed returns and resets the counts of lines that were suppressed and
+// not yet reported.
+func (l *Limiter) Suppressed() map[Event]uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := map[Event]uint64{}
+	for event, c := range l.counts {
+		if c.suppressed > 0 {
+			counts[event] = c.suppressed
+			c.suppressed = 0
+		}
+	}
+	return counts
+}
+
+// EventLog writes events through a Limiter. It may be used by any number of
+// goroutines.
+type EventLog struct {
+	entry   *logrus.Entry
+	limiter *Limiter
+}
+
+// NewEventLog returns an event log that writes to entry.
+func NewEventLog(entry *logrus.Entry) *EventLog {
+	return &EventLog{entry: entry, limiter: NewLimiter()}
+}
+
+// Log writes one event unless the limiter suppresses it.
+func (e *EventLog) Log(level logrus.Level, event Event, fields logrus.Fields, message string) {
+	if !e.entry.Logger.IsLevelEnabled(level) {
+		return
+	}
+	ok, suppressed := e.limiter.Allow(time.Now(), event)
+	if !ok {
+		return
+	}
+	line := e.entry.WithFields(fields).WithField(FieldEvent, event)
+	if suppressed > 0 {
+		line = line.WithField(FieldSuppressed, suppressed)
+	}
+	line.Log(level, message)
+}
+
+// LogError writes one event with the text and code of err.
+func (e *EventLog) LogError(level logrus.Level, event Event, err error, fields logrus.Fields, message string) {
+	all := ErrorFields(err)
+	if all == nil {
+		all = logrus.Fields{}
+	}
+	maps.Copy(all, fields)
+	e.Log(level, event, all, message)
+}
+
+// Flush writes one line for each event with lines that were suppressed and not
+// reported since. It is called at intervals and at the end of the process.
+func (e *EventLog) Flush() {
+	counts := e.limiter.Suppressed()
+	for _, event := range slices.Sorted(maps.Keys(counts)) {
+		e.entry.WithFields(logrus.Fields{FieldEvent: event, FieldSuppressed: counts[event]}).
+			Log(eventFlushedSeverity, "repeated events were suppressed")
+	}
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,129 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sebdah/goldie/v2"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Log readers depend on the field names, on UTC and on one line per event.
+func TestLogLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log := NewEventLog(NewLogger(&out, "info", "n1", "a"))
+		err := oops.Code(CodeMetrics).Errorf("line 1\nline 2")
+		log.LogError(logrus.WarnLevel, EventPeerState, err, logrus.Fields{FieldPeer: "n2"}, "peer is suspected")
+		log.Log(logrus.DebugLevel, EventPeerState, nil, "not written")
+		var got map[string]any
+		if err := json.Unmarshal(out.Bytes(), &got); err != nil {
+			t.Fatalf("%v in %q", err, out.String())
+		}
+		want := map[string]any{
+			"time": "2000-01-01T00:00:00Z", "level": "warning", "event": "peer_state", "message": "peer is suspected",
+			"host": "n1", "data_centre": "a", "peer_id": "n2", "error": "line 1\nline 2", "error_code": "telemetry_metrics",
+		}
+		if len(got) != len(want) {
+			t.Fatalf("line %s has unexpected fields", out.String())
+		}
+		for field, value := range want {
+			if got[field] != value {
+				t.Errorf("field %s is %v, want %v", field, got[field], value)
+			}
+		}
+	})
+}
+
+// A repeated event must neither flood the log nor disappear without a count,
+// and must not suppress other events.
+func TestRepeatedEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log := NewEventLog(NewLogger(&out, "info", "n1", "a"))
+		for range 100 {
+			log.Log(logrus.InfoLevel, EventPeerState, nil, "flood")
+		}
+		log.Log(logrus.InfoLevel, EventTakeover, nil, "other")
+		if n := strings.Count(out.String(), "\n"); n != eventLinesPerWindow+1 || !strings.Contains(out.String(), "other") {
+			t.Fatalf("%d lines were written:\n%s", n, out.String())
+		}
+		time.Sleep(eventWindow)
+		log.Log(logrus.InfoLevel, EventPeerState, nil, "later")
+		if !strings.Contains(out.String(), `"suppressed":90`) {
+			t.Fatalf("suppressed lines are not reported:\n%s", out.String())
+		}
+		for range 15 {
+			log.Log(logrus.InfoLevel, EventPeerState, nil, "flood")
+		}
+		log.Flush()
+		log.Flush()
+		if strings.Count(out.String(), `"suppressed":6`) != 1 {
+			t.Fatalf("Flush did not report 6 suppressed lines once:\n%s", out.String())
+		}
+	})
+}
+
+// Metrics of two nodes in one process must not mix, and names and labels must
+// reach the page as documented.
+func TestMetricsPage(t *testing.T) {
+	var pages []string
+	for range 2 {
+		scope, page, closer, err := NewMetrics()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range Metrics() {
+			labels := make([]string, len(m.Labels))
+			for i := range labels {
+				labels[i] = "pt-centro.a"
+			}
+			switch m.Kind {
+			case Counter:
+				m.Counter(scope, labels...).Inc(1)
+			case Gauge:
+				m.Gauge(scope, labels...).Update(1)
+			case Histogram:
+				m.Histogram(scope, labels...).RecordDuration(3 * time.Millisecond)
+			}
+		}
+		_ = closer.Close() // reports the last values
+		recorder := httptest.NewRecorder()
+		page.ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+		pages = append(pages, recorder.Body.String())
+	}
+	for _, m := range Metrics() {
+		want := "\nyuccahatch_" + m.Name
+		switch {
+		case m.Kind == Histogram:
+			want += "_count 1\n"
+		case len(m.Labels) == 0:
+			want += " 1\n"
+		default:
+			want += "{"
+		}
+		for _, page := range pages {
+			if !strings.Contains(page, want) {
+				t.Errorf("page lacks %q", want)
+			}
+		}
+	}
+	if want := `yuccahatch_ring_dropped_total{ring="pt-centro.a"} 1`; !strings.Contains(pages[1], want) {
+		t.Errorf("page lacks %q", want)
+	}
+}
+
+// docs/metrics.md must list the present metrics.
+func TestDocumentation(t *testing.T) {
+	g := goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md"))
+	g.Assert(t, "metrics", []byte(Markdown()))
+}
