--- /dev/null
+++ b/internal/peer/node/node_test.go
@@ -0,0 +1,258 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var sender = &nodepb.Sender{HostId: "n1", Incarnation: 1, DataCentre: "a"}
+
+// echo is a Handler whose heartbeats wait for hold, if it is set.
+type echo struct {
+	hold chan struct{}
+}
+
+func (e *echo) Heartbeat(ctx context.Context, r *nodepb.HeartbeatRequest) (*nodepb.HeartbeatResponse, error) {
+	if e.hold != nil {
+		select {
+		case <-e.hold:
+		case <-ctx.Done():
+		}
+	}
+	return &nodepb.HeartbeatResponse{Sequence: r.Sequence}, nil
+}
+
+func (e *echo) FetchContracts(context.Context, *nodepb.FetchContractsRequest) (*nodepb.FetchContractsResponse, error) {
+	return nil, errors.New("handler fault")
+}
+
+func (e *echo) PushContract(context.Context, *nodepb.PushContractRequest) (*nodepb.PushContractResponse, error) {
+	return &nodepb.PushContractResponse{}, nil
+}
+
+func (e *echo) FetchJournal(context.Context, *nodepb.FetchJournalRequest) (*nodepb.FetchJournalResponse, error) {
+	return &nodepb.FetchJournalResponse{}, nil
+}
+
+func (e *echo) Release(context.Context, *nodepb.ReleaseRequest) (*nodepb.ReleaseResponse, error) {
+	return &nodepb.ReleaseResponse{}, nil
+}
+
+func (e *echo) Explain(context.Context, *nodepb.ExplainRequest) (*nodepb.ExplainResponse, error) {
+	return &nodepb.ExplainResponse{}, nil
+}
+
+func (e *echo) ApplyJournals(b *nodepb.JournalBatch) *nodepb.JournalAck {
+	return &nodepb.JournalAck{Batch: b.Batch}
+}
+
+// serve starts a server on the loopback address and returns its address.
+func serve(t *testing.T, handler Handler, certificates *Certificates) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(handler, certificates)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		server.Stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return listener.Addr().String()
+}
+
+func connect(t *testing.T, address string, options PoolOptions) Client {
+	t.Helper()
+	pool := NewPool(options)
+	t.Cleanup(pool.Close)
+	c, err := pool.Client(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Failures must reach callers in this package's codes.
+func TestCallsAndCodes(t *testing.T) {
+	address := serve(t, &echo{}, nil)
+	var observed atomic.Int32
+	c := connect(t, address, PoolOptions{Observe: func(string, Code, time.Duration) { observed.Add(1) }})
+	resp, err := c.Heartbeat(t.Context(), &nodepb.HeartbeatRequest{Sender: sender, Sequence: 7})
+	if err != nil || resp.Sequence != 7 {
+		t.Fatalf("heartbeat returned %v, %v", resp, err)
+	}
+	if _, err := c.Heartbeat(t.Context(), &nodepb.HeartbeatRequest{}); CodeOf(err) != CodeRejected {
+		t.Errorf("call without sender: %v", err)
+	}
+	if _, err := c.FetchContracts(t.Context(), &nodepb.FetchContractsRequest{Sender: sender}); CodeOf(err) != CodeFailed {
+		t.Errorf("call with handler fault: %v", err)
+	}
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := c.Release(cancelled, &nodepb.ReleaseRequest{Sender: sender}); CodeOf(err) != CodeCancelled {
+		t.Errorf("cancelled call: %v", err)
+	}
+	if observed.Load() != 4 {
+		t.Errorf("%d calls were observed, want 4", observed.Load())
+	}
+	closed := connect(t, "127.0.0.1:1", PoolOptions{})
+	if _, err := closed.Explain(t.Context(), &nodepb.ExplainRequest{Sender: sender}); CodeOf(err) != CodeUnreachable {
+		t.Errorf("call of closed port: %v", err)
+	}
+	if _, err := NewPool(PoolOptions{}).Client("localhost:1"); CodeOf(err) != CodeRejected {
+		t.Errorf("host name: %v", err)
+	}
+}
+
+// Batches must be acknowledged by their own numbers.
+func TestJournalStream(t *testing.T) {
+	c := connect(t, serve(t, &echo{}, nil), PoolOptions{})
+	stream, err := c.CopyJournals(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := int64(1); i <= 3; i++ {
+		if err := stream.Send(&nodepb.JournalBatch{Sender: sender, Batch: i}); err != nil {
+			t.Fatal(err)
+		}
+		if ack, err := stream.Recv(); err != nil || ack.Batch != i {
+			t.Fatalf("acknowledgement of batch %d is %v, %v", i, ack, err)
+		}
+	}
+	_ = stream.Send(&nodepb.JournalBatch{Batch: 4})
+	if _, err := stream.Recv(); CodeOf(err) != CodeRejected {
+		t.Fatalf("batch without sender: %v", err)
+	}
+}
+
+// pipeListener connects a server to clients in memory, so that virtual time
+// applies to the connections.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.done); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 1} }
+
+// mutedConn is a connection that can go silent: writes succeed and reads get
+// nothing.
+type mutedConn struct {
+	net.Conn
+	muted *atomic.Bool
+}
+
+func (c *mutedConn) Write(p []byte) (int, error) {
+	if c.muted.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *mutedConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.muted.Load() {
+			return n, err
+		}
+	}
+}
+
+// A connection that goes silent must fail its calls within the silence limit,
+// and the next call must use a new connection. An idle connection that works
+// must stay.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := newPipeListener()
+		server := NewServer(&echo{}, nil)
+		go func() { _ = server.Serve(listener) }()
+		var muted []*atomic.Bool
+		pool := NewPool(PoolOptions{Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			muted = append(muted, new(atomic.Bool))
+			listener.conns <- far
+			return &mutedConn{near, muted[len(muted)-1]}, nil
+		}})
+		c, _ := pool.Client("127.0.0.1:1")
+		stream, err := c.CopyJournals(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * silenceLimit)
+		if len(muted) != 1 {
+			t.Fatalf("%d connections were made while the first was idle", len(muted))
+		}
+		muted[0].Store(true)
+		start := time.Now()
+		_ = stream.Send(&nodepb.JournalBatch{Sender: sender, Batch: 1})
+		if _, err := stream.Recv(); CodeOf(err) != CodeUnreachable {
+			t.Fatalf("silent stream ended with %v", err)
+		}
+		if took := time.Since(start); took > silenceLimit {
+			t.Fatalf("silence was noticed after %v of virtual time", took)
+		}
+		if _, err := c.Heartbeat(t.Context(), &nodepb.HeartbeatRequest{Sender: sender}); err != nil {
+			t.Fatalf("call over a new connection: %v", err)
+		}
+		if len(muted) != 2 {
+			t.Fatalf("%d connections were made, want 2", len(muted))
+		}
+		pool.Close()
+		server.Stop()
+	})
+}
+
+// A peer that does not answer must not hold a caller beyond the call's limit,
+// although its connection is alive.
+func TestCallTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := newPipeListener()
+		handler := &echo{hold: make(chan struct{})}
+		server := NewServer(handler, nil)
+		go func() { _ = server.Serve(listener) }()
+		pool := NewPool(PoolOptions{Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			listener.conns <- far
+			return near, nil
+		}})
+		c, _ := pool.Client("127.0.0.1:1")
+		start := time.Now()
+		if _, err := c.Heartbeat(t.Context(), &nodepb.HeartbeatRequest{Sender: sender}); CodeOf(err) != CodeTimeout {
+			t.Fatalf("call of a stuck handler: %v", err)
+		}
+		if took := time.Since(start); took != heartbeatTimeout {
+			t.Fatalf("call took %v of virtual time, want %v", took, heartbeatTimeout)
+		}
+		close(handler.hold)
+		pool.Close()
+		server.Stop()
+	})
+}
