Add the replication of journals

One worker per peer sends the changes of all generations in one message and the next one when 2 ms have passed and the previous one is acknowledged. The ring carries a pointer to each changed copy once, not each token: 80 rings of 8,192 tokens would take about 26 MB, and tokens of one generation share an update. A copy has an id, because an update of an earlier copy can arrive late over an abandoned stream and would otherwise shorten an acknowledged copy. After a failure the copies that wait for the same peer are lost as well, instead of waiting one more time limit.

--- /dev/null
+++ b/internal/replica/errors.go
@@ -0,0 +1,40 @@
+package replica
+
+import (
+	"errors"
+
+	"github.com/samber/oops"
+)
+
+// Code says why a copy was lost.
+type Code string
+
+// Codes of lost copies.
+const (
+	// CodeTimeout: the peer did not acknowledge within the time limit.
+	CodeTimeout Code = "replica_timeout"
+	// CodeUnreachable: the stream to the peer failed.
+	CodeUnreachable Code = "replica_unreachable"
+	// CodeUnknown: the peer lacks the start of the journal or has no memory
+	// for it.
+	CodeUnknown Code = "replica_unknown"
+	// CodeOverflow: the ring to the peer was full.
+	CodeOverflow Code = "replica_overflow"
+	// CodeClosed: the worker for the peer was stopped.
+	CodeClosed Code = "replica_closed"
+)
+
+// CodeOf returns the code of an error that this package made, and the empty
+// code for any other error.
+func CodeOf(err error) Code {
+	var e oops.OopsError
+	if !errors.As(err, &e) {
+		return ""
+	}
+	code, _ := e.Code().(Code)
+	return code
+}
+
+func newError(code Code) oops.OopsErrorBuilder {
+	return oops.Code(code).In("replica")
+}
--- /dev/null
+++ b/internal/replica/replicator.go
@@ -0,0 +1,150 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+	"github.com/yuccahatch/yuccahatch/internal/ring"
+)
+
+// Sizes of the messages and queues of a Replicator.
+const (
+	// RingCapacity is the number of generations that can wait for the worker
+	// of one peer.
+	RingCapacity = 8192
+	// maxBatchBytes ends a batch, so that one large journal does not delay the
+	// tokens of all others beyond the acknowledgement limit.
+	maxBatchBytes = 1 << 20
+	// maxUpdateBytes bounds the tokens of one update. A request body is never
+	// divided.
+	maxUpdateBytes = 256 << 10
+	// Encoded size of an update and a token beyond their texts, rounded up.
+	updateOverheadBytes = 64
+	tokenOverheadBytes  = 2
+	// timePerByte extends the acknowledgement limit of large batches by the
+	// time that a link of 100 MB/s needs for them.
+	timePerByte = 10 * time.Nanosecond
+	// maxKeptTokens bounds the token slices that are kept for reuse.
+	maxKeptTokens = 1024
+)
+
+// Stream carries batches to one peer and acknowledgements back.
+type Stream interface {
+	Send(*nodepb.JournalBatch) error
+	Recv() (*nodepb.JournalAck, error)
+}
+
+// Options configures a Replicator.
+type Options struct {
+	Self *nodepb.Sender
+	// FlushInterval is the shortest time between two batches to one peer.
+	FlushInterval time.Duration
+	// AcknowledgeTimeout is the time from the start of a batch, the making of
+	// the stream included, after which the peer counts as unreachable.
+	AcknowledgeTimeout time.Duration
+	// Open opens a stream to a peer that ends when ctx is done.
+	Open func(ctx context.Context, peer ident.HostID) (Stream, error)
+	// Report, if set, is called once for each batch that failed.
+	Report func(peer ident.HostID, err error)
+}
+
+// Replicator sends copies of this node's journals to other nodes. One worker
+// per peer sends the changes of all generations in one batch, and the next
+// batch when the flush interval has passed and the previous one is acknowledged.
+// It may be used by any number of goroutines.
+type Replicator struct {
+	options Options
+	copyIDs atomic.Int64
+	stats   counters
+
+	mu    sync.Mutex
+	peers map[ident.HostID]*peer // guarded by mu; nil after Close
+	done  sync.WaitGroup
+}
+
+// Stats counts what a Replicator did.
+type Stats struct {
+	Batches, Updates, Tokens uint64
+	// Bytes is the size of the batches without framing, to within a few bytes
+	// an update.
+	Bytes uint64
+	// Lost counts copies that were lost, Overflows those lost to a full ring.
+	Lost, Overflows uint64
+}
+
+type counters struct {
+	batches, updates, tokens, bytes, lost, overflows atomic.Uint64
+}
+
+// NewReplicator returns a replicator without workers.
+func NewReplicator(options Options) *Replicator {
+	return &Replicator{options: options, peers: map[ident.HostID]*peer{}}
+}
+
+// Start begins a copy of a generation on a peer with the journal so far. The
+// head must not be changed afterwards. The sink gets Acknowledged(len(tokens))
+// when the peer has them. It returns nil if the peer's ring is full or the
+// replicator is closed; the sink is then not called.
+func (r *Replicator) Start(generation ident.GenerationID, head *nodepb.JournalHead, tokens []string, on ident.HostID, sink Sink) *Copy {
+	p := r.peer(on)
+	if p == nil {
+		return nil
+	}
+	c := &Copy{peer: p, generation: string(generation), id: r.copyIDs.Add(1), sink: sink, head: head}
+	if !c.Append(tokens...) {
+		return nil
+	}
+	return c
+}
+
+// Retain stops the workers of all peers but these. Their copies are lost at
+// their next change.
+func (r *Replicator) Retain(hosts map[ident.HostID]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for host, p := range r.peers {
+		if !hosts[host] {
+			p.stop()
+			delete(r.peers, host)
+		}
+	}
+}
+
+// Close stops all workers and waits for them.
+func (r *Replicator) Close() {
+	r.Retain(nil)
+	r.mu.Lock()
+	r.peers = nil
+	r.mu.Unlock()
+	r.done.Wait()
+}
+
+// Stats returns the counts since the start.
+func (r *Replicator) Stats() Stats {
+	return Stats{
+		Batches: r.stats.batches.Load(), Updates: r.stats.updates.Load(), Tokens: r.stats.tokens.Load(),
+		Bytes: r.stats.bytes.Load(), Lost: r.stats.lost.Load(), Overflows: r.stats.overflows.Load(),
+	}
+}
+
+// peer returns the worker of a peer and starts it at first use.
+func (r *Replicator) peer(host ident.HostID) *peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.peers == nil {
+		return nil
+	}
+	p := r.peers[host]
+	if p == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		p = &peer{host: host, options: &r.options, stats: &r.stats, ring: ring.New[*Copy](RingCapacity), cancel: cancel}
+		p.batch.Sender = r.options.Self
+		r.peers[host] = p
+		r.done.Go(func() { p.run(ctx) })
+	}
+	return p
+}
--- /dev/null
+++ b/internal/replica/replicator_test.go
@@ -0,0 +1,330 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+)
+
+// network connects a Replicator to one Store per peer, with faults.
+type network struct {
+	mu      sync.Mutex
+	stores  map[ident.HostID]*Store
+	silent  map[ident.HostID]bool // batches arrive, acknowledgements do not
+	delay   time.Duration         // of one round trip
+	batches []*nodepb.JournalBatch
+	sentAt  []time.Time
+}
+
+func newNetwork() *network {
+	n := &network{stores: map[ident.HostID]*Store{}, silent: map[ident.HostID]bool{}, delay: time.Millisecond}
+	for _, host := range []ident.HostID{"p0", "p1", "p2"} {
+		n.stores[host] = NewStore(1<<20, time.Hour)
+	}
+	return n
+}
+
+// change alters the network while a Replicator uses it.
+func (n *network) change(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+func (n *network) replicator() *Replicator {
+	return NewReplicator(Options{
+		Self: ownerA, FlushInterval: 2 * time.Millisecond, AcknowledgeTimeout: 50 * time.Millisecond,
+		Open: func(ctx context.Context, host ident.HostID) (Stream, error) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if n.stores[host] == nil {
+				return nil, errors.New("connection refused")
+			}
+			return &fakeStream{ctx: ctx, network: n, host: host}, nil
+		},
+	})
+}
+
+type fakeStream struct {
+	ctx     context.Context
+	network *network
+	host    ident.HostID
+	ack     *nodepb.JournalAck
+}
+
+func (s *fakeStream) Send(b *nodepb.JournalBatch) error {
+	n := s.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b = proto.CloneOf(b)
+	n.batches, n.sentAt = append(n.batches, b), append(n.sentAt, time.Now())
+	s.ack = n.stores[s.host].Apply(time.Now(), b)
+	return nil
+}
+
+func (s *fakeStream) Recv() (*nodepb.JournalAck, error) {
+	s.network.mu.Lock()
+	delay := s.network.delay
+	if s.network.silent[s.host] {
+		delay = time.Hour
+	}
+	s.network.mu.Unlock()
+	select {
+	case <-time.After(delay):
+		return s.ack, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+// recorder is a Sink.
+type recorder struct {
+	mu      sync.Mutex
+	through int64
+	lost    Code
+	at      time.Time
+}
+
+func (r *recorder) Acknowledged(through int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.through, r.at = through, time.Now()
+}
+
+func (r *recorder) Lost(code Code) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost, r.at = code, time.Now()
+}
+
+func (r *recorder) state() (int64, Code) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.through, r.lost
+}
+
+// Tokens of many generations must share one message, and messages must keep the
+// flush interval; otherwise the cost of a token would be that of a message.
+func TestGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		r := n.replicator()
+		defer r.Close()
+		var copies []*Copy
+		var sinks []*recorder
+		for i := range 100 {
+			sinks = append(sinks, &recorder{})
+			copies = append(copies, r.Start(ident.GenerationID(fmt.Sprint(i)), head, nil, "p0", sinks[i]))
+		}
+		time.Sleep(10 * time.Millisecond)
+		n.change(func() { n.batches, n.sentAt = nil, nil })
+		for token := range 20 {
+			for _, c := range copies {
+				c.Append(strconv.Itoa(token))
+			}
+			time.Sleep(500 * time.Microsecond)
+		}
+		time.Sleep(10 * time.Millisecond)
+		r.Close()
+		if len(n.batches) > 7 {
+			t.Errorf("2,000 tokens in 10 ms took %d messages", len(n.batches))
+		}
+		for i := 1; i < len(n.sentAt); i++ {
+			if gap := n.sentAt[i].Sub(n.sentAt[i-1]); gap < 2*time.Millisecond {
+				t.Errorf("messages %d and %d are %v apart", i-1, i, gap)
+			}
+		}
+		for i, s := range sinks {
+			if through, lost := s.state(); through != 20 || lost != "" {
+				t.Fatalf("generation %d: acknowledged %d, lost %q", i, through, lost)
+			}
+		}
+	})
+}
+
+// Losing a replica node must be reported within the limit, for copies in the
+// message under way and for those that wait, and the whole journal must be
+// accepted elsewhere. A peer without the start must be noticed.
+func TestLostCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		r := n.replicator()
+		defer r.Close()
+		first, second := &recorder{}, &recorder{}
+		a := r.Start("a", head, []string{"x"}, "p0", first)
+		b := r.Start("b", head, nil, "p0", second)
+		time.Sleep(10 * time.Millisecond)
+		n.change(func() { n.silent["p0"] = true })
+		begin := time.Now()
+		a.Append("y")
+		time.Sleep(20 * time.Millisecond)
+		b.Append("z")
+		time.Sleep(time.Second)
+		for name, s := range map[string]*recorder{"under way": first, "waiting": second} {
+			if _, lost := s.state(); lost != CodeTimeout || s.at.Sub(begin) > 51*time.Millisecond {
+				t.Errorf("copy %s: lost %q after %v", name, lost, s.at.Sub(begin))
+			}
+		}
+		if a.Append("w") {
+			t.Error("a lost copy accepted a token")
+		}
+		moved := &recorder{}
+		c := r.Start("a", head, []string{"x", "y", "w"}, "p1", moved)
+		time.Sleep(10 * time.Millisecond)
+		if through, _ := moved.state(); through != 3 {
+			t.Errorf("moved copy: acknowledged %d tokens, want 3", through)
+		}
+		n.change(func() { n.stores["p1"] = NewStore(1<<20, time.Hour) }) // the node was replaced
+		c.Append("v")
+		time.Sleep(10 * time.Millisecond)
+		if through, lost := moved.state(); through != 3 || lost != CodeUnknown {
+			t.Errorf("copy on a replaced node: acknowledged %d, lost %q", through, lost)
+		}
+		refused := &recorder{}
+		r.Start("a", head, nil, "absent", refused)
+		time.Sleep(10 * time.Millisecond)
+		if _, lost := refused.state(); lost != CodeUnreachable {
+			t.Errorf("copy on an absent node: lost %q", lost)
+		}
+	})
+}
+
+// A generation that finds the ring full must learn it at once, and a stopped
+// worker must not leave a copy without an answer.
+func TestOverflowAndStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.silent["p0"] = true
+		r := n.replicator()
+		sink := &recorder{}
+		r.Start("first", head, nil, "p0", sink)
+		synctest.Wait() // the worker waits for the acknowledgement
+		for i := range RingCapacity {
+			if r.Start(ident.GenerationID(fmt.Sprint(i)), head, nil, "p0", &recorder{}) == nil {
+				t.Fatalf("ring was full after %d generations", i)
+			}
+		}
+		if r.Start("over", head, nil, "p0", &recorder{}) != nil || r.Stats().Overflows != 1 {
+			t.Fatalf("overflow was not reported: %+v", r.Stats())
+		}
+		r.Close()
+		if _, lost := sink.state(); lost != CodeClosed {
+			t.Fatalf("copy at the stop: lost %q", lost)
+		}
+		if got := r.Stats().Lost; got != RingCapacity+2 {
+			t.Fatalf("%d copies were reported lost, want %d", got, RingCapacity+2)
+		}
+		if r.Start("late", head, nil, "p0", sink) != nil {
+			t.Fatal("closed replicator started a copy")
+		}
+	})
+}
+
+// A journal larger than a message must arrive whole and in order.
+func TestLargeJournal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.stores["p0"] = NewStore(64<<20, time.Hour)
+		r := n.replicator()
+		defer r.Close()
+		journal := make([]string, 500_000)
+		for i := range journal {
+			journal[i] = strconv.Itoa(i)
+		}
+		sink := &recorder{}
+		c := r.Start("a", head, journal, "p0", sink)
+		c.Finish()
+		time.Sleep(time.Second)
+		r.Close()
+		j, _ := n.stores["p0"].Fetch(time.Now(), "a")
+		if through, lost := sink.state(); through != 500_000 || lost != "" || !slices.Equal(j.Tokens, journal) || !j.Finished {
+			t.Fatalf("acknowledged %d, lost %q, stored %d, finished %v", through, lost, len(j.Tokens), j.Finished)
+		}
+		for i, b := range n.batches {
+			if size := proto.Size(b); size > 2*maxBatchBytes {
+				t.Errorf("message %d has %d bytes", i, size)
+			}
+		}
+	})
+}
+
+// Whatever fails, an acknowledged token must be in the copy at its index.
+func TestAcknowledgedTokensAreStored(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runFaults(t, rand.New(rand.NewPCG(seed, 1))) })
+		})
+	}
+}
+
+// runFaults drives generations that move to the next peer when a copy is lost.
+func runFaults(t *testing.T, random *rand.Rand) {
+	n := newNetwork()
+	r := n.replicator()
+	defer r.Close()
+	type generation struct {
+		id      ident.GenerationID
+		journal []string
+		on      int
+		copy    *Copy
+		sink    *recorder
+	}
+	peer := func(g *generation) ident.HostID { return ident.HostID(fmt.Sprintf("p%d", g.on%3)) }
+	var all []*generation
+	for i := range 20 {
+		all = append(all, &generation{id: ident.GenerationID(fmt.Sprint("g", i)), on: i})
+	}
+	for range 400 {
+		g := all[random.IntN(len(all))]
+		g.journal = append(g.journal, fmt.Sprintf("%s-%d ", g.id, len(g.journal)))
+		if g.copy == nil || !g.copy.Append(g.journal[len(g.journal)-1]) {
+			g.on++
+			g.sink = &recorder{}
+			g.copy = r.Start(g.id, head, g.journal, peer(g), g.sink)
+		}
+		n.change(func() {
+			switch random.IntN(30) {
+			case 0:
+				n.silent["p0"] = !n.silent["p0"]
+			case 1:
+				n.silent["p1"] = !n.silent["p1"]
+			case 2:
+				n.stores["p2"] = NewStore(1<<20, time.Hour)
+			case 3:
+				n.delay = time.Duration(random.IntN(70)) * time.Millisecond
+			}
+		})
+		time.Sleep(time.Duration(random.IntN(4000)) * time.Microsecond)
+	}
+	n.change(func() {
+		clear(n.silent)
+		n.delay = time.Millisecond
+	})
+	time.Sleep(time.Second)
+	for _, g := range all {
+		if g.copy == nil {
+			continue
+		}
+		through, lost := g.sink.state()
+		if lost != "" {
+			continue
+		}
+		j, _ := n.stores[peer(g)].Fetch(time.Now(), g.id)
+		replaced := peer(g) == "p2" // its copies may be gone without a later update
+		if through != int64(len(g.journal)) || !replaced && !slices.Equal(j.Tokens, g.journal) {
+			t.Errorf("%s: acknowledged %d of %d tokens, stored %d", g.id, through, len(g.journal), len(j.Tokens))
+		}
+	}
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -125,14 +125,27 @@
 	if err := r.lockFilled(ctx); err != nil {
 		return buf, err
 	}
+	buf = r.takeAll(buf)
+	r.unlockAfterPop()
+	return buf, nil
+}
+
+// TryPopAll appends all values present to buf without waiting.
+func (r *Ring[T]) TryPopAll(buf []T) []T {
+	r.mu.Lock()
+	buf = r.takeAll(buf)
+	r.unlockAfterPop()
+	return buf
+}
+
+func (r *Ring[T]) takeAll(buf []T) []T {
 	first := r.buf[r.head:min(r.head+r.count, len(r.buf))]
 	rest := r.buf[:r.count-len(first)]
 	buf = append(append(buf, first...), rest...)
 	clear(first)
 	clear(rest)
 	r.head, r.count = 0, 0
-	r.unlockAfterPop()
-	return buf, nil
+	return buf
 }
 
 // Len returns the number of values in the ring.
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,7 +18,7 @@
 		var model []int
 		var dropped uint64
 		for i := range 60 {
-			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
 			case 0, 1:
 				if want := len(model) < r.Cap(); r.TryPush(i) != want {
 					t.Fatalf("TryPush with %d of %d values returned %v", len(model), r.Cap(), !want)
@@ -41,6 +42,11 @@
 					}
 					model = nil
 				}
+			case 4:
+				if got := r.TryPopAll(nil); !slices.Equal(got, model) {
+					t.Fatalf("popped %v, want %v", got, model)
+				}
+				model = nil
 			}
 			if r.Len() != len(model) || r.Dropped() != dropped {
 				t.Fatalf("length %d, dropped %d; want %d, %d", r.Len(), r.Dropped(), len(model), dropped)
