--- a/internal/peer/node/pool.go
+++ b/internal/peer/node/pool.go
@@ -105,6 +105,8 @@
 		grpc.WithContextDialer(p.dial),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: dialTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithStaticStreamWindowSize(streamWindowBytes),
+		grpc.WithStaticConnWindowSize(connectionWindowBytes),
 		grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
--- a/internal/peer/node/server.go
+++ b/internal/peer/node/server.go
@@ -32,6 +32,13 @@
 // journal, which holds a request body of up to 32 MiB.
 const maxMessageBytes = 48 << 20
 
+// Fixed flow control windows of a stream and a connection. gRPC's automatic
+// windows send a ping and its answer for nearly every journal batch.
+const (
+	streamWindowBytes     = 4 << 20
+	connectionWindowBytes = 8 << 20
+)
+
 // Handler processes the calls of other nodes. The requests have a sender with a
 // host id. An error is reported to the caller as CodeFailed.
 type Handler interface {
@@ -61,6 +68,8 @@
 		grpc.Creds(creds),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.StaticStreamWindowSize(streamWindowBytes),
+		grpc.StaticConnWindowSize(connectionWindowBytes),
 		grpc.ChainUnaryInterceptor(checkSender),
 	)
 	nodepb.RegisterNodeServer(s, &service{handler: handler})
