--- /dev/null
+++ b/internal/peer/hostlist/errors.go
@@ -0,0 +1,35 @@
+package hostlist
+
+import (
+	"errors"
+
+	"github.com/samber/oops"
+)
+
+// Code classifies a failure to read the host list.
+type Code string
+
+// Codes of host list errors.
+const (
+	// CodeUnavailable: the platform did not answer or reported an outage.
+	CodeUnavailable Code = "hostlist_unavailable"
+	// CodeInvalid: the platform's answer is not a valid host list.
+	CodeInvalid Code = "hostlist_invalid"
+	// CodeRejected: the platform refused the call. It is a fault of this node.
+	CodeRejected Code = "hostlist_rejected"
+)
+
+// CodeOf returns the code of an error that this package returned, and the
+// empty code for any other error.
+func CodeOf(err error) Code {
+	var e oops.OopsError
+	if !errors.As(err, &e) {
+		return ""
+	}
+	code, _ := e.Code().(Code)
+	return code
+}
+
+func newError(code Code) oops.OopsErrorBuilder {
+	return oops.Code(code).In("hostlist")
+}
