Add the preselection of replica nodes

At the target a node has about 120 possible replica nodes and 15,000 tokens/s. Spread over all of them, nearly every token would need its own message.

--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -4,6 +4,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -48,7 +49,7 @@
 		if nearer > 0 {
 			continue
 		}
-		s := score(generation, c.Host)
+		s := score(string(generation), c.Host)
 		if nearer < 0 || s > bestScore || s == bestScore && c.Host < best.Host {
 			best, bestScore, found = c, s, true
 		}
@@ -56,6 +57,29 @@
 	return best.Host, found
 }
 
+// Preselect returns the candidates among which a node spreads its copies: the
+// fanout eligible ones that are nearest to self, by hash of both hosts where
+// equally near. The cost of a copy is mostly that of its message, so fewer
+// replica nodes mean more tokens in a message: on one pair a token cost 175 µs
+// of CPU at 1,000 tokens/s and 21 µs at 10,000. It is called when the list of
+// nodes changes; Choose then picks from the result, or from all candidates if
+// none of the result is left.
+func Preselect(self Site, nearRegions []string, candidates []Candidate, fanout int) []Candidate {
+	var eligible []Candidate
+	for _, c := range candidates {
+		if c.Eligible && c.Host != self.Host {
+			eligible = append(eligible, c)
+		}
+	}
+	slices.SortFunc(eligible, func(a, b Candidate) int {
+		return cmp.Or(
+			compareDistance(self, nearRegions, a.Site, b.Site),
+			cmp.Compare(score(string(self.Host), b.Host), score(string(self.Host), a.Host)),
+			strings.Compare(string(a.Host), string(b.Host)))
+	})
+	return eligible[:min(fanout, len(eligible))]
+}
+
 // compareDistance orders a and b as places for a copy; negative means that a is
 // preferred.
 func compareDistance(self Site, nearRegions []string, a, b Site) int {
@@ -83,6 +107,7 @@
 	return len(nearRegions) + 1
 }
 
-func score(generation ident.GenerationID, host ident.HostID) uint64 {
-	return xxh3.HashStringSeed(string(host), xxh3.HashString(string(generation)))
+// score is the rendezvous hash of a key, a generation or an owner, and a host.
+func score(key string, host ident.HostID) uint64 {
+	return xxh3.HashStringSeed(string(host), xxh3.HashString(key))
 }
--- a/internal/replica/choose_test.go
+++ b/internal/replica/choose_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 
 	"go.uber.org/goleak"
@@ -28,6 +29,13 @@
 func TestChooseOrderOfPlaces(t *testing.T) {
 	all := []Candidate{candidate("self", "a2"), candidate("n1", "a1"), candidate("n2", "c1"), candidate("n3", "b1"), candidate("n4", "d1"), candidate("n5", "a2")}
 	near := []string{"c"}
+	var order []ident.HostID
+	for _, c := range Preselect(self, near, all, 4) {
+		order = append(order, c.Host)
+	}
+	if !slices.Equal(order, []ident.HostID{"n5", "n2", "n3", "n4"}) {
+		t.Fatalf("preselected hosts are %v", order)
+	}
 	for i, want := range []ident.HostID{"n5", "n2", "n3", "n4", "n1", ""} {
 		got, ok := Choose("gen-1", self, near, all)
 		if got != want || ok != (want != "") {
@@ -65,6 +73,10 @@
 			}
 			counts[before]++
 		}
+		selected, again := Preselect(self, nil, hosts, 3), Preselect(self, nil, shuffled, 3)
+		if !slices.Equal(selected, again) {
+			t.Fatalf("order of hosts changes the preselection from %v to %v", selected, again)
+		}
 		for _, h := range hosts {
 			if mean := generations / len(hosts); counts[h.Host] < mean/4 || counts[h.Host] > mean*3 {
 				t.Fatalf("uneven distribution: %v", counts)
