--- /dev/null
+++ b/internal/placement/errors.go
@@ -0,0 +1,35 @@
+package placement
+
+import (
+	"errors"
+
+	"github.com/samber/oops"
+)
+
+// Code classifies an error of this package.
+type Code string
+
+// Codes of placement errors.
+const (
+	// CodeUnknownModel: no listed backend server has the model or service.
+	CodeUnknownModel Code = "placement_unknown_model"
+	// CodeUnavailable: servers have it, but none may be used now.
+	CodeUnavailable Code = "placement_unavailable"
+	// CodeInvalidConfig: a setting is out of its range.
+	CodeInvalidConfig Code = "placement_invalid_config"
+)
+
+// CodeOf returns the code of an error that this package returned, and the
+// empty code for any other error.
+func CodeOf(err error) Code {
+	var e oops.OopsError
+	if !errors.As(err, &e) {
+		return ""
+	}
+	code, _ := e.Code().(Code)
+	return code
+}
+
+func newError(code Code) oops.OopsErrorBuilder {
+	return oops.Code(code).In("placement")
+}
