--- a/api/backendapi/backendapi.go
+++ b/api/backendapi/backendapi.go
@@ -120,6 +120,9 @@
 	// 16 lower-case hexadecimal digits.
 	PrefixHash string `json:"prefix_hash,omitempty"`
 	Tokens     int    `json:"tokens,omitempty"`
+	// Model names the model whose cache changed, as requests name it. Empty on
+	// CacheCleared, which covers all models.
+	Model string `json:"model,omitempty"`
 }
 
 // Kinds of cache events.
