--- /dev/null
+++ b/internal/backendpool/pool.go
@@ -0,0 +1,279 @@
+// Package backendpool follows the backend servers of the host list: it reads
+// their load and cache events, keeps what placement knows about them, and
+// opens streams on them by id.
+//
+// One mutex guards the fleet; no call to a backend server is made while it is
+// held. Run is one worker; each poll of one server runs in its own goroutine,
+// at most one per server and kind of poll.
+package backendpool
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/api/platformapi"
+	"github.com/yuccahatch/yuccahatch/internal/generation"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/backend"
+	"github.com/yuccahatch/yuccahatch/internal/placement"
+)
+
+const (
+	// pollInterval is the time between two reads of a server's load.
+	pollInterval = 500 * time.Millisecond
+	// pollTimeout is below pollInterval, so that a frozen server fails a poll
+	// before the next one begins.
+	pollTimeout = 400 * time.Millisecond
+	// cancelTimeout bounds a cancellation in the background.
+	cancelTimeout = 2 * time.Second
+)
+
+// Deaths is told when a backend server's process has died. It must not block.
+type Deaths func(id ident.BackendID, incarnation int64)
+
+// Pool holds the backend servers that a node follows.
+type Pool struct {
+	client *backend.Client
+	deaths Deaths
+
+	mu sync.Mutex
+	// fleet, rng, polling and down are guarded by mu.
+	fleet   *placement.Fleet
+	rng     *rand.Rand
+	polling map[ident.BackendID]bool
+	// down holds the servers whose last poll could not connect, so that a death
+	// is reported once.
+	down map[ident.BackendID]bool
+}
+
+// New returns a pool without servers.
+func New(config placement.Config, client *backend.Client, seed uint64, deaths Deaths) (*Pool, error) {
+	fleet, err := placement.NewFleet(config)
+	if err != nil {
+		return nil, err
+	}
+	return &Pool{
+		client:  client,
+		deaths:  deaths,
+		fleet:   fleet,
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+		polling: map[ident.BackendID]bool{},
+		down:    map[ident.BackendID]bool{},
+	}, nil
+}
+
+// ObserveList takes a snapshot of the listed backend servers.
+func (p *Pool) ObserveList(backends []platformapi.Backend) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.ObserveList(backends)
+}
+
+// Run polls the servers until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		p.pollAll(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Poll polls all servers once more before the next interval, after the list
+// has changed.
+func (p *Pool) Poll(ctx context.Context) { p.pollAll(ctx) }
+
+type pollTarget struct {
+	id     ident.BackendID
+	url    string
+	engine bool
+	after  int64
+}
+
+func (p *Pool) pollAll(ctx context.Context) {
+	for _, target := range p.pollTargets() {
+		go p.poll(ctx, target)
+	}
+}
+
+// pollTargets returns the servers that no poll is under way for, and marks
+// them as polled.
+func (p *Pool) pollTargets() []pollTarget {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var targets []pollTarget
+	for _, s := range p.fleet.Servers() {
+		if p.polling[s.ID] {
+			continue
+		}
+		p.polling[s.ID] = true
+		targets = append(targets, pollTarget{
+			id:     s.ID,
+			url:    s.URL,
+			engine: s.Kind == platformapi.KindEngine,
+			after:  p.fleet.CacheSequence(s.ID),
+		})
+	}
+	return targets
+}
+
+func (p *Pool) poll(ctx context.Context, target pollTarget) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	load, err := p.client.Load(ctx, target.url)
+	var events backendapi.CacheEvents
+	var eventsErr error
+	if err == nil && target.engine {
+		events, eventsErr = p.client.CacheEvents(ctx, target.url, target.after)
+	}
+	died := p.polled(target, load, err, events, eventsErr)
+	if died && p.deaths != nil {
+		p.deaths(target.id, load.Incarnation)
+	}
+}
+
+// polled records the result of a poll and tells whether it shows a death.
+func (p *Pool) polled(target pollTarget, load backendapi.Load, err error, events backendapi.CacheEvents, eventsErr error) bool {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.polling, target.id)
+	server := p.fleet.Server(target.id)
+	if server == nil {
+		return false
+	}
+	if err != nil {
+		return p.pollFailed(now, target.id, err)
+	}
+	delete(p.down, target.id)
+	known := server.Load.Incarnation
+	restarted := known != 0 && load.Incarnation > known
+	if restarted {
+		p.fleet.Died(now, target.id)
+	}
+	p.fleet.ObserveLoad(now, target.id, load)
+	if target.engine && eventsErr == nil {
+		p.fleet.ObserveCache(target.id, events)
+	}
+	return restarted
+}
+
+// pollFailed requires mu.
+func (p *Pool) pollFailed(now time.Time, id ident.BackendID, err error) bool {
+	if backend.CodeOf(err) != backend.CodeConnect {
+		p.fleet.ConnectionFailed(now, id)
+		return false
+	}
+	first := !p.down[id]
+	p.down[id] = true
+	p.fleet.Died(now, id)
+	return first
+}
+
+// Chosen is the result of a choice.
+type Chosen struct {
+	Backend     ident.BackendID
+	Incarnation int64
+	URL         string
+	// Prefill is the expected time to read the uncached part of the prompt.
+	Prefill time.Duration
+	Reasons []placement.Reason
+}
+
+// Choose picks a server for an attempt and counts the attempt as sent. If all
+// usable servers are excluded, the exclusion is dropped: a server that failed
+// once is better than none.
+func (p *Pool) Choose(request placement.Request, attempt ident.AttemptID) (Chosen, error) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id, reasons, err := p.fleet.Choose(request, now, p.rng)
+	if err != nil && len(request.Exclude) > 0 {
+		request.Exclude = nil
+		id, reasons, err = p.fleet.Choose(request, now, p.rng)
+	}
+	if err != nil {
+		return Chosen{Reasons: reasons}, err
+	}
+	server := p.fleet.Server(id)
+	uncached := request.PromptTokens - server.CachedTokens(request.Prefixes)
+	p.fleet.Sent(now, id, attempt, request)
+	return Chosen{
+		Backend:     id,
+		Incarnation: server.Load.Incarnation,
+		URL:         server.URL,
+		Prefill:     prefillTime(uncached, server.Load.PrefillTokensPerSecond),
+		Reasons:     reasons,
+	}, nil
+}
+
+func prefillTime(tokens int, rate float64) time.Duration {
+	if rate <= 0 {
+		rate = placement.DefaultPrefillRate
+	}
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
+}
+
+// Answered records the first token of an attempt.
+func (p *Pool) Answered(id ident.BackendID, attempt ident.AttemptID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.Answered(id, attempt)
+}
+
+// Finished records the end of an attempt.
+func (p *Pool) Finished(id ident.BackendID, attempt ident.AttemptID, outcome generation.Outcome) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.Finished(now, id, attempt)
+	if outcome == generation.OutcomeLost {
+		p.fleet.ConnectionFailed(now, id)
+	}
+}
+
+// Fleet calls view with the fleet while no other goroutine uses it. The
+// function must not block or keep what it is given.
+func (p *Pool) Fleet(view func(*placement.Fleet)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	view(p.fleet)
+}
+
+// Capacity returns how many requests the usable engines run at once, and the
+// models that they serve.
+func (p *Pool) Capacity() (slots int, models map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	models = map[string]bool{}
+	for _, s := range p.fleet.Servers() {
+		if s.Kind != platformapi.KindEngine || !s.Listed || p.down[s.ID] {
+			continue
+		}
+		slots += s.Load.MaxRunning
+		for _, model := range s.Load.Models {
+			models[model] = true
+		}
+	}
+	return slots, models
+}
+
+// url returns the address of a server.
+func (p *Pool) url(id ident.BackendID) (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	server := p.fleet.Server(id)
+	if server == nil {
+		return "", oops.Code(backend.CodeConnect).In("backendpool").Errorf("backend server %q is not listed", id)
+	}
+	return server.URL, nil
+}
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -72,8 +72,20 @@
 
 // Placer chooses backend servers.
 type Placer interface {
-	// Place waits for admission and capacity. A resume goes before new work.
-	Place(ctx context.Context, request *Request, resume bool, exclude []ident.BackendID) (Placement, error)
+	// Place waits for admission and capacity.
+	Place(ctx context.Context, request *Request, ask Ask) (Placement, error)
+}
+
+// Ask tells what is to be placed.
+type Ask struct {
+	Attempt ident.AttemptID
+	// Resume tells that an interrupted answer continues. It goes before new
+	// work.
+	Resume bool
+	// AcceptedText is the text that the attempt continues from.
+	AcceptedText string
+	// Exclude lists backend servers that must not be used.
+	Exclude []ident.BackendID
 }
 
 // Placement is the permission to open a stream on a backend server.
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -223,7 +223,12 @@
 func (r *Run) execute(now time.Time, action continuation.Action) {
 	switch a := action.(type) {
 	case continuation.Place:
-		go r.place(a)
+		go r.place(Ask{
+			Attempt:      ident.NewAttemptID(),
+			Resume:       a.Resume,
+			AcceptedText: r.machine.Journal().Text(),
+			Exclude:      a.Exclude,
+		})
 	case continuation.Open:
 		r.open(a)
 	case continuation.Reconnect:
@@ -269,19 +274,18 @@
 }
 
 // place asks for a backend server and posts the result.
-func (r *Run) place(a continuation.Place) {
-	placement, err := r.deps.Placer.Place(r.ctx, r.request, a.Resume, a.Exclude)
+func (r *Run) place(ask Ask) {
+	placement, err := r.deps.Placer.Place(r.ctx, r.request, ask)
 	if err != nil {
 		r.send(message{
-			event:   continuation.PlacementFailed{RetryAfter: retryAfterOf(err, a.Resume), Reason: err.Error()},
+			event:   continuation.PlacementFailed{RetryAfter: retryAfterOf(err, ask.Resume), Reason: err.Error()},
 			prepare: func() { r.result.PlaceError = err },
 		})
 		return
 	}
-	id := ident.NewAttemptID()
 	delivered := r.send(message{
-		event:   continuation.Placed{Attempt: id, Backend: placement.Backend, FirstTokenLimit: placement.FirstTokenLimit},
-		prepare: func() { r.placements[id] = placement },
+		event:   continuation.Placed{Attempt: ask.Attempt, Backend: placement.Backend, FirstTokenLimit: placement.FirstTokenLimit},
+		prepare: func() { r.placements[ask.Attempt] = placement },
 	})
 	if !delivered {
 		placement.Release(OutcomeUnused)
