--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -305,6 +305,7 @@
 
 func (r *Run) open(a continuation.Open) {
 	placement := r.placements[a.Attempt]
+	r.result.Opened = true
 	journal := r.machine.Journal()
 	request := backendapi.CompletionRequest{
 		Model:     r.request.Model,
@@ -374,8 +375,7 @@
 
 // promptRead learns how much of the prompt an attempt had to compute.
 func (r *Run) promptRead(tokens, cached int) {
-	resume := r.result.Opened
-	r.result.Opened = true
+	resume := r.machine.Journal().Len() > 0
 	if !resume {
 		r.result.PromptTokens = tokens
 	}
