Add the state machine of non-idempotent calls

A call of a service that must not run twice needs a claim in the table before it is sent. Machine decides reads, conditional writes, the send and the answer; it does no I/O and reads no clock.

A refused call therefore writes a void first, voids carry the time they were written, and an attempt does not claim a void written at or after its own start. The checker finds the double booking when either rule is removed.

Ruled out: takeover of claimed rows after a time, since the holder may be paused and send later.

--- /dev/null
+++ b/internal/claim/errors.go
@@ -0,0 +1,13 @@
+package claim
+
+import "github.com/samber/oops"
+
+// Code classifies an error of this package.
+type Code string
+
+// CodeRowInvalid: a claim row cannot be encoded or decoded.
+const CodeRowInvalid Code = "claim_row_invalid"
+
+func newError(code Code) oops.OopsErrorBuilder {
+	return oops.Code(code).In("claim")
+}
--- /dev/null
+++ b/internal/claim/machine_test.go
@@ -0,0 +1,199 @@
+package claim
+
+import (
+	"fmt"
+	"hash/maphash"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+)
+
+// origin tells how a state was reached first.
+type origin struct {
+	from    int
+	attempt int
+	label   string
+}
+
+func pathTo(origins []origin, at int) string {
+	path := ""
+	for ; origins[at].from >= 0; at = origins[at].from {
+		path = fmt.Sprintf("%d:%s; ", origins[at].attempt, origins[at].label) + path
+	}
+	return path
+}
+
+// search visits every state that can be reached, breadth first, and returns
+// their number and the first broken invariant with the path to it. States are
+// recognised by a hash of 64 bits: among a million states the probability that
+// two share a hash is below one in ten million.
+func search(c *model) (states int, broken string) {
+	type found struct {
+		w  world
+		at int
+	}
+	seed := maphash.MakeSeed()
+	level, origins := []found{{w: c.initial()}}, []origin{{from: -1}}
+	seen := map[uint64]struct{}{maphash.Comparable(seed, level[0].w): {}}
+	for len(level) > 0 {
+		var following []found
+		for i := range level {
+			s := &level[i]
+			if fault := s.w.check(c.attempts); fault != "" {
+				return len(seen), fault + ": " + pathTo(origins, s.at)
+			}
+			for _, n := range c.successors(&s.w) {
+				hash := maphash.Comparable(seed, n.w)
+				if _, ok := seen[hash]; ok {
+					continue
+				}
+				seen[hash] = struct{}{}
+				origins = append(origins, origin{s.at, n.attempt, n.label})
+				following = append(following, found{n.w, len(origins) - 1})
+			}
+		}
+		level = following
+	}
+	return len(seen), ""
+}
+
+var refusals = [][maxAttempts]bool{{true}, {false, true}, {}}
+
+// Guards the three promises of the package over all interleavings of pauses,
+// kills, lost answers, lost calls that arrive late, store outages, deadlines
+// and clock jumps, for one attempt and one retry on another node.
+func TestEveryInterleavingOfTwoAttempts(t *testing.T) {
+	for _, refuse := range refusals {
+		states, broken := search(&model{attempts: 2, refuse: refuse})
+		if broken != "" {
+			t.Fatalf("refusals %v: %s", refuse, broken)
+		}
+		t.Logf("refusals %v: %d states", refuse, states)
+	}
+}
+
+// Guards against a checker that accepts everything: each deliberate fault of
+// the protocol must be found.
+func TestModelCheckerFindsBrokenProtocols(t *testing.T) {
+	noSeal := func(m *Machine, a Action) Action {
+		if a.Kind == ActionWrite && m.phase == phaseSealing {
+			m.phase = phaseFinished
+			return Action{Kind: ActionAnswer, Outcome: callerapi.OutcomeNotRun}
+		}
+		return a
+	}
+	mutations := map[string]mutation{
+		"takeover of a claimed row": {event: func(m *Machine, e Event) Event {
+			if e.Kind == EventRow && m.phase == phaseWaiting && e.Row.State == StateClaimed {
+				e.Row = Row{}
+			}
+			return e
+		}},
+		"send after attempt_not_run": {action: func(m *Machine, a Action) Action {
+			if a.Kind == ActionWrite && a.Row.State == StateVoid && m.held && m.answered {
+				m.phase = phaseSending
+				return Action{Kind: ActionSend}
+			}
+			return a
+		}},
+		"second send after a broken one": {event: func(m *Machine, e Event) Event {
+			if e.Kind == EventMaybeSent {
+				e.Kind = EventNotSent
+			}
+			return e
+		}},
+		"claim lost in doubt counts as held": {event: func(m *Machine, e Event) Event {
+			if e.Kind == EventUnknown && m.phase == phaseClaiming {
+				e.Kind, e.Version = EventCommitted, m.version+1
+			}
+			return e
+		}},
+		"void ignores the start of an attempt": {event: func(m *Machine, e Event) Event {
+			if e.Row.State == StateVoid {
+				e.Row.VoidedAt = time.Time{}
+			}
+			return e
+		}},
+		"not_run without a void": {action: noSeal},
+	}
+	for name, mutation := range mutations {
+		t.Run(name, func(t *testing.T) {
+			broken := ""
+			for _, refuse := range refusals {
+				if _, broken = search(&model{attempts: 2, refuse: refuse, mutation: mutation}); broken != "" {
+					break
+				}
+			}
+			if broken == "" {
+				t.Fatal("the search found no broken invariant")
+			}
+			t.Log(broken)
+		})
+	}
+}
+
+// Guards the same promises for three attempts, where the search is too large.
+func TestRandomWalksOfThreeAttempts(t *testing.T) {
+	const walks, steps = 5_000, 120
+	for seed := range uint64(walks) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		c := &model{attempts: maxAttempts}
+		for i := range c.refuse {
+			c.refuse[i] = random.IntN(4) == 0
+		}
+		w, path := c.initial(), ""
+		for range steps {
+			options := c.successors(&w)
+			if len(options) == 0 {
+				break
+			}
+			n := options[random.IntN(len(options))]
+			w, path = n.w, path+fmt.Sprintf("%d:%s; ", n.attempt, n.label)
+			if broken := w.check(c.attempts); broken != "" {
+				t.Fatalf("seed %d: %s: %s", seed, broken, path)
+			}
+		}
+	}
+}
+
+// Guards against a claim that is sent after the node was paused for longer than
+// the send window, by either clock or with the wall clock set back.
+func TestNoSendAfterSendWindow(t *testing.T) {
+	start := Now{Wall: time.Unix(1000, 0)}
+	for _, tc := range []struct {
+		wall, monotonic time.Duration
+		send            bool
+	}{
+		{SendWindow, SendWindow, true},
+		{SendWindow + 1, 0, false},
+		{0, SendWindow + 1, false},
+		{-1, 0, false},
+	} {
+		t.Run(fmt.Sprint(tc.wall, tc.monotonic), func(t *testing.T) {
+			m := New(Call{Attempt: "a"})
+			m.Step(start, Event{Kind: EventStart})
+			m.Step(start, Event{Kind: EventRow})
+			later := Now{Wall: start.Wall.Add(tc.wall), Monotonic: tc.monotonic}
+			actions := m.Step(later, Event{Kind: EventCommitted, Version: 1})
+			if sent := actions[0].Kind == ActionSend; sent != tc.send {
+				t.Errorf("sent = %v, want %v", sent, tc.send)
+			}
+			if !tc.send && actions[0].Outcome != callerapi.OutcomeNotRun {
+				t.Errorf("outcome = %q", actions[0].Outcome)
+			}
+		})
+	}
+}
+
+// Guards against one key answering two different calls.
+func TestKeyReusedForAnotherCall(t *testing.T) {
+	m := New(Call{Attempt: "a", Fingerprint: Fingerprint("POST", "/b", []byte("1"))})
+	m.Step(Now{}, Event{Kind: EventStart})
+	row := Row{State: StateDone, Fingerprint: Fingerprint("POST", "/b", []byte("2")), Result: &Result{}}
+	actions := m.Step(Now{}, Event{Kind: EventRow, Row: row, Version: 2})
+	if actions[0].Code != callerapi.CodeKeyReused {
+		t.Fatalf("actions = %+v", actions)
+	}
+}
