--- /dev/null
+++ b/lab/caller/booking.go
@@ -0,0 +1,155 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+)
+
+// Call is one request to a plain service.
+type Call struct {
+	Service string
+	Method  string // POST if empty
+	Path    string // with a leading slash
+	Body    []byte
+	// Key is the idempotency key, made up if it is empty. NoKey sends none.
+	Key   string
+	NoKey bool
+	// RequestID is made up if it is empty.
+	RequestID string
+}
+
+// CallResult describes what came of a call.
+type CallResult struct {
+	Key       string `json:"key"`
+	RequestID string `json:"request_id"`
+	// Status is that of the service's answer, 0 if none was received.
+	Status   int    `json:"status"`
+	Replayed bool   `json:"replayed"` // the answer is a stored one
+	Body     string `json:"body"`
+	// Outcome is what the caller knows in the end: "done" with an answer of the
+	// service, otherwise the outcome of the last error. A not_run counts for
+	// the whole call only if no earlier attempt may have run.
+	Outcome  string        `json:"outcome"`
+	Attempts int           `json:"attempts"`
+	Total    time.Duration `json:"total_ns"`
+	Error    *Failure      `json:"error,omitempty"`
+	// Errors holds the error of each attempt that failed.
+	Errors []Failure `json:"errors"`
+}
+
+// OutcomeDone is the outcome of a call that the service answered.
+const OutcomeDone = "done"
+
+// Call sends a request to a plain service and repeats it with the same key
+// through other nodes until it has an answer, a final error or ctx ends.
+func (c *Caller) Call(ctx context.Context, call Call) CallResult {
+	if call.Key == "" && !call.NoKey {
+		call.Key = uuid.NewString()
+	}
+	if call.Method == "" {
+		call.Method = http.MethodPost
+	}
+	call.RequestID = requestID(call.RequestID)
+	result := CallResult{Key: call.Key, RequestID: call.RequestID, Errors: []Failure{}}
+	started := time.Now()
+	c.repeat(ctx, call, &result)
+	result.Total = time.Since(started)
+	return result
+}
+
+func (c *Caller) repeat(ctx context.Context, call Call, result *CallResult) {
+	address := ""
+	mayHaveRun := false
+	for {
+		var err error
+		if address, err = c.addresses.pick(ctx, address); err != nil {
+			result.Error = &Failure{Message: err.Error()}
+			return
+		}
+		result.Attempts++
+		failure := c.tryCall(ctx, address, call, result)
+		if failure == nil {
+			result.Outcome, result.Error = OutcomeDone, nil
+			return
+		}
+		c.addresses.replace(failure.addresses)
+		if failure.Outcome == "" { // no answer, or one of unknown shape
+			failure.Outcome = callerapi.OutcomeUnknown
+			c.addresses.fail(address)
+		}
+		mayHaveRun = mayHaveRun || failure.Outcome == callerapi.OutcomeUnknown
+		result.Errors = append(result.Errors, *failure)
+		result.Error, result.Outcome = failure, string(failure.Outcome)
+		if mayHaveRun && failure.Outcome == callerapi.OutcomeAttemptNotRun {
+			result.Outcome = string(callerapi.OutcomeUnknown)
+		}
+		pause, again := c.retryCall(failure, call, result.Attempts)
+		if !again || result.Attempts >= c.cfg.MaxAttempts || wait(ctx, pause) != nil {
+			return
+		}
+	}
+}
+
+// retryCall decides whether and when to repeat a call. Without a key, a call
+// that may have run is not repeated.
+func (c *Caller) retryCall(f *Failure, call Call, attempts int) (pause time.Duration, again bool) {
+	switch {
+	case f.Outcome == callerapi.OutcomeUnknown && f.Code == "":
+		return backoff(attempts), !call.NoKey
+	case f.namesOtherNodes():
+		return max(f.RetryAfter, backoff(attempts)), true
+	case f.RetryAfter <= 0:
+		return 0, false
+	case f.Outcome == callerapi.OutcomeNotRun:
+		return f.RetryAfter, c.cfg.RetryRefused
+	}
+	return f.RetryAfter, !call.NoKey
+}
+
+// tryCall makes one attempt. It returns nil when the service answered.
+func (c *Caller) tryCall(ctx context.Context, address string, call Call, result *CallResult) *Failure {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.SilenceTimeout)
+	defer cancel()
+	url := "http://" + address + callerapi.RouteServices + call.Service + "/" + strings.TrimPrefix(call.Path, "/")
+	req, err := http.NewRequestWithContext(ctx, call.Method, url, bytes.NewReader(call.Body))
+	if err != nil {
+		return &Failure{Message: err.Error()}
+	}
+	// net/http repeats a request with this header by itself when a kept
+	// connection turns out to be closed, unless its body cannot be read again.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(callerapi.HeaderRequestID, call.RequestID)
+	if c.cfg.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.cfg.Key)
+	}
+	if !call.NoKey {
+		req.Header.Set(callerapi.HeaderIdempotencyKey, call.Key)
+	}
+	resp, err := c.cfg.Client.Do(req)
+	if err != nil {
+		return broken(ctx, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return broken(ctx, err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		// Errors of the system state an outcome; those of the service do not.
+		if f := parseError(resp.StatusCode, data); f.Outcome != "" {
+			return f
+		}
+	}
+	result.Status, result.Body = resp.StatusCode, string(data)
+	result.Replayed = resp.Header.Get(callerapi.HeaderReplayed) == "true"
+	return nil
+}
--- /dev/null
+++ b/lab/caller/generate.go
@@ -0,0 +1,277 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+)
+
+// maxErrorBody bounds the body of an error answer in bytes.
+const maxErrorBody = 1 << 20
+
+// generation is one answer while it is received.
+type generation struct {
+	caller *Caller
+	req    Request
+	verify *Verifier
+	result Result
+
+	started   time.Time
+	lastToken time.Time
+	text      strings.Builder
+	cursor    string // id of the last event
+	finish    string
+	sendText  bool
+	fruitless int // connections in a row without a new token
+	broken    int // breaks whose silence is not over
+}
+
+// Generate sends one request, continues the answer after breaks and returns
+// what came of it. It returns when the answer is complete, the system gave a
+// final error, or ctx ended.
+func (c *Caller) Generate(ctx context.Context, req Request) Result {
+	req.RequestID = requestID(req.RequestID)
+	g := &generation{
+		caller: c, req: req, verify: NewVerifier(req.prompt(), req.MaxTokens),
+		started: time.Now(), result: Result{RequestID: req.RequestID, Breaks: []Break{}},
+	}
+	g.result.Error = g.run(ctx)
+	if g.result.Error == nil {
+		g.result.Complete = g.verify.End(g.finish)
+	}
+	g.result.Clean, g.result.Counts = g.verify.Clean(), g.verify.Counts()
+	g.result.Total, g.result.Text = time.Since(g.started), g.text.String()
+	return g.result
+}
+
+func (g *generation) run(ctx context.Context) *Failure {
+	address := ""
+	for {
+		var err error
+		if address, err = g.address(ctx, address); err != nil {
+			return &Failure{Message: err.Error()}
+		}
+		g.result.Attempts++
+		g.fruitless++
+		failure := g.attempt(ctx, address)
+		if failure == nil {
+			return nil
+		}
+		g.noteBreak(address, failure)
+		pause, again := g.retry(failure)
+		if !again || g.result.Attempts >= g.caller.cfg.MaxAttempts {
+			return failure
+		}
+		if wait(ctx, pause) != nil {
+			return failure
+		}
+	}
+}
+
+func (g *generation) address(ctx context.Context, last string) (string, error) {
+	if !g.caller.cfg.Direct {
+		return g.caller.addresses.pick(ctx, last)
+	}
+	if len(g.caller.cfg.Nodes) == 0 {
+		return "", errors.New("no engine address is set")
+	}
+	return g.caller.cfg.Nodes[0], nil
+}
+
+// noteBreak records an interruption of an answer that had begun, and avoids a
+// node that broke a connection.
+func (g *generation) noteBreak(address string, f *Failure) {
+	if f.Status == 0 && f.Code == "" {
+		g.caller.addresses.fail(address)
+	}
+	g.caller.addresses.replace(f.addresses)
+	if g.cursor != "" || f.Status == 0 {
+		g.result.Breaks = append(g.result.Breaks, Break{
+			Address: address, Reason: f.Message, Position: g.verify.Counts().Tokens,
+		})
+		g.broken++
+	}
+}
+
+// retry decides whether and when to connect again.
+func (g *generation) retry(f *Failure) (pause time.Duration, again bool) {
+	cfg := g.caller.cfg
+	switch {
+	case cfg.Direct:
+		return 0, false
+	case f.Status == 0 && f.Code == "": // the connection broke
+		return backoff(g.fruitless), true
+	case f.Code == callerapi.CodeCursorNeedsText && cfg.SendText && !g.sendText:
+		g.sendText = true
+		return 0, true
+	case f.namesOtherNodes():
+		return max(f.RetryAfter, backoff(g.fruitless)), true
+	case f.RetryAfter <= 0:
+		return 0, false
+	case f.Outcome == callerapi.OutcomePartial, g.cursor != "":
+		return f.RetryAfter, true
+	}
+	return f.RetryAfter, cfg.RetryRefused
+}
+
+// attempt makes one connection and reads events until the answer is complete
+// (nil), the node reports an error or the connection breaks.
+func (g *generation) attempt(ctx context.Context, address string) *Failure {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := g.caller.cfg.SilenceTimeout
+	timer := time.AfterFunc(silence, func() { cancel(fmt.Errorf("no data for %s", silence)) })
+	defer timer.Stop()
+
+	resp, err := g.send(ctx, address)
+	if err != nil {
+		return broken(ctx, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refused(resp)
+	}
+	events := newSSEReader(resp.Body)
+	for {
+		e, err := events.next()
+		if err != nil {
+			return broken(ctx, err)
+		}
+		timer.Reset(silence)
+		if e.data == endMark {
+			return nil
+		}
+		if failure := g.event(e); failure != nil {
+			return failure
+		}
+	}
+}
+
+func broken(ctx context.Context, err error) *Failure {
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	return &Failure{Message: err.Error()}
+}
+
+// send makes the request; with a cursor it asks for the rest of the answer.
+func (g *generation) send(ctx context.Context, address string) (*http.Response, error) {
+	route, body := g.body()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+route, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	req.Header.Set(callerapi.HeaderRequestID, g.req.RequestID)
+	if g.caller.cfg.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+g.caller.cfg.Key)
+	}
+	if g.cursor != "" {
+		req.Header.Set(callerapi.HeaderLastEventID, g.cursor)
+	}
+	return g.caller.cfg.Client.Do(req)
+}
+
+func (g *generation) body() (route string, body any) {
+	if g.caller.cfg.Direct {
+		return backendapi.RouteCompletions, backendapi.CompletionRequest{
+			Model: g.req.Model, Prompt: g.req.prompt(), MaxTokens: g.req.MaxTokens, Stream: true,
+			Priority: g.req.Priority, RequestID: g.req.RequestID, AttemptID: g.req.RequestID,
+		}
+	}
+	request := callerapi.CompletionRequest{
+		Model: g.req.Model, Prompt: g.req.Prompt, Messages: g.req.Messages,
+		MaxTokens: g.req.MaxTokens, Stream: true,
+	}
+	if g.sendText && g.cursor != "" {
+		text := g.text.String()
+		request.ReceivedText = &text
+	}
+	if len(g.req.Messages) > 0 {
+		return callerapi.RouteChatCompletions, request
+	}
+	return callerapi.RouteCompletions, request
+}
+
+// event takes one event of the answer. The events of nodes and of engines have
+// the fields that are read here in common.
+func (g *generation) event(e sseEvent) *Failure {
+	if e.name == "error" {
+		if e.id != "" {
+			g.cursor = e.id
+		}
+		return parseError(0, []byte(e.data))
+	}
+	var chunk struct {
+		Choices []callerapi.Choice `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(e.data), &chunk); err != nil {
+		return &Failure{Message: "event is not valid: " + err.Error()}
+	}
+	if e.id != "" {
+		g.cursor = e.id
+	}
+	for _, choice := range chunk.Choices {
+		if choice.FinishReason != nil {
+			g.finish = *choice.FinishReason
+		}
+		switch {
+		case choice.Text != nil && *choice.Text != "":
+			g.take(time.Now(), *choice.Text)
+		case choice.Delta != nil && choice.Delta.Content != "":
+			g.take(time.Now(), choice.Delta.Content)
+		}
+	}
+	return nil
+}
+
+// take verifies and times new text.
+func (g *generation) take(now time.Time, text string) {
+	since := g.started
+	if g.lastToken.IsZero() {
+		g.result.FirstToken = now.Sub(g.started)
+	} else {
+		since = g.lastToken
+		g.result.Gaps = append(g.result.Gaps, now.Sub(since))
+		g.result.MaxGap = max(g.result.MaxGap, now.Sub(since))
+	}
+	for ; g.broken > 0; g.broken-- {
+		g.result.Breaks[len(g.result.Breaks)-g.broken].Silence = now.Sub(since)
+	}
+	g.lastToken, g.fruitless = now, 0
+	g.text.WriteString(text)
+	g.verify.AddText(text)
+}
+
+func refused(resp *http.Response) *Failure {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	if err != nil {
+		return &Failure{Message: "error answer broke off: " + err.Error()}
+	}
+	return parseError(resp.StatusCode, data)
+}
+
+// parseError reads an error body. One that does not have the published shape
+// gets the code "internal", so that it does not pass as a broken connection.
+func parseError(status int, data []byte) *Failure {
+	var body callerapi.Error
+	if err := json.Unmarshal(data, &body); err != nil || body.Error.Code == "" {
+		return &Failure{Status: status, Code: callerapi.CodeInternal, Message: fmt.Sprintf("error of unknown shape: %.200q", data)}
+	}
+	d := body.Error
+	return &Failure{Status: status, Code: d.Code, Outcome: d.Outcome, Message: d.Message, RetryAfter: d.RetryAfter(), addresses: d.Addresses}
+}
