--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,126 @@
+// Package explain keeps the decisions that a node took for each request, so
+// that an operator can ask why a request was handled as it was.
+//
+// A Store may be used by any number of goroutines; one mutex guards it. It
+// holds a bounded number of requests; at the bound the oldest is dropped.
+package explain
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+const (
+	// maxRequests bounds the memory: about 1 KiB for a request.
+	maxRequests = 10_000
+	// maxDecisions bounds the decisions of one request; the last place is kept
+	// for the newest decision.
+	maxDecisions = 64
+)
+
+// Decision is one step of a request's handling.
+type Decision struct {
+	At     time.Time
+	Host   ident.HostID
+	Event  string
+	Detail string
+}
+
+// Record holds the decisions for one request of one customer.
+type Record struct {
+	Request   ident.RequestID
+	Customer  ident.Customer
+	Decisions []Decision
+}
+
+type key struct {
+	customer ident.Customer
+	request  ident.RequestID
+}
+
+// Store holds the newest records of a node.
+type Store struct {
+	host ident.HostID
+
+	mu sync.Mutex
+	// order, byKey and byRequest are guarded by mu. order holds *Record, oldest
+	// first. byRequest exists because request ids are unique within a customer
+	// only.
+	order     *list.List
+	byKey     map[key]*list.Element
+	byRequest map[ident.RequestID][]*Record
+	dropped   int
+}
+
+// NewStore returns an empty store of a host.
+func NewStore(host ident.HostID) *Store {
+	return &Store{
+		host:      host,
+		order:     list.New(),
+		byKey:     map[key]*list.Element{},
+		byRequest: map[ident.RequestID][]*Record{},
+	}
+}
+
+// Add records one decision.
+func (s *Store) Add(now time.Time, customer ident.Customer, request ident.RequestID, event, detail string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	record := s.record(key{customer, request})
+	decision := Decision{At: now, Host: s.host, Event: event, Detail: detail}
+	if len(record.Decisions) == maxDecisions {
+		record.Decisions[maxDecisions-1] = decision
+		return
+	}
+	record.Decisions = append(record.Decisions, decision)
+}
+
+// record requires mu.
+func (s *Store) record(k key) *Record {
+	if element, ok := s.byKey[k]; ok {
+		return element.Value.(*Record)
+	}
+	if s.order.Len() == maxRequests {
+		s.dropOldest()
+	}
+	record := &Record{Request: k.request, Customer: k.customer}
+	s.byKey[k] = s.order.PushBack(record)
+	s.byRequest[k.request] = append(s.byRequest[k.request], record)
+	return record
+}
+
+// dropOldest requires mu.
+func (s *Store) dropOldest() {
+	oldest := s.order.Front()
+	record := s.order.Remove(oldest).(*Record)
+	delete(s.byKey, key{record.Customer, record.Request})
+	s.dropped++
+	var rest []*Record
+	for _, r := range s.byRequest[record.Request] {
+		if r != record {
+			rest = append(rest, r)
+		}
+	}
+	if len(rest) == 0 {
+		delete(s.byRequest, record.Request)
+		return
+	}
+	s.byRequest[record.Request] = rest
+}
+
+// Get returns copies of the records of a request id, one for each customer
+// that used it.
+func (s *Store) Get(request ident.RequestID) []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var records []Record
+	for _, r := range s.byRequest[request] {
+		copied := *r
+		copied.Decisions = append([]Decision(nil), r.Decisions...)
+		records = append(records, copied)
+	}
+	return records
+}
--- /dev/null
+++ b/internal/node/gateway.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/internal/contract"
+	"github.com/yuccahatch/yuccahatch/internal/contractset"
+	"github.com/yuccahatch/yuccahatch/internal/generation"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/caller"
+	"github.com/yuccahatch/yuccahatch/internal/quarantine"
+)
+
+// addressLifetime is how long callers may use an answer of addresses. It is
+// longer than the notice of a leaving node, which therefore refuses late
+// callers with the addresses of others.
+const addressLifetime = 5 * time.Second
+
+var _ caller.Gateway = (*Node)(nil)
+
+// Authenticate implements caller.Gateway.
+func (n *Node) Authenticate(key string) (caller.Access, error) {
+	if key == "" {
+		return caller.Access{}, &caller.Failure{Code: callerapi.CodeInvalidAPIKey, Message: "no bearer key was sent"}
+	}
+	inForce, ok := n.contracts.ByKeyHash(contract.HashKey(key))
+	if !ok {
+		return caller.Access{}, &caller.Failure{Code: callerapi.CodeInvalidAPIKey, Message: "the bearer key is not in any contract"}
+	}
+	return caller.Access{Customer: inForce.Entry.Customer}, nil
+}
+
+// Addresses implements caller.Gateway.
+func (n *Node) Addresses(remote string) callerapi.Addresses {
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		host = remote
+	}
+	// The seed differs from caller to caller and from second to second, so that
+	// callers spread over the nodes.
+	seed := xxh3.HashString(host) + uint64(time.Now().UnixNano())
+	answer := callerapi.Addresses{
+		Addresses:       []callerapi.Address{},
+		LifetimeSeconds: int(addressLifetime / time.Second),
+	}
+	n.mu.Lock()
+	nodes := n.view.Addresses(time.Now(), n.dataCentre, seed)
+	n.mu.Unlock()
+	for _, node := range nodes {
+		answer.Addresses = append(answer.Addresses, callerapi.Address{
+			Address:    node.CallerAddress,
+			DataCentre: string(node.DataCentre),
+		})
+	}
+	return answer
+}
+
+// otherAddresses returns the addresses of other nodes for a refused caller.
+func (n *Node) otherAddresses() []callerapi.Address {
+	addresses := n.Addresses("").Addresses
+	own := n.settings.Listen.Callers.String()
+	return slices.DeleteFunc(addresses, func(a callerapi.Address) bool { return a.Address == own })
+}
+
+// Models implements caller.Gateway.
+func (n *Node) Models(access caller.Access) []string {
+	inForce, ok := n.contracts.Contract(access.Customer)
+	if !ok || inForce.Contract == nil {
+		return nil
+	}
+	_, served := n.backends.Capacity()
+	var models []string
+	for model := range served {
+		if inForce.Contract.AllowsModel(model) {
+			models = append(models, model)
+		}
+	}
+	slices.Sort(models)
+	return models
+}
+
+// mayTakeWork refuses new work while the node leaves or is isolated.
+func (n *Node) mayTakeWork() error {
+	now := time.Now()
+	n.mu.Lock()
+	accepts := n.view.AcceptsNewWork(now)
+	admitting, reason := n.freshness.Admission(now, n.listed)
+	n.mu.Unlock()
+	switch {
+	case !accepts:
+		return &caller.Failure{
+			Code:       callerapi.CodeNodeLeaving,
+			Message:    "this node is shutting down",
+			RetryAfter: time.Millisecond,
+			Addresses:  n.otherAddresses(),
+		}
+	case !admitting:
+		return &caller.Failure{
+			Code:       callerapi.CodeNodeIsolated,
+			Message:    "this node cannot prove that its contracts are current: " + reason,
+			RetryAfter: comeBack,
+			Addresses:  n.otherAddresses(),
+		}
+	}
+	return nil
+}
+
+// contractOf returns the customer's contract in force.
+func (n *Node) contractOf(customer ident.Customer) (*contractset.InForce, error) {
+	inForce, ok := n.contracts.Contract(customer)
+	if !ok || inForce.Contract == nil {
+		return nil, &caller.Failure{
+			Code:    callerapi.CodeNoContract,
+			Message: fmt.Sprintf("customer %q has no contract that this node can apply", customer),
+		}
+	}
+	return inForce, nil
+}
+
+// quietFailure refuses work for the target during quiet hours.
+func quietFailure(c *contract.Contract, target string, now time.Time) error {
+	until, quiet := c.QuietUntil(target, now)
+	if !quiet {
+		return nil
+	}
+	return &caller.Failure{
+		Code:       callerapi.CodeQuietHours,
+		Message:    fmt.Sprintf("quiet hours for %s until %s", target, until.Format(time.RFC3339)),
+		RetryAfter: until.Sub(now),
+	}
+}
+
+// checkGeneration refuses a new generation that may not run.
+func (n *Node) checkGeneration(access caller.Access, request *caller.GenerationRequest) (*contractset.InForce, error) {
+	if err := n.mayTakeWork(); err != nil {
+		return nil, err
+	}
+	inForce, err := n.contractOf(access.Customer)
+	if err != nil {
+		return nil, err
+	}
+	if !inForce.Contract.AllowsModel(request.Model) {
+		return nil, &caller.Failure{
+			Code:    callerapi.CodeUnknownModel,
+			Param:   "model",
+			Message: fmt.Sprintf("the contract does not allow model %q", request.Model),
+		}
+	}
+	return inForce, quietFailure(inForce.Contract, "model:"+request.Model, time.Now())
+}
+
+// Generate implements caller.Gateway.
+func (n *Node) Generate(ctx context.Context, access caller.Access, request *caller.GenerationRequest, sink generation.Sink) (generation.Result, error) {
+	inForce, err := n.checkGeneration(access, request)
+	if err != nil {
+		n.refused(access, request.Request, err)
+		return generation.Result{}, err
+	}
+	run := n.newRequest(access, request, inForce.Contract.Priority)
+	run.Generation = ident.NewGenerationID()
+	if err := n.checkCrashes(run); err != nil {
+		n.refused(access, request.Request, err)
+		return generation.Result{}, err
+	}
+	return n.execute(ctx, run, generation.Start{}, sink)
+}
+
+// newRequest describes the caller's request to the generation.
+func (n *Node) newRequest(access caller.Access, request *caller.GenerationRequest, priority contract.Priority) *generation.Request {
+	return &generation.Request{
+		Request:       request.Request,
+		Customer:      access.Customer,
+		Route:         request.Route,
+		Body:          request.Body,
+		RequestDigest: request.RequestDigest,
+		Model:         request.Model,
+		Prompt:        request.Prompt,
+		MaxTokens:     request.MaxTokens,
+		Priority:      enginePriority[priority],
+		Fingerprint:   quarantine.Fingerprint(access.Customer, request.Body),
+	}
+}
+
+// enginePriority gives the order of requests inside engines.
+var enginePriority = map[contract.Priority]int{
+	contract.PriorityLow:    0,
+	contract.PriorityNormal: 10,
+	contract.PriorityHigh:   20,
+}
+
+// execute runs a generation to its end.
+func (n *Node) execute(ctx context.Context, request *generation.Request, start generation.Start, sink generation.Sink) (generation.Result, error) {
+	run := generation.New(n.generationDeps(), request, start, sink)
+	n.runs.add(request.Generation, run)
+	defer n.runs.remove(request.Generation, run)
+	result := run.Execute(ctx)
+	err := resultFailure(result)
+	n.observer.ended(request, result, err)
+	return result, err
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,209 @@
+// Package node joins the workers of a node: it connects the HTTP and gRPC
+// servers, the clients of platform and backend servers, and the decisions.
+package node
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/yuccahatch/yuccahatch/internal/admission"
+	"github.com/yuccahatch/yuccahatch/internal/backendpool"
+	"github.com/yuccahatch/yuccahatch/internal/contractset"
+	"github.com/yuccahatch/yuccahatch/internal/cursor"
+	"github.com/yuccahatch/yuccahatch/internal/detect"
+	"github.com/yuccahatch/yuccahatch/internal/explain"
+	"github.com/yuccahatch/yuccahatch/internal/gate"
+	"github.com/yuccahatch/yuccahatch/internal/generation"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/membership"
+	"github.com/yuccahatch/yuccahatch/internal/peer/backend"
+	peernode "github.com/yuccahatch/yuccahatch/internal/peer/node"
+	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+	"github.com/yuccahatch/yuccahatch/internal/peer/table"
+	"github.com/yuccahatch/yuccahatch/internal/placement"
+	"github.com/yuccahatch/yuccahatch/internal/settings"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
+)
+
+// Node is one running node.
+type Node struct {
+	settings    *settings.Settings
+	host        ident.HostID
+	dataCentre  ident.DataCentre
+	incarnation ident.Incarnation
+
+	events      *telemetry.EventLog
+	scope       tally.Scope
+	metricsPage http.Handler
+	observer    *observer
+	explain     *explain.Store
+
+	table        table.Table
+	cursors      *cursor.Codec
+	contracts    *contractset.Set
+	backends     *backendpool.Pool
+	gate         *gate.Gate
+	peers        *peernode.Pool
+	certificates *peernode.Certificates
+	runs         *runs
+
+	// mu guards view, freshness and listed: what this node knows about others.
+	mu        sync.Mutex
+	view      *membership.View
+	freshness *contractset.Freshness
+	listed    []ident.HostID
+
+	// detectorsMu guards detectors, one for each model.
+	detectorsMu sync.Mutex
+	detectors   map[string]*detect.Detector
+}
+
+// New returns a node that does not run yet.
+func New(s *settings.Settings) (*Node, error) {
+	now := time.Now()
+	n := &Node{
+		settings:    s,
+		host:        ident.HostID(s.Host.ID),
+		dataCentre:  ident.DataCentre(s.Host.DataCentre),
+		incarnation: ident.Incarnation(now.UnixNano()),
+		contracts:   contractset.New(),
+		runs:        newRuns(),
+		detectors:   map[string]*detect.Detector{},
+	}
+	for _, set := range []func(time.Time) error{n.setUpTelemetry, n.setUpSecurity, n.setUpPlatform, n.setUpPolicy} {
+		if err := set(now); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+func (n *Node) setUpTelemetry(time.Time) error {
+	s := n.settings
+	n.events = telemetry.NewEventLog(telemetry.NewLogger(os.Stderr, s.Log.Level, s.Host.ID, s.Host.DataCentre))
+	scope, page, _, err := telemetry.NewMetrics()
+	if err != nil {
+		return err
+	}
+	n.scope = scope
+	n.metricsPage = page
+	n.explain = explain.NewStore(n.host)
+	n.observer = newObserver(n.events, n.explain, scope)
+	return nil
+}
+
+func (n *Node) setUpSecurity(time.Time) error {
+	security := n.settings.Security
+	key, err := os.ReadFile(security.CursorKeyFile)
+	if err != nil {
+		return newError(CodeStart).Wrapf(err, "read cursor key")
+	}
+	if n.cursors, err = cursor.NewCodec(key); err != nil {
+		return newError(CodeStart).Wrapf(err, "use cursor key in %s", security.CursorKeyFile)
+	}
+	if n.settings.TLS() {
+		n.certificates, err = peernode.LoadCertificates(peernode.CertificateFiles{
+			Authority:   security.CAFile,
+			Certificate: security.CertificateFile,
+			PrivateKey:  security.PrivateKeyFile,
+		})
+		if err != nil {
+			return newError(CodeStart).Wrapf(err, "load certificates")
+		}
+	}
+	n.peers = peernode.NewPool(peernode.PoolOptions{Certificates: n.certificates})
+	return nil
+}
+
+func (n *Node) setUpPlatform(time.Time) error {
+	platform := n.settings.Platform
+	n.table = table.NewClient(platform.URL, platform.Timeout.Duration)
+	return nil
+}
+
+func (n *Node) setUpPolicy(now time.Time) error {
+	s := n.settings
+	var err error
+	n.view, err = membership.New(membership.Self{
+		Host:          n.host,
+		Incarnation:   n.incarnation,
+		DataCentre:    n.dataCentre,
+		Address:       s.Listen.Nodes.String(),
+		CallerAddress: s.Listen.Callers.String(),
+	}, membership.Config{
+		SuspectAfter: s.Membership.SuspectAfter.Duration,
+		DeadAfter:    s.Membership.DeadAfter.Duration,
+		LeaveGrace:   s.Leave.Grace.Duration,
+	}, now)
+	if err != nil {
+		return err
+	}
+	n.freshness = contractset.NewFreshness(n.host, s.Contracts.StalenessLimit.Duration)
+	seed := uint64(n.incarnation)
+	n.gate, err = gate.New(admission.Config{
+		QueueLimit: s.Admission.QueueRequestsPerCustomer,
+		MaxWait:    s.Admission.MaxWait.Duration,
+	}, n.recheck, seed)
+	if err != nil {
+		return err
+	}
+	n.backends, err = backendpool.New(placement.Config{DataCentre: n.dataCentre}, backend.NewClient(), seed, n.backendDied)
+	return err
+}
+
+// detector returns the silence detector of a model.
+func (n *Node) detector(model string) *detect.Detector {
+	n.detectorsMu.Lock()
+	defer n.detectorsMu.Unlock()
+	d, ok := n.detectors[model]
+	if !ok {
+		s := n.settings.Detection
+		d = detect.New(detect.Limits{
+			Minimum:     s.Minimum.Duration,
+			Maximum:     s.Maximum.Duration,
+			GapMultiple: s.GapMultiple,
+		})
+		n.detectors[model] = d
+	}
+	return d
+}
+
+func (n *Node) sender() *nodepb.Sender {
+	return &nodepb.Sender{
+		HostId:      string(n.host),
+		Incarnation: int64(n.incarnation),
+		DataCentre:  string(n.dataCentre),
+	}
+}
+
+// clientOf returns the client of a known node.
+func (n *Node) clientOf(host ident.HostID) (peernode.Client, error) {
+	n.mu.Lock()
+	node, ok := n.view.Node(host)
+	n.mu.Unlock()
+	if !ok || node.Address == "" {
+		return nil, newError(CodeUnknownHost).Errorf("host %q is not known", host)
+	}
+	return n.peers.Client(node.Address)
+}
+
+func (n *Node) generationDeps() generation.Deps {
+	return generation.Deps{
+		Host:     n.host,
+		Backends: n.backends,
+		Placer:   placer{n},
+		Replicas: n.replicas(),
+		Cursors:  n.cursors,
+		Detector: func(model string) generation.Detector { return n.detector(model) },
+		Observer: n.observer,
+		Config:   n.continuationConfig(),
+	}
+}
+
+// spendRetry waits until the retry budget permits a resume.
+func (n *Node) spendRetry(ctx context.Context) error { return ctx.Err() }
--- /dev/null
+++ b/internal/node/observer.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/yuccahatch/yuccahatch/internal/cursor"
+	"github.com/yuccahatch/yuccahatch/internal/explain"
+	"github.com/yuccahatch/yuccahatch/internal/generation"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/caller"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
+)
+
+// observer turns what happens to requests into metrics, log lines and
+// explanations.
+type observer struct {
+	events  *telemetry.EventLog
+	explain *explain.Store
+	scope   tally.Scope
+
+	discarded   tally.Counter
+	recomputed  tally.Counter
+	attempts    tally.Counter
+	resumes     tally.Counter
+	sameStream  tally.Counter
+	newAttempt  tally.Counter
+	resumeTime  tally.Histogram
+	firstToken  tally.Histogram
+	unprotected tally.Counter
+	accepted    tally.Counter
+}
+
+var _ generation.Observer = (*observer)(nil)
+
+func newObserver(events *telemetry.EventLog, store *explain.Store, scope tally.Scope) *observer {
+	return &observer{
+		events:      events,
+		explain:     store,
+		scope:       scope,
+		discarded:   telemetry.TokensDiscarded.Counter(scope, "not_current"),
+		recomputed:  telemetry.TokensRecomputed.Counter(scope, "prompt"),
+		attempts:    telemetry.AttemptsTotal.Counter(scope, "new"),
+		resumes:     telemetry.AttemptsTotal.Counter(scope, "resume"),
+		sameStream:  telemetry.ResumesTotal.Counter(scope, "same_stream"),
+		newAttempt:  telemetry.ResumesTotal.Counter(scope, "new_attempt"),
+		resumeTime:  telemetry.ResumeSeconds.Histogram(scope),
+		firstToken:  telemetry.FirstTokenSeconds.Histogram(scope),
+		unprotected: telemetry.CopiesUnprotected.Counter(scope),
+		accepted:    telemetry.TokensAccepted.Counter(scope),
+	}
+}
+
+// Decision implements generation.Observer.
+func (o *observer) Decision(request *generation.Request, event, detail string) {
+	o.explain.Add(time.Now(), request.Customer, request.Request, event, detail)
+	if event == "lost" {
+		o.events.Log(logrus.WarnLevel, telemetry.EventAttemptLost, fieldsOf(request), detail)
+	}
+}
+
+// Opened implements generation.Observer.
+func (o *observer) Opened(_ *generation.Request, resume bool, promptTokens, cachedTokens int) {
+	if !resume {
+		o.attempts.Inc(1)
+		return
+	}
+	o.resumes.Inc(1)
+	o.recomputed.Inc(int64(promptTokens - cachedTokens))
+}
+
+// Discarded implements generation.Observer.
+func (o *observer) Discarded(*generation.Request) { o.discarded.Inc(1) }
+
+// Resumed implements generation.Observer.
+func (o *observer) Resumed(request *generation.Request, latency time.Duration, sameStream bool) {
+	if sameStream {
+		o.sameStream.Inc(1)
+	} else {
+		o.newAttempt.Inc(1)
+	}
+	o.resumeTime.RecordDuration(latency)
+	o.events.Log(logrus.InfoLevel, telemetry.EventAttemptResumed, fieldsOf(request),
+		fmt.Sprintf("answer continued after %d ms, same stream: %t", latency.Milliseconds(), sameStream))
+}
+
+// FirstToken implements generation.Observer.
+func (o *observer) FirstToken(_ *generation.Request, latency time.Duration) {
+	o.firstToken.RecordDuration(latency)
+}
+
+// Unprotected implements generation.Observer.
+func (o *observer) Unprotected(*generation.Request) { o.unprotected.Inc(1) }
+
+// takenOver records that this node continues another node's answer.
+func (o *observer) takenOver(request *generation.Request, cur cursor.Cursor, start generation.Start) {
+	detail := fmt.Sprintf("continued from host %s at token %d with a journal of %d tokens", cur.Owner, cur.Tokens, start.Journal.Len())
+	o.explain.Add(time.Now(), request.Customer, request.Request, "taken_over", detail)
+	o.events.Log(logrus.InfoLevel, telemetry.EventTakeover, fieldsOf(request), detail)
+}
+
+// ended records the end of a generation.
+func (o *observer) ended(request *generation.Request, result generation.Result, err error) {
+	o.accepted.Inc(int64(result.Tokens))
+	outcome := "finished"
+	switch {
+	case err != nil:
+		outcome = "failed"
+		o.events.LogError(logrus.WarnLevel, telemetry.EventGenerationFailed, err, fieldsOf(request), "generation failed")
+	case result.CallerGone:
+		outcome = "caller_gone"
+	}
+	telemetry.RequestsTotal.Counter(o.scope, string(request.Customer), outcome).Inc(1)
+}
+
+// refused records a request that was refused before it ran.
+func (n *Node) refused(access caller.Access, request ident.RequestID, err error) {
+	code := "internal"
+	var failure *caller.Failure
+	if errors.As(err, &failure) {
+		code = string(failure.Code)
+	}
+	telemetry.Refused.Counter(n.observer.scope, code).Inc(1)
+	n.observer.explain.Add(time.Now(), access.Customer, request, "refused", err.Error())
+}
+
+func fieldsOf(request *generation.Request) logrus.Fields {
+	return logrus.Fields{
+		telemetry.FieldRequest:    request.Request,
+		telemetry.FieldGeneration: request.Generation,
+		telemetry.FieldCustomer:   request.Customer,
+	}
+}
--- /dev/null
+++ b/internal/node/placer.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/admission"
+	"github.com/yuccahatch/yuccahatch/internal/contract"
+	"github.com/yuccahatch/yuccahatch/internal/gate"
+	"github.com/yuccahatch/yuccahatch/internal/generation"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/placement"
+)
+
+const (
+	// expectedOutputTokens stands for the length of an answer in estimates.
+	// max_tokens is only a bound, which most callers leave at its default.
+	expectedOutputTokens = 512
+	// capacityMargin lets engines queue a little, so that they never run empty
+	// because of the lag of load reports.
+	capacityMargin = 1.25
+)
+
+// placer admits requests and chooses their backend servers.
+type placer struct{ node *Node }
+
+var _ generation.Placer = placer{}
+
+// Place implements generation.Placer.
+func (p placer) Place(ctx context.Context, request *generation.Request, ask generation.Ask) (generation.Placement, error) {
+	n := p.node
+	prefixes, promptTokens := placement.PrefixHashes(request.Prompt + ask.AcceptedText)
+	if ask.Resume {
+		if err := n.spendRetry(ctx); err != nil {
+			return generation.Placement{}, err
+		}
+	}
+	estimate := promptTokens + min(request.MaxTokens, expectedOutputTokens)
+	ticket, err := n.gate.Admit(ctx, request.Customer, estimate, ask.Resume)
+	if err != nil {
+		return generation.Placement{}, err
+	}
+	if err := n.recheckContract(request, ask); err != nil {
+		ticket.Finished(0)
+		return generation.Placement{}, err
+	}
+	n.observer.Decision(request, "admitted", fmt.Sprintf("%d estimated tokens after %d ms", estimate, ticket.Waited.Milliseconds()))
+	chosen, err := n.backends.Choose(placement.Request{
+		Model:        request.Model,
+		PromptTokens: promptTokens,
+		Prefixes:     prefixes,
+		Resume:       ask.Resume,
+		Weight:       n.settings.Resume.Weight,
+		Exclude:      n.excludedFor(request, ask.Exclude),
+	}, ask.Attempt)
+	if err != nil {
+		ticket.Finished(0)
+		return generation.Placement{}, err
+	}
+	n.startedOn(request, chosen.Backend, chosen.Incarnation, ask.Attempt)
+	return generation.Placement{
+		Backend:         chosen.Backend,
+		FirstTokenLimit: n.detector(request.Model).FirstToken(chosen.Prefill),
+		Release:         n.releaseFunc(request, ask.Attempt, chosen.Backend, ticket, estimate),
+	}, nil
+}
+
+// releaseFunc returns what an attempt used.
+func (n *Node) releaseFunc(request *generation.Request, attempt ident.AttemptID, id ident.BackendID, ticket *gate.Ticket, estimate int) func(generation.Outcome) {
+	var once sync.Once
+	return func(outcome generation.Outcome) {
+		once.Do(func() {
+			used := estimate
+			if outcome == generation.OutcomeUnused || outcome == generation.OutcomeRejected {
+				used = 0
+			}
+			ticket.Finished(used)
+			n.backends.Finished(id, attempt, outcome)
+			n.finishedOn(request, id, attempt)
+		})
+	}
+}
+
+// recheck is asked at dispatch whether a queued request may still run.
+func (n *Node) recheck(_ time.Time, item admission.Item) *admission.Refusal {
+	if _, err := n.contractOf(item.Customer); err != nil {
+		return &admission.Refusal{Reason: admission.ReasonContractGone}
+	}
+	return nil
+}
+
+// recheckContract refuses a queued request whose contract has changed or whose
+// quiet hours began while it waited.
+func (n *Node) recheckContract(request *generation.Request, ask generation.Ask) error {
+	if ask.Resume {
+		return nil
+	}
+	inForce, err := n.contractOf(request.Customer)
+	if err != nil {
+		return err
+	}
+	return quietFailure(inForce.Contract, "model:"+request.Model, time.Now())
+}
+
+// admissionClass maps the priorities of contracts.
+var admissionClass = map[contract.Priority]admission.Priority{
+	contract.PriorityHigh:   admission.High,
+	contract.PriorityNormal: admission.Normal,
+	contract.PriorityLow:    admission.Low,
+}
+
+// updateAdmission tells the gate about capacity and contracts.
+func (n *Node) updateAdmission() {
+	capacity := n.ownCapacity()
+	inForce := n.contracts.All()
+	n.gate.Update(func(now time.Time, c *admission.Controller) []admission.Outcome {
+		c.SetCapacity(capacity)
+		for _, f := range inForce {
+			if f.Contract == nil {
+				continue
+			}
+			limits := admission.Limits{
+				Priority: admissionClass[f.Contract.Priority],
+				Weight:   math.Max(f.Contract.SharePercent, 0.1),
+				Rate:     n.customerRate(f.Entry.Customer, f.Contract.SharePercent, capacity.Rate),
+			}
+			// The limits come from a checked contract.
+			_ = c.SetCustomer(now, f.Entry.Customer, limits)
+		}
+		return nil
+	})
+}
