--- /dev/null
+++ b/internal/admission/errors.go
@@ -0,0 +1,33 @@
+package admission
+
+import (
+	"errors"
+
+	"github.com/samber/oops"
+)
+
+// Code classifies an error of this package.
+type Code string
+
+// Codes of admission errors. A refusal of a request is no error: see Refusal.
+const (
+	// CodeUnknownCustomer: no contract of the customer is in force.
+	CodeUnknownCustomer Code = "admission_unknown_customer"
+	// CodeInvalidConfig: a setting, limit or request is out of its range.
+	CodeInvalidConfig Code = "admission_invalid_config"
+)
+
+// CodeOf returns the code of an error that this package returned, and the
+// empty code for any other error.
+func CodeOf(err error) Code {
+	var e oops.OopsError
+	if !errors.As(err, &e) {
+		return ""
+	}
+	code, _ := e.Code().(Code)
+	return code
+}
+
+func newError(code Code) oops.OopsErrorBuilder {
+	return oops.Code(code).In("admission")
+}
