Add the lab command tree

Experiments need the stand-ins as processes. SIGTERM lets a server finish what is running, a second signal ends it at once. The call command verifies one answer and fails unless it is complete and clean, so that scripts can rely on its exit status.

--- /dev/null
+++ b/lab/labcmd/call.go
@@ -0,0 +1,79 @@
+package labcmd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/lab/caller"
+)
+
+func callCommand(cfg caller.Config) *cobra.Command {
+	var req caller.Request
+	var call caller.Call
+	var body string
+	var chat bool
+	timeout := 5 * time.Minute
+	cmd := &cobra.Command{
+		Use:   "call",
+		Short: "Send one request, verify the answer and print the result as JSON",
+		Long: `Send one generation, or with --service one call to a plain service. A broken
+connection is continued through another node. The exit status is 0 only if the
+answer came to its end with no token missing, repeated or mixed, or the service
+answered.`,
+		Example: `  yuccahatch lab call --node 127.0.0.1:9001 --key demo --model airing-plan-1 --prompt "plan length=200"
+  yuccahatch lab call --node 127.0.0.1:9001 --key demo --model airing-plan-1 --prompt "plan length=200" --chat
+  yuccahatch lab call --node 127.0.0.1:8101 --direct --model airing-plan-1 --prompt "plan length=200"
+  yuccahatch lab call --node 127.0.0.1:9001 --key demo --service booking --path /bookings --body '{"seat":4}' --idempotency-key k1`,
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), timeout)
+			defer cancel()
+			c := caller.New(cfg)
+			print := json.NewEncoder(cmd.OutOrStdout())
+			print.SetIndent("", "  ")
+			if call.Service != "" {
+				call.RequestID, call.Body = req.RequestID, []byte(body)
+				result := c.Call(ctx, call)
+				if result.Outcome != caller.OutcomeDone {
+					return errors.Join(print.Encode(result), errors.New("call was not answered"))
+				}
+				return print.Encode(result)
+			}
+			if chat {
+				req.Messages, req.Prompt = []callerapi.Message{{Role: "user", Content: req.Prompt}}, ""
+			}
+			result := c.Generate(ctx, req)
+			if !result.Complete || !result.Clean {
+				return errors.Join(print.Encode(result), errors.New("answer is incomplete or wrong"))
+			}
+			return print.Encode(result)
+		},
+	}
+	f := cmd.Flags()
+	f.StringArrayVar(&cfg.Nodes, "node", []string{"127.0.0.1:9001"}, "address of a node, IP:port; may be repeated")
+	f.StringVar(&cfg.Key, "key", "", "bearer key")
+	f.BoolVar(&cfg.Direct, "direct", false, "--node is an engine")
+	f.DurationVar(&cfg.SilenceTimeout, "silence", cfg.SilenceTimeout, "a connection without data for this long counts as broken")
+	f.IntVar(&cfg.MaxAttempts, "max-attempts", cfg.MaxAttempts, "most connections for the request")
+	f.BoolVar(&cfg.RetryRefused, "retry-refused", false, "repeat a refused request when its refusal says so")
+	f.BoolVar(&cfg.SendText, "send-text", cfg.SendText, "send the received text when a node asks for it")
+	f.DurationVar(&timeout, "timeout", timeout, "limit for the whole request")
+	f.StringVar(&req.Model, "model", "", "model")
+	f.StringVar(&req.Prompt, "prompt", "", "prompt, or the user's message with --chat")
+	f.BoolVar(&chat, "chat", false, "use the chat interface")
+	f.IntVar(&req.MaxTokens, "max-tokens", 0, "limit of the answer's length; 0: none")
+	f.StringVar(&req.RequestID, "request-id", "", "request id; empty: a new one")
+	f.StringVar(&call.Service, "service", "", "plain service to call instead of a generation")
+	f.StringVar(&call.Method, "method", "POST", "method of the call")
+	f.StringVar(&call.Path, "path", "/", "path of the call inside the service")
+	f.StringVar(&body, "body", "", "body of the call")
+	f.StringVar(&call.Key, "idempotency-key", "", "idempotency key of the call; empty: a new one")
+	f.BoolVar(&call.NoKey, "no-idempotency-key", false, "send no idempotency key")
+	return cmd
+}
--- /dev/null
+++ b/lab/labcmd/labcmd.go
@@ -0,0 +1,105 @@
+// Package labcmd provides the command tree of the stand-ins.
+package labcmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/yuccahatch/yuccahatch/lab/caller"
+)
+
+// shutdownTimeout bounds the end of idle connections once a server is drained.
+const shutdownTimeout = 2 * time.Second
+
+// Command returns the command "lab" with a subcommand for each stand-in.
+func Command() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "lab",
+		Short: "Run stand-ins for engines, services, the platform and callers",
+		Long: `Run stand-ins for the systems that yuccahatch talks to. Each server runs until
+SIGTERM, then refuses new work, finishes what is running and exits; a second
+signal ends it at once. Logs are JSON lines on standard error.`,
+		Example: `  yuccahatch lab platform --listen 127.0.0.1:7000 --hosts hosts.toml
+  yuccahatch lab engine --listen 127.0.0.1:8101 --model airing-plan-1
+  yuccahatch lab service --listen 127.0.0.1:8201
+  yuccahatch lab call --node 127.0.0.1:9001 --key demo --model airing-plan-1 --prompt "plan length=200"`,
+	}
+	cmd.AddCommand(engineCommand(), platformCommand(), serviceCommand(), callCommand(caller.DefaultConfig()))
+	return cmd
+}
+
+// backgroundServer is what serve needs of a stand-in.
+type backgroundServer struct {
+	name    string
+	listen  string
+	handler http.Handler
+	// run works until its context ends; nil if there is nothing to do.
+	run func(context.Context)
+	// leave starts a graceful shutdown and drained tells when it is complete;
+	// nil if the server may stop at once.
+	leave   func()
+	drained <-chan struct{}
+}
+
+// serve runs a stand-in until a signal or ctx ends it.
+func serve(ctx context.Context, s backgroundServer) error {
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetOutput(os.Stderr)
+	listener, err := net.Listen("tcp", s.listen)
+	if err != nil {
+		return fmt.Errorf("lab %s: %w", s.name, err)
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if s.run != nil {
+		go s.run(ctx)
+	}
+	server := &http.Server{Handler: s.handler}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	entry := log.WithFields(logrus.Fields{"server": s.name, "address": listener.Addr().String()})
+	entry.Info("listening")
+
+	select {
+	case err := <-failed:
+		return fmt.Errorf("lab %s: %w", s.name, err)
+	case <-ctx.Done():
+		return server.Close()
+	case <-signals:
+	}
+	if s.leave != nil {
+		entry.Info("leaving")
+		s.leave()
+		select {
+		case <-s.drained:
+		case <-signals:
+			entry.Warn("stopped before it was drained")
+			return server.Close()
+		}
+	}
+	return shutdown(server)
+}
+
+func shutdown(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return server.Close()
+}
