--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -205,5 +205,3 @@
 	}
 }
 
-// spendRetry waits until the retry budget permits a resume.
-func (n *Node) spendRetry(ctx context.Context) error { return ctx.Err() }
--- /dev/null
+++ b/internal/node/peerhandler.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/contractset"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	peernode "github.com/yuccahatch/yuccahatch/internal/peer/node"
+	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+)
+
+// peerHandler processes the calls of other nodes.
+type peerHandler Node
+
+var _ peernode.Handler = (*peerHandler)(nil)
+
+// Heartbeat implements peernode.Handler.
+func (h *peerHandler) Heartbeat(_ context.Context, r *nodepb.HeartbeatRequest) (*nodepb.HeartbeatResponse, error) {
+	n := (*Node)(h)
+	n.observeHeartbeat(time.Time{}, r)
+	own := n.heartbeat(ident.HostID(r.GetSender().GetHostId()))
+	return &nodepb.HeartbeatResponse{
+		Sender:     own.GetSender(),
+		Leaving:    own.GetLeaving(),
+		Sequence:   own.GetSequence(),
+		FreshAgeMs: own.GetFreshAgeMs(),
+		InFlight:   own.GetInFlight(),
+		Uses:       own.GetUses(),
+		Demands:    own.GetDemands(),
+		Loans:      own.GetLoans(),
+		Evidence:   own.GetEvidence(),
+	}, nil
+}
+
+// FetchContracts implements peernode.Handler.
+func (h *peerHandler) FetchContracts(_ context.Context, r *nodepb.FetchContractsRequest) (*nodepb.FetchContractsResponse, error) {
+	n := (*Node)(h)
+	entries, through := n.contracts.Entries(ident.LogSequence(r.GetAfter()))
+	answer := &nodepb.FetchContractsResponse{Sequence: int64(through)}
+	for _, e := range entries {
+		answer.Entries = append(answer.Entries, messageOf(e))
+	}
+	return answer, nil
+}
+
+// PushContract implements peernode.Handler.
+func (h *peerHandler) PushContract(_ context.Context, r *nodepb.PushContractRequest) (*nodepb.PushContractResponse, error) {
+	n := (*Node)(h)
+	entry := entryOf(r.GetEntry())
+	n.contractsApplied(n.contracts.Apply(entry), "push")
+	inForce, ok := n.contracts.Contract(entry.Customer)
+	return &nodepb.PushContractResponse{
+		Sequence: int64(n.contracts.Sequence()),
+		InForce:  ok && inForce.Entry.Version >= entry.Version,
+	}, nil
+}
+
+// FetchJournal implements peernode.Handler.
+func (h *peerHandler) FetchJournal(_ context.Context, r *nodepb.FetchJournalRequest) (*nodepb.FetchJournalResponse, error) {
+	return h.copies.Fetch(r), nil
+}
+
+// Release implements peernode.Handler.
+func (h *peerHandler) Release(_ context.Context, r *nodepb.ReleaseRequest) (*nodepb.ReleaseResponse, error) {
+	n := (*Node)(h)
+	found, err := n.releaseLocal(ident.GenerationID(r.GetGenerationId()))
+	if err != nil {
+		return &nodepb.ReleaseResponse{}, nil
+	}
+	return &nodepb.ReleaseResponse{
+		WasOwner: true,
+		Head:     &nodepb.JournalHead{Route: found.Route, Body: found.Body},
+		Tokens:   found.Tokens,
+	}, nil
+}
+
+// Explain implements peernode.Handler.
+func (h *peerHandler) Explain(_ context.Context, r *nodepb.ExplainRequest) (*nodepb.ExplainResponse, error) {
+	answer := &nodepb.ExplainResponse{}
+	for _, record := range h.explain.Get(ident.RequestID(r.GetRequestId())) {
+		answer.Customer = string(record.Customer)
+		for _, d := range record.Decisions {
+			answer.Decisions = append(answer.Decisions, &nodepb.Decision{
+				AtMs:   d.At.UnixMilli(),
+				HostId: string(d.Host),
+				Event:  d.Event,
+				Detail: d.Detail,
+			})
+		}
+	}
+	return answer, nil
+}
+
+// ApplyJournals implements peernode.Handler.
+func (h *peerHandler) ApplyJournals(batch *nodepb.JournalBatch) *nodepb.JournalAck {
+	return h.copies.Apply(batch)
+}
+
+// acceptedBy tells whether a change is in force on a strict majority.
+func (n *Node) acceptedBy(inForce []ident.HostID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return contractset.Accepted(inForce, n.listed)
+}
--- /dev/null
+++ b/internal/node/policy.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/admission"
+	"github.com/yuccahatch/yuccahatch/internal/continuation"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/membership"
+	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+	"github.com/yuccahatch/yuccahatch/internal/placement"
+)
+
+// Copy modes of the settings.
+const (
+	copiesAcknowledged = "acknowledged"
+	copiesOff          = "off"
+)
+
+func (n *Node) continuationConfig() continuation.Config {
+	config := continuation.DefaultConfig
+	config.Weight = n.settings.Resume.Weight
+	config.MaxAttempts = n.settings.Resume.MaxAttempts
+	config.ReleaseAfterAck = n.settings.Copies.Mode == copiesAcknowledged
+	return config
+}
+
+// backendUses tells peers what this node has on backend servers.
+func (n *Node) backendUses() []*nodepb.BackendUse {
+	var uses []*nodepb.BackendUse
+	n.backends.Fleet(func(f *placement.Fleet) {
+		for _, use := range f.Uses() {
+			uses = append(uses, &nodepb.BackendUse{
+				BackendId:     string(use.Backend),
+				Running:       int32(use.Running),
+				WaitingTokens: use.WaitingTokens,
+			})
+		}
+	})
+	return uses
+}
+
+// observeUses takes what a peer has on backend servers. A server that the peer
+// does not name has nothing of it.
+func (n *Node) observeUses(now time.Time, peer ident.HostID, uses []*nodepb.BackendUse) {
+	named := map[ident.BackendID]bool{}
+	n.backends.Fleet(func(f *placement.Fleet) {
+		for _, use := range uses {
+			id := ident.BackendID(use.GetBackendId())
+			named[id] = true
+			f.ObservePeer(now, peer, id, int(use.GetRunning()), use.GetWaitingTokens())
+		}
+		for _, s := range f.Servers() {
+			if !named[s.ID] {
+				f.ObservePeer(now, peer, s.ID, 0, 0)
+			}
+		}
+	})
+}
+
+// ownCapacity estimates what the backend servers can take from this node: all
+// slots less what other nodes use, at least this node's equal part.
+func (n *Node) ownCapacity() admission.Capacity {
+	var slots, peers int
+	var rate float64
+	n.backends.Fleet(func(f *placement.Fleet) {
+		for _, s := range f.Servers() {
+			if !s.Listed || s.Load.MaxRunning == 0 {
+				continue
+			}
+			slots += s.Load.MaxRunning
+			peers += max(s.Load.Running+s.Load.Waiting-s.OwnRunning(), 0)
+			rate += float64(s.Load.MaxRunning) * s.Load.TokensPerSecond
+		}
+	})
+	n.mu.Lock()
+	nodes := max(len(n.listed), 1)
+	n.mu.Unlock()
+	free := float64(slots)*capacityMargin - float64(peers)
+	equal := float64(slots) * capacityMargin / float64(nodes)
+	return admission.Capacity{
+		Slots: int64(max(free, equal) * n.meanTokens()),
+		Rate:  rate,
+	}
+}
+
+// meanTokens is the mean estimate of a request in tokens, which turns engine
+// slots into token slots.
+func (n *Node) meanTokens() float64 { return expectedOutputTokens }
+
+// spendRetry waits until the retry budget permits a resume.
+func (n *Node) spendRetry(ctx context.Context) error {
+	for {
+		n.budgetMu.Lock()
+		ok, wait := n.budget.Take(time.Now())
+		n.budgetMu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+}
+
+// replicaNodes returns the nodes that may hold copies.
+func (n *Node) replicaNodes() []membership.Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view.Nodes()
+}
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccahatch/yuccahatch/internal/peer/caller"
+	peernode "github.com/yuccahatch/yuccahatch/internal/peer/node"
+	"github.com/yuccahatch/yuccahatch/internal/peer/operator"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
+)
+
+const (
+	// headerTimeout bounds the request headers of a caller.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections of callers that send nothing further.
+	idleTimeout = 60 * time.Second
+	// drainInterval is how often a leaving node looks for work in flight.
+	drainInterval = 50 * time.Millisecond
+	// closeTimeout bounds the end of HTTP connections after the drain. Answers
+	// are complete by then; what remains are idle connections.
+	closeTimeout = 2 * time.Second
+)
+
+// Run serves until leave is closed and no request is in flight, or until ctx
+// ends, which cuts off what is in flight.
+func (n *Node) Run(ctx context.Context, leave <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	servers := n.newServers()
+	failed := make(chan error, 3)
+	servers.serve(listeners, failed)
+	var workers sync.WaitGroup
+	n.startWorkers(ctx, &workers)
+	n.events.Log(logrus.InfoLevel, telemetry.EventNodeStarted, logrus.Fields{
+		"callers":   n.settings.Listen.Callers.String(),
+		"operators": n.settings.Listen.Operators.String(),
+		"nodes":     n.settings.Listen.Nodes.String(),
+	}, "node started")
+
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+	case <-leave:
+		n.drain(ctx)
+	}
+	servers.close()
+	cancel()
+	workers.Wait()
+	n.peers.Close()
+	n.events.Log(logrus.InfoLevel, telemetry.EventNodeStopped, nil, "node stopped")
+	n.events.Flush()
+	return err
+}
+
+// startWorkers starts one goroutine for each duty.
+func (n *Node) startWorkers(ctx context.Context, workers *sync.WaitGroup) {
+	m := n.settings.Membership
+	periodic := func(interval time.Duration, step func(context.Context)) {
+		workers.Go(func() { every(ctx, interval, step) })
+	}
+	periodic(m.HostListInterval.Duration, n.readHostList)
+	periodic(m.HeartbeatInterval.Duration, n.sendHeartbeats)
+	periodic(m.HeartbeatInterval.Duration, n.tickMembership)
+	periodic(n.settings.Contracts.PollInterval.Duration, n.followContracts)
+	periodic(admissionInterval, func(context.Context) { n.updateAdmission() })
+	periodic(time.Second, func(context.Context) { n.events.Flush() })
+	if n.certificates != nil {
+		periodic(n.settings.Security.ReloadInterval.Duration, n.reloadCertificates)
+	}
+	workers.Go(func() { n.backends.Run(ctx) })
+	workers.Go(func() { n.gate.Run(ctx) })
+	workers.Go(func() { n.trail.Run(ctx) })
+	workers.Go(func() { n.claims.Run(ctx) })
+}
+
+func (n *Node) reloadCertificates(context.Context) {
+	changed, err := n.certificates.Reload()
+	if err != nil {
+		n.events.LogError(logrus.ErrorLevel, telemetry.EventCertificateFailed, err, nil, "reload certificates; the previous ones stay in force")
+		return
+	}
+	if changed {
+		n.events.Log(logrus.InfoLevel, telemetry.EventCertificateReloaded, nil, "certificates reloaded")
+	}
+}
+
+// drain announces that the node leaves and waits until nothing is in flight.
+func (n *Node) drain(ctx context.Context) {
+	n.mu.Lock()
+	transitions := n.view.Leave(time.Now())
+	n.mu.Unlock()
+	n.observeTransitions(transitions)
+	n.events.Log(logrus.InfoLevel, telemetry.EventNodeLeaving, logrus.Fields{"in_flight": n.runs.inFlight()}, "node is leaving")
+	n.sendHeartbeats(ctx)
+	if limit := n.settings.Leave.Limit.Duration; limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.mu.Lock()
+		accepts := n.view.AcceptsNewWork(time.Now())
+		n.mu.Unlock()
+		if !accepts && n.runs.inFlight() == 0 {
+			return
+		}
+	}
+}
+
+type listeners struct{ callers, operators, nodes net.Listener }
+
+func (n *Node) listen() (listeners, error) {
+	var l listeners
+	var err error
+	if l.callers, err = n.listenOn(n.settings.Listen.Callers.String()); err != nil {
+		return l, err
+	}
+	if l.operators, err = n.listenOn(n.settings.Listen.Operators.String()); err != nil {
+		return l, err
+	}
+	l.nodes, err = n.listenOn(n.settings.Listen.Nodes.String())
+	return l, err
+}
+
+func (n *Node) listenOn(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, newError(CodeStart).Wrapf(err, "listen on %s", address)
+	}
+	return listener, nil
+}
+
+type servers struct {
+	callers, operators *http.Server
+	nodes              *peernode.Server
+}
+
+func (n *Node) newServers() *servers {
+	callers := caller.NewServer(n, caller.Limits{
+		MaxBodyBytes:    n.settings.Limits.MaxBodyBytes,
+		MaxOutputTokens: n.settings.Limits.MaxOutputTokens,
+	})
+	operators := operator.NewServer(n.operatorBackend(), n.operatorOptions())
+	return &servers{
+		callers: &http.Server{
+			Handler:           callers.Handler(),
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+		},
+		operators: &http.Server{
+			Handler:           operators,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+		},
+		nodes: peernode.NewServer((*peerHandler)(n), n.certificates),
+	}
+}
+
+func (s *servers) serve(l listeners, failed chan<- error) {
+	serveHTTP := func(server *http.Server, listener net.Listener) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}
+	go serveHTTP(s.callers, l.callers)
+	go serveHTTP(s.operators, l.operators)
+	go func() {
+		if err := s.nodes.Serve(l.nodes); err != nil {
+			failed <- err
+		}
+	}()
+}
+
+func (s *servers) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = s.callers.Shutdown(ctx)
+	_ = s.operators.Shutdown(ctx)
+	s.nodes.Stop()
+}
--- /dev/null
+++ b/internal/node/workers.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccahatch/yuccahatch/api/platformapi"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/membership"
+	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
+)
+
+// admissionInterval is how often capacity and limits are brought up to date.
+const admissionInterval = 100 * time.Millisecond
+
+// every calls step at once and then at each interval until ctx ends. A step
+// that takes longer than the interval delays the next one.
+func every(ctx context.Context, interval time.Duration, step func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		step(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// readHostList brings membership and backend servers up to date with the
+// platform's list. Without an answer the last list stays in force.
+func (n *Node) readHostList(ctx context.Context) {
+	list, err := n.hostList.Hosts(ctx)
+	if err != nil {
+		n.events.LogError(logrus.WarnLevel, telemetry.EventHostListFailed, err, nil, "read the host list")
+		return
+	}
+	now := time.Now()
+	n.mu.Lock()
+	transitions := n.view.ObserveList(now, list.Hosts)
+	if len(list.Hosts) > 0 {
+		n.listed = hostIDs(list.Hosts)
+	}
+	n.mu.Unlock()
+	n.observeTransitions(transitions)
+	n.backends.ObserveList(list.Backends)
+}
+
+func hostIDs(hosts []platformapi.Host) []ident.HostID {
+	ids := make([]ident.HostID, 0, len(hosts))
+	for _, h := range hosts {
+		ids = append(ids, ident.HostID(h.HostID))
+	}
+	return ids
+}
+
+// tickMembership lets the view settle states by time. A clock jump shows that
+// this node was paused; what it believed about others no longer counts.
+func (n *Node) tickMembership(context.Context) {
+	n.mu.Lock()
+	transitions := n.view.Tick(time.Now())
+	jumped := slices.ContainsFunc(transitions, func(t membership.Transition) bool {
+		return t.Reason == membership.ReasonClockJump
+	})
+	if jumped {
+		n.freshness.Reset()
+	}
+	n.freshness.Prune(time.Now())
+	n.mu.Unlock()
+	if jumped {
+		n.events.Log(logrus.WarnLevel, telemetry.EventClockJump, nil, "this node was paused; proofs of freshness are void")
+	}
+	n.observeTransitions(transitions)
+}
+
+func (n *Node) observeTransitions(transitions []membership.Transition) {
+	for _, t := range transitions {
+		n.events.Log(logrus.InfoLevel, telemetry.EventPeerState, logrus.Fields{
+			telemetry.FieldPeer: t.Host,
+			"from":              t.From.String(),
+			"to":                t.To.String(),
+			"reason":            t.Reason,
+		}, "node changed its state")
+	}
+}
+
+// sendHeartbeats exchanges heartbeats with all peers at once.
+func (n *Node) sendHeartbeats(ctx context.Context) {
+	n.mu.Lock()
+	peers := n.view.HeartbeatPeers()
+	n.mu.Unlock()
+	for _, peer := range peers {
+		go n.sendHeartbeat(ctx, peer)
+	}
+}
+
+func (n *Node) sendHeartbeat(ctx context.Context, peer membership.Node) {
+	client, err := n.peers.Client(peer.Address)
+	if err != nil {
+		return
+	}
+	askedAt := time.Now()
+	answer, err := client.Heartbeat(ctx, n.heartbeat(peer.Host))
+	if err != nil {
+		n.mu.Lock()
+		transitions := n.view.ConnectionFailed(time.Now(), peer.Host, peer.Incarnation)
+		n.mu.Unlock()
+		n.observeTransitions(transitions)
+		return
+	}
+	n.observeHeartbeat(askedAt, answerAsRequest(answer))
+	if ident.LogSequence(answer.GetSequence()) > n.contracts.Sequence() {
+		n.fetchContracts(ctx, client)
+	}
+}
+
+func answerAsRequest(a *nodepb.HeartbeatResponse) *nodepb.HeartbeatRequest {
+	return &nodepb.HeartbeatRequest{
+		Sender:     a.GetSender(),
+		Leaving:    a.GetLeaving(),
+		Sequence:   a.GetSequence(),
+		FreshAgeMs: a.GetFreshAgeMs(),
+		InFlight:   a.GetInFlight(),
+		Uses:       a.GetUses(),
+		Demands:    a.GetDemands(),
+		Loans:      a.GetLoans(),
+		Evidence:   a.GetEvidence(),
+	}
+}
+
+// heartbeat returns what this node tells a peer.
+func (n *Node) heartbeat(to ident.HostID) *nodepb.HeartbeatRequest {
+	now := time.Now()
+	h := &nodepb.HeartbeatRequest{
+		Sender:   n.sender(),
+		Sequence: int64(n.contracts.Sequence()),
+		InFlight: int32(n.runs.inFlight()),
+		Uses:     n.backendUses(),
+		Evidence: n.crashEvidence(),
+	}
+	n.mu.Lock()
+	_, h.Leaving = n.view.Leaving()
+	h.FreshAgeMs = -1
+	if age := n.freshness.Age(now); age >= 0 {
+		h.FreshAgeMs = age.Milliseconds()
+	}
+	n.mu.Unlock()
+	n.addShares(now, to, h)
+	return h
+}
+
+// observeHeartbeat takes what a peer told. askedAt is when this node sent the
+// request that the heartbeat answers; zero if it answers nothing.
+func (n *Node) observeHeartbeat(askedAt time.Time, h *nodepb.HeartbeatRequest) {
+	now := time.Now()
+	host := ident.HostID(h.GetSender().GetHostId())
+	age := time.Duration(h.GetFreshAgeMs()) * time.Millisecond
+	applied := n.contracts.Sequence()
+	n.mu.Lock()
+	transitions := n.view.ObserveHeartbeat(now, membership.Heartbeat{
+		Host:        host,
+		Incarnation: ident.Incarnation(h.GetSender().GetIncarnation()),
+		DataCentre:  ident.DataCentre(h.GetSender().GetDataCentre()),
+		Leaving:     h.GetLeaving(),
+		Sequence:    ident.LogSequence(h.GetSequence()),
+		FreshAge:    age,
+		InFlight:    int(h.GetInFlight()),
+		AskedAt:     askedAt,
+	})
+	if !askedAt.IsZero() {
+		if h.GetFreshAgeMs() < 0 {
+			age = -1
+		}
+		n.freshness.PeerHeard(host, askedAt, ident.LogSequence(h.GetSequence()), age, applied)
+	}
+	n.mu.Unlock()
+	n.observeTransitions(transitions)
+	n.observeUses(now, host, h.GetUses())
+	n.observeEvidence(now, host, h.GetEvidence())
+	n.observeShares(now, host, h)
+}
