Carry the finish reason with the last token and end answers resumed at their end

A copy that holds the last token without knowing it would have made another engine continue a whole answer.

--- a/internal/continuation/events.go
+++ b/internal/continuation/events.go
@@ -47,6 +47,10 @@
 	Reason   string
 }
 
+// Ended tells that the stream of an attempt came to its end: the engine has no
+// token after those that it delivered.
+type Ended struct{ Attempt ident.AttemptID }
+
 // Probed answers a Probe action.
 type Probed struct {
 	Attempt ident.AttemptID
@@ -81,6 +85,7 @@
 func (PlacementFailed) event() {}
 func (Token) event()           {}
 func (Broken) event()          {}
+func (Ended) event()           {}
 func (Probed) event()          {}
 func (Acknowledged) event()    {}
 func (Protection) event()      {}
@@ -140,8 +145,12 @@
 	Backend ident.BackendID
 }
 
-// Replicate sends a token to the replica.
-type Replicate struct{ Index int }
+// Replicate sends a token to the replica, with the finish reason if it is the
+// last one, so that a copy never holds the last token without knowing it.
+type Replicate struct {
+	Index  int
+	Finish string
+}
 
 // Release sends the tokens from From to before To to the caller.
 type Release struct{ From, To int }
--- a/internal/continuation/machine.go
+++ b/internal/continuation/machine.go
@@ -152,6 +152,8 @@
 		return m.token(now, e)
 	case Broken:
 		return m.brokenStream(now, e)
+	case Ended:
+		return m.ended(now, e)
 	case Probed:
 		return m.probed(now, e)
 	case Acknowledged:
@@ -276,7 +278,7 @@
 	source.delivered = true
 	source.silentAt = now.Add(e.SilenceLimit)
 	m.placeAt = time.Time{}
-	actions = append(actions, Replicate{Index: e.Index})
+	actions = append(actions, Replicate{Index: e.Index, Finish: e.Finish})
 	return append(actions, m.release()...)
 }
 
@@ -319,6 +321,24 @@
 	return append(actions, m.probe(now, a)...)
 }
 
+// finishUnknown is reported when a stream was resumed at its very end, where
+// the engine no longer tells why the answer finished.
+const finishUnknown = "stop"
+
+// ended takes the end of a stream that delivered nothing after the journal,
+// which happens if it is resumed after its last token.
+func (m *Machine) ended(now time.Time, e Ended) []Action {
+	a := m.candidate(e.Attempt)
+	if a == nil || m.finish != "" {
+		return nil
+	}
+	if m.journal.Len() == 0 {
+		return m.brokenStream(now, Broken{Attempt: e.Attempt, Rejected: true, Reason: "stream ended without a token"})
+	}
+	m.finish = finishUnknown
+	return append(m.cancelOthers(a), m.release()...)
+}
+
 // lost reports a suspected attempt once until it is repaired.
 func (m *Machine) lost(now time.Time, a *attempt, reason string) []Action {
 	if !m.lostAt.IsZero() {
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -125,10 +125,12 @@
 
 // Replica is the copy of one journal on another node.
 type Replica interface {
-	Append(index int, token string)
+	// Append adds the next token, with the finish reason if it is the last one.
+	Append(token, finish string)
 	Hosts() []ident.HostID
-	// Close ends the copy; finished tells that the answer is complete.
-	Close(finished bool)
+	// Close ends the copying. What the other node holds stays there for its
+	// retention time.
+	Close()
 }
 
 // Sink receives the answer. Its methods are called by the generation's
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -39,6 +39,10 @@
 	// ctx ends with the generation, not with the caller's connection.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// copied carries the newest state of the replica. The replica's worker
+	// serves many generations and must not wait for one of them, so states are
+	// merged instead of queued.
+	copied copyState
 
 	// The fields below belong to the goroutine of Execute.
 	encoder    *cursor.Encoder
@@ -50,6 +54,7 @@
 	started    time.Time
 	lastToken  time.Time
 	sinkFailed bool
+	available  bool
 	result     Result
 	batch      []ReleasedToken
 }
@@ -72,6 +77,8 @@
 		events:     make(chan message, eventQueue),
 		ctx:        ctx,
 		cancel:     cancel,
+		copied:     newCopyState(start.Journal.Len()),
+		available:  true,
 		released:   newReleasedText(start.Journal.TextOf(start.Released)),
 		placements: map[ident.AttemptID]Placement{},
 		streams:    map[ident.AttemptID]context.CancelFunc{},
@@ -92,8 +99,8 @@
 	r.encoder = deps.Cursors.NewEncoder(r.cursorBase)
 	if deps.Replicas != nil {
 		r.replica = deps.Replicas.Open(request, &start, ReplicaCallbacks{
-			Acknowledged: func(tokens int) { r.post(continuation.Acknowledged{Tokens: tokens}) },
-			Available:    func(ok bool) { r.post(continuation.Protection{Available: ok}) },
+			Acknowledged: r.copied.acknowledge,
+			Available:    r.copied.setAvailable,
 		})
 	}
 	return r
@@ -160,6 +167,8 @@
 		select {
 		case m := <-r.events:
 			r.receive(m)
+		case <-r.copied.changed:
+			r.replicaChanged()
 		case <-timer.C:
 			r.step(continuation.Tick{})
 		case <-callerDone:
@@ -178,7 +187,7 @@
 		r.settle(id, OutcomeCancelled)
 	}
 	if r.replica != nil {
-		r.replica.Close(r.result.Failed == "" && !r.result.CallerGone)
+		r.replica.Close()
 	}
 }
 
@@ -187,6 +196,21 @@
 	r.step(continuation.CallerGone{})
 }
 
+// replicaChanged tells the machine what the replica holds.
+func (r *Run) replicaChanged() {
+	tokens, available := r.copied.get()
+	if available != r.available {
+		r.available = available
+		if !available {
+			r.deps.Observer.Unprotected(r.request)
+		}
+		r.step(continuation.Protection{Available: available})
+	}
+	if !r.machine.Done() {
+		r.step(continuation.Acknowledged{Tokens: tokens})
+	}
+}
+
 func (r *Run) receive(m message) {
 	if m.prepare != nil {
 		m.prepare()
@@ -398,13 +422,13 @@
 	if ctx.Err() != nil {
 		return
 	}
-	reason := "stream ended"
-	if !errors.Is(err, io.EOF) {
-		reason = err.Error()
+	if errors.Is(err, io.EOF) {
+		r.post(continuation.Ended{Attempt: id})
+		return
 	}
 	code := backend.CodeOf(err)
 	rejected := code == backend.CodeRejected || code == backend.CodeUnknownStream || code == backend.CodeConnect
-	r.post(continuation.Broken{Attempt: id, Rejected: rejected, Reason: reason})
+	r.post(continuation.Broken{Attempt: id, Rejected: rejected, Reason: err.Error()})
 }
 
 func (r *Run) probe(a continuation.Probe) {
@@ -444,7 +468,7 @@
 
 func (r *Run) replicate(a continuation.Replicate) {
 	if r.replica != nil {
-		r.replica.Append(a.Index, r.machine.Journal().Token(a.Index))
+		r.replica.Append(r.machine.Journal().Token(a.Index), a.Finish)
 	}
 }
 
--- /dev/null
+++ b/internal/node/replicas.go
@@ -0,0 +1,192 @@
+package node
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccahatch/yuccahatch/internal/generation"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/membership"
+	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+	"github.com/yuccahatch/yuccahatch/internal/replica"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
+)
+
+// replicaRetry is how often a generation without a replica looks for one.
+const replicaRetry = time.Second
+
+// replicas returns the replication of journals, nil if it is off.
+func (n *Node) replicas() generation.Replicas {
+	if n.settings.Copies.Mode == copiesOff {
+		return nil
+	}
+	return replicaSet{n}
+}
+
+type replicaSet struct{ node *Node }
+
+// Open implements generation.Replicas.
+func (s replicaSet) Open(request *generation.Request, start *generation.Start, callbacks generation.ReplicaCallbacks) generation.Replica {
+	journal := start.Journal
+	j := &journalCopy{
+		node:       s.node,
+		generation: request.Generation,
+		head: &nodepb.JournalHead{
+			RequestId: string(request.Request),
+			Customer:  string(request.Customer),
+			Route:     request.Route,
+			Body:      request.Body,
+		},
+		callbacks: callbacks,
+		tokens:    journal.Tokens(0, journal.Len()),
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.place()
+	return j
+}
+
+// journalCopy keeps a copy of one journal on another node and moves it when
+// that node does not acknowledge.
+type journalCopy struct {
+	node       *Node
+	generation ident.GenerationID
+	head       *nodepb.JournalHead
+	callbacks  generation.ReplicaCallbacks
+
+	// mu guards the fields below. It is never held while the replicator calls
+	// back, so the replicator's own locks may be taken under it.
+	mu       sync.Mutex
+	tokens   []string
+	finish   string
+	copy     *replica.Copy
+	host     ident.HostID
+	failed   []ident.HostID
+	missing  bool // no replica could be found
+	lookedAt time.Time
+	closed   bool
+}
+
+var _ generation.Replica = (*journalCopy)(nil)
+
+// copySink ties the callbacks of one copy to it, so that those of an earlier
+// copy are not taken for those of the present one.
+type copySink struct {
+	journal *journalCopy
+	host    ident.HostID
+}
+
+// Acknowledged implements replica.Sink.
+func (s copySink) Acknowledged(through int64) {
+	s.journal.callbacks.Acknowledged(int(through))
+	s.journal.callbacks.Available(true)
+}
+
+// Lost implements replica.Sink.
+func (s copySink) Lost(code replica.Code) { s.journal.lost(s.host, code) }
+
+// place starts the whole journal on the next node. It requires mu.
+func (j *journalCopy) place() {
+	j.copy, j.host = nil, ""
+	for {
+		host, ok := j.node.chooseReplica(j.generation, j.failed)
+		if !ok {
+			j.unavailable()
+			return
+		}
+		j.copy = j.node.replicator.Start(j.generation, j.head, slices.Clone(j.tokens), host, copySink{j, host})
+		if j.copy != nil {
+			j.host, j.missing = host, false
+			if j.finish != "" {
+				j.copy.Finish(j.finish)
+			}
+			return
+		}
+		j.failed = append(j.failed, host)
+	}
+}
+
+// unavailable requires mu. All nodes may be tried again after a while.
+func (j *journalCopy) unavailable() {
+	j.missing = true
+	j.lookedAt = time.Now()
+	j.failed = nil
+	j.callbacks.Available(false)
+}
+
+func (j *journalCopy) lost(host ident.HostID, code replica.Code) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.closed || j.host != host {
+		return
+	}
+	j.node.events.Log(logrus.WarnLevel, telemetry.EventCopyMoved, logrus.Fields{
+		telemetry.FieldGeneration: j.generation,
+		telemetry.FieldPeer:       host,
+		telemetry.FieldErrorCode:  code,
+	}, "replica did not acknowledge; the journal moves")
+	telemetry.CopiesMoved.Counter(j.node.scope).Inc(1)
+	j.failed = append(j.failed, host)
+	j.place()
+}
+
+// Append implements generation.Replica.
+func (j *journalCopy) Append(token, finish string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.tokens = append(j.tokens, token)
+	j.finish = finish
+	if j.missing && time.Since(j.lookedAt) >= replicaRetry {
+		j.place()
+		return
+	}
+	if j.copy == nil {
+		return
+	}
+	// A false result means that the copy is lost; the sink has been told.
+	if j.copy.Append(token) && finish != "" {
+		j.copy.Finish(finish)
+	}
+}
+
+// Hosts implements generation.Replica.
+func (j *journalCopy) Hosts() []ident.HostID {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.host == "" {
+		return nil
+	}
+	return []ident.HostID{j.host}
+}
+
+// Close implements generation.Replica.
+func (j *journalCopy) Close() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.closed = true
+	if j.copy != nil && j.finish == "" {
+		j.copy.Abandon()
+	}
+}
+
+// chooseReplica returns the node for a copy.
+func (n *Node) chooseReplica(id ident.GenerationID, except []ident.HostID) (ident.HostID, bool) {
+	n.mu.Lock()
+	nodes := n.view.Nodes()
+	n.mu.Unlock()
+	candidates := make([]replica.Candidate, 0, len(nodes))
+	for _, node := range nodes {
+		candidates = append(candidates, replica.Candidate{
+			Site:     n.siteOf(node.Host, node.DataCentre),
+			Eligible: node.State == membership.Alive,
+		})
+	}
+	return replica.Choose(id, n.siteOf(n.host, n.dataCentre), n.settings.Host.NearRegions, candidates, except...)
+}
+
+func (n *Node) siteOf(host ident.HostID, dataCentre ident.DataCentre) replica.Site {
+	return replica.Site{Host: host, DataCentre: dataCentre, Region: n.settings.RegionOf(string(dataCentre))}
+}
