--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -232,11 +232,27 @@
 	return s, attach(s), from, nil
 }
 
-// read returns the events from an index on and whether the stream is over.
-func (e *Engine) read(s *stream, from int) (events []backendapi.StreamEvent, phase phase) {
+// read returns the events from an index on and the phase of the stream. It
+// returns ok false if the reader is to get no more data.
+func (e *Engine) read(s *stream, r *reader, from int) (events []backendapi.StreamEvent, phase phase, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return s.events(from), s.phase
+	return s.events(from), s.phase, !r.silent
+}
+
+// Silence stops the data on all connections that are open now and leaves them
+// open, as a network path that fails does. It returns their number.
+func (e *Engine) Silence() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, s := range e.batch.streams {
+		for r := range s.readers {
+			r.silent = true
+			n++
+		}
+	}
+	return n
 }
 
 // markDelivered notes that a reader got all events before an index.
--- a/lab/engine/engine_test.go
+++ b/lab/engine/engine_test.go
@@ -234,3 +234,32 @@
 		}
 	})
 }
+
+// Guards against a silence that ends the connection, the stream or new
+// connections.
+func TestSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := start(t, func(*Config) {})
+		silent := b.do("POST", "/v1/completions", request("a1", "length=40"), nil)
+		head, _ := events(silent, 5)
+		b.do("POST", "/admin/silence", nil, nil)
+		got := make(chan int, 1)
+		go func() {
+			more, _ := events(silent, 100)
+			got <- len(more)
+		}()
+		time.Sleep(20 * time.Second)
+		select {
+		case n := <-got:
+			t.Errorf("silent connection gave %d events and ended", n)
+		default:
+		}
+		tail, done := events(b.do("GET", "/v1/streams/a1", nil, map[string]string{"Last-Event-ID": "4"}), 100)
+		if !done {
+			t.Error("new connection has no end")
+		}
+		checkAnswer(t, "length=40", text(head)+text(tail), 40)
+		silent.Body.Close()
+		<-got
+	})
+}
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -16,6 +16,10 @@
 // maxBody bounds a request body in bytes.
 const maxBody = 16 << 20
 
+// RouteAdminSilence (POST) makes all open streams' connections silent. Real
+// engines do not have it.
+const RouteAdminSilence = "/admin/silence"
+
 // refusal is a request that the engine does not carry out.
 type refusal struct {
 	status int
@@ -51,6 +55,9 @@
 	r.HandleFunc(backendapi.RouteOrders, e.postOrder).Methods(http.MethodPost)
 	r.HandleFunc(backendapi.RouteState, e.getState).Methods(http.MethodGet)
 	r.HandleFunc(backendapi.RouteHealth, getHealth).Methods(http.MethodGet)
+	r.HandleFunc(RouteAdminSilence, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, map[string]int{"connections": e.Silence()})
+	}).Methods(http.MethodPost)
 	return r
 }
 
@@ -121,7 +128,11 @@
 			return
 		case <-rd.changed:
 		}
-		events, phase := e.read(s, from)
+		events, phase, ok := e.read(s, rd, from)
+		if !ok {
+			<-r.Context().Done()
+			return
+		}
 		buf.Reset()
 		for _, event := range events {
 			writeEvent(&buf, event)
--- a/lab/engine/stream.go
+++ b/lab/engine/stream.go
@@ -48,6 +48,7 @@
 // reader is one open response. changed has a capacity of 1.
 type reader struct {
 	changed chan struct{}
+	silent  bool // gets no more data; guarded by Engine.mu
 }
 
 func (s *stream) wakeReaders() {
