--- /dev/null
+++ b/internal/node/calls.go
@@ -0,0 +1,203 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/internal/generation"
+	"github.com/yuccahatch/yuccahatch/internal/idempotent"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/backend"
+	"github.com/yuccahatch/yuccahatch/internal/peer/caller"
+	"github.com/yuccahatch/yuccahatch/internal/placement"
+)
+
+const (
+	// callTimeout bounds one send to a plain service.
+	callTimeout = 30 * time.Second
+	// maxCallAttempts bounds the servers tried for an idempotent call.
+	maxCallAttempts = 2
+)
+
+// Call implements caller.Gateway.
+func (n *Node) Call(ctx context.Context, access caller.Access, call *caller.ServiceCall) (caller.ServiceAnswer, error) {
+	n.runs.callBegins()
+	defer n.runs.callEnds()
+	inForce, err := n.contractOf(access.Customer)
+	if err != nil {
+		return caller.ServiceAnswer{}, err
+	}
+	refusal := n.mayTakeWork()
+	if refusal == nil {
+		refusal = quietFailure(inForce.Contract, "service:"+call.Service, time.Now())
+	}
+	if inForce.Contract.IsNonIdempotent(call.Service, call.Method, call.CleanPath) {
+		return n.callOnce(ctx, access, call, refusal)
+	}
+	if refusal != nil {
+		n.refused(access, call.Request, refusal)
+		return caller.ServiceAnswer{}, refusal
+	}
+	return n.callRepeatable(ctx, call)
+}
+
+// callOnce runs a non-idempotent call at most once. A refusal does not keep a
+// retry from the result of an earlier attempt.
+func (n *Node) callOnce(ctx context.Context, access caller.Access, call *caller.ServiceCall, refusal error) (caller.ServiceAnswer, error) {
+	if call.IdempotencyKey == "" {
+		return caller.ServiceAnswer{}, &caller.Failure{
+			Code:    callerapi.CodeKeyRequired,
+			Param:   callerapi.HeaderIdempotencyKey,
+			Message: fmt.Sprintf("the contract requires an Idempotency-Key for %s on service %q", call.Method, call.Service),
+		}
+	}
+	request := idempotent.Call{
+		Customer:  access.Customer,
+		Key:       call.IdempotencyKey,
+		RequestID: call.Request,
+		Service:   call.Service,
+		Method:    call.Method,
+		Path:      pathAndQuery(call),
+		Header:    call.Header,
+		Body:      call.Body,
+	}
+	var refused *caller.Failure
+	if errors.As(refusal, &refused) {
+		request.Refusal = refused.Code
+		request.RetryAfter = refused.RetryAfter
+	}
+	response, err := n.calls.Execute(ctx, request)
+	if failure, ok := idempotent.FailureOf(err); ok {
+		return caller.ServiceAnswer{}, n.callFailure(access, call, failure, refused)
+	}
+	if err != nil {
+		return caller.ServiceAnswer{}, err
+	}
+	n.observer.explain.Add(time.Now(), access.Customer, call.Request, "answered", fmt.Sprintf("status %d, stored by an earlier attempt: %t", response.Status, response.Replayed))
+	return caller.ServiceAnswer{
+		Status:   response.Status,
+		Header:   response.Header,
+		Body:     response.Body,
+		Replayed: response.Replayed,
+	}, nil
+}
+
+// callFailure translates the failure of a non-idempotent call.
+func (n *Node) callFailure(access caller.Access, call *caller.ServiceCall, failure idempotent.Failure, refused *caller.Failure) error {
+	answer := &caller.Failure{
+		Code:       failure.Code,
+		Message:    "the call was not answered: " + string(failure.Code),
+		Outcome:    failure.Outcome,
+		RetryAfter: failure.RetryAfter,
+	}
+	if refused != nil && refused.Code == failure.Code {
+		answer.Message = refused.Message
+		answer.Addresses = refused.Addresses
+	}
+	n.refused(access, call.Request, answer)
+	return answer
+}
+
+// callRepeatable sends a call to one server and, if that fails, to another.
+func (n *Node) callRepeatable(ctx context.Context, call *caller.ServiceCall) (caller.ServiceAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var exclude []ident.BackendID
+	for range maxCallAttempts {
+		answer, id, err := n.sendCall(ctx, call.Service, backend.Call{
+			Method: call.Method,
+			Path:   pathAndQuery(call),
+			Header: serviceHeader(call.Header, call.Request, call.IdempotencyKey),
+			Body:   call.Body,
+		}, exclude)
+		if err == nil {
+			return caller.ServiceAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body}, nil
+		}
+		if placement.CodeOf(err) != "" {
+			return caller.ServiceAnswer{}, serviceFailure(err)
+		}
+		exclude = append(exclude, id)
+	}
+	return caller.ServiceAnswer{}, &caller.Failure{
+		Code:       callerapi.CodeBackendUnavailable,
+		Message:    fmt.Sprintf("no backend server of service %q answered", call.Service),
+		Outcome:    callerapi.OutcomeUnknown,
+		RetryAfter: comeBack,
+	}
+}
+
+// sendCall chooses a server and sends a call to it, once.
+func (n *Node) sendCall(ctx context.Context, service string, call backend.Call, exclude []ident.BackendID) (backend.Answer, ident.BackendID, error) {
+	attempt := ident.NewAttemptID()
+	chosen, err := n.backends.Choose(placement.Request{Service: service, Exclude: exclude}, attempt)
+	if err != nil {
+		return backend.Answer{}, "", err
+	}
+	answer, err := n.backends.Call(ctx, chosen.Backend, call)
+	outcome := generation.OutcomeFinished
+	if err != nil {
+		outcome = generation.OutcomeLost
+	} else {
+		n.backends.Answered(chosen.Backend, attempt)
+	}
+	n.backends.Finished(chosen.Backend, attempt, outcome)
+	return answer, chosen.Backend, err
+}
+
+// serviceFailure translates the error of a choice: nothing was sent.
+func serviceFailure(err error) error {
+	if placement.CodeOf(err) == placement.CodeUnknownModel {
+		return &caller.Failure{Code: callerapi.CodeUnknownService, Param: "service", Message: err.Error()}
+	}
+	return &caller.Failure{
+		Code:       callerapi.CodeBackendUnavailable,
+		Message:    err.Error(),
+		RetryAfter: comeBack,
+	}
+}
+
+func pathAndQuery(call *caller.ServiceCall) string {
+	if call.Query == "" {
+		return call.Path
+	}
+	return call.Path + "?" + call.Query
+}
+
+func serviceHeader(header http.Header, request ident.RequestID, key string) http.Header {
+	h := header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	h.Set(backendapi.HeaderRequestID, string(request))
+	if key != "" {
+		h.Set(backendapi.HeaderIdempotencyKey, key)
+	}
+	return h
+}
+
+// callSender sends non-idempotent calls for package idempotent.
+type callSender struct{ node *Node }
+
+var _ idempotent.Sender = callSender{}
+
+// Send implements idempotent.Sender.
+func (s callSender) Send(ctx context.Context, call idempotent.Call) (idempotent.Response, error) {
+	answer, _, err := s.node.sendCall(ctx, call.Service, backend.Call{
+		Method: call.Method,
+		Path:   call.Path,
+		Header: serviceHeader(call.Header, call.RequestID, call.Key),
+		Body:   call.Body,
+	}, nil)
+	switch {
+	case err == nil:
+		return idempotent.Response{Status: answer.Status, Header: answer.Header, Body: answer.Body}, nil
+	case placement.CodeOf(err) != "" || backend.CodeOf(err) == backend.CodeConnect:
+		return idempotent.Response{}, errors.Join(idempotent.ErrNotSent, err)
+	}
+	return idempotent.Response{}, errors.Join(idempotent.ErrMaybeSent, err)
+}
