--- a/lab/caller/generate.go
+++ b/lab/caller/generate.go
@@ -210,10 +210,10 @@
 // event takes one event of the answer. The events of nodes and of engines have
 // the fields that are read here in common.
 func (g *generation) event(e sseEvent) *Failure {
+	if e.id != "" {
+		g.cursor = e.id
+	}
 	if e.name == "error" {
-		if e.id != "" {
-			g.cursor = e.id
-		}
 		return parseError(0, []byte(e.data))
 	}
 	var chunk struct {
@@ -222,9 +222,6 @@
 	if err := json.Unmarshal([]byte(e.data), &chunk); err != nil {
 		return &Failure{Message: "event is not valid: " + err.Error()}
 	}
-	if e.id != "" {
-		g.cursor = e.id
-	}
 	for _, choice := range chunk.Choices {
 		if choice.FinishReason != nil {
 			g.finish = *choice.FinishReason
--- a/lab/engine/engine_test.go
+++ b/lab/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -187,6 +188,9 @@
 		if _, done := events(cancelled, 1000); done {
 			t.Error("cancelled stream ends with the end mark")
 		}
+		if _, err := io.ReadAll(cancelled.Body); err == nil {
+			t.Error("response of a cancelled stream ends as if it were whole")
+		}
 		running := b.do("POST", "/v1/completions", request("a2", "length=20"), nil)
 		b.engine.Leave()
 		if resp := b.do("POST", "/v1/completions", request("a3", "length=20"), nil); resp.StatusCode != http.StatusServiceUnavailable {
