--- a/lab/caller/booking.go
+++ b/lab/caller/booking.go
@@ -24,6 +24,8 @@
 	NoKey bool
 	// RequestID is made up if it is empty.
 	RequestID string
+	// First is the address of the first attempt; empty: one that the nodes name.
+	First string
 }
 
 // CallResult describes what came of a call.
@@ -70,7 +72,7 @@
 	mayHaveRun := false
 	for {
 		var err error
-		if address, err = c.addresses.pick(ctx, address); err != nil {
+		if address, err = c.pick(ctx, call.First, address); err != nil {
 			result.Error = &Failure{Message: err.Error()}
 			return
 		}
--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -59,6 +59,15 @@
 	return &Caller{cfg: cfg, addresses: newAddressBook(cfg.Client, cfg.Nodes)}
 }
 
+// pick returns the address of the next connection; last is that of the one
+// before, empty for the first.
+func (c *Caller) pick(ctx context.Context, first, last string) (string, error) {
+	if last == "" && first != "" {
+		return first, nil
+	}
+	return c.addresses.pick(ctx, last)
+}
+
 // Request is one generation to ask for.
 type Request struct {
 	Model  string
@@ -69,6 +78,9 @@
 	MaxTokens int
 	// RequestID is made up if it is empty.
 	RequestID string
+	// First is the address of the first connection; empty: one that the nodes
+	// name. Later connections follow the nodes' addresses.
+	First string
 	// Priority is used in direct mode only.
 	Priority int
 }
--- a/lab/caller/generate.go
+++ b/lab/caller/generate.go
@@ -79,7 +79,7 @@
 
 func (g *generation) address(ctx context.Context, last string) (string, error) {
 	if !g.caller.cfg.Direct {
-		return g.caller.addresses.pick(ctx, last)
+		return g.caller.pick(ctx, g.req.First, last)
 	}
 	if len(g.caller.cfg.Nodes) == 0 {
 		return "", errors.New("no engine address is set")
--- /dev/null
+++ b/lab/demo/demo_test.go
@@ -0,0 +1,150 @@
+package demo
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/lab/caller"
+	"github.com/yuccahatch/yuccahatch/lab/engine"
+	"github.com/yuccahatch/yuccahatch/lab/pipenet"
+	"github.com/yuccahatch/yuccahatch/lab/scrape"
+	"github.com/yuccahatch/yuccahatch/lab/service"
+)
+
+// store is a stand-in for nodes: it passes completions on to an engine and, if
+// it keeps answers, runs each idempotency key once.
+type store struct {
+	engine, service http.Handler
+	keep            bool
+
+	mu      sync.Mutex
+	answers map[string]*httptest.ResponseRecorder // guarded by mu
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	route, ok := strings.CutPrefix(r.URL.Path, callerapi.RouteServices+"booking")
+	switch {
+	case r.URL.Path == scrape.Route:
+		w.Write([]byte(scrape.TokensRecomputed + `{part="prompt"} 12` + "\n")) //nolint:errcheck // memory
+	case !ok:
+		s.engine.ServeHTTP(w, r)
+	default:
+		r.URL.Path = route
+		s.call(w, r)
+	}
+}
+
+func (s *store) call(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := r.Header.Get(callerapi.HeaderIdempotencyKey)
+	stored := s.answers[key]
+	if stored == nil || !s.keep {
+		stored = httptest.NewRecorder()
+		s.service.ServeHTTP(stored, r)
+		s.answers[key] = stored
+	} else {
+		w.Header().Set(callerapi.HeaderReplayed, "true")
+	}
+	w.WriteHeader(stored.Code)
+	w.Write(stored.Body.Bytes()) //nolint:errcheck // the client may be gone
+}
+
+// Guards against a demo that passes when bookings run twice, and against one
+// that fails when all went well.
+func TestRun(t *testing.T) {
+	for _, keep := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			report := runOnce(t, keep)
+			var out bytes.Buffer
+			if err := report.Print(&out); err != nil {
+				t.Fatal(err)
+			}
+			if report.OK() != keep || (report.RanOnce == 30) != keep || report.Verified != 30 {
+				t.Errorf("answers kept %t: verdict %t\n%s", keep, report.OK(), &out)
+			}
+			if report.Recomputed != 24 || report.PagesRead != 2 || len(report.Unread) != 1 {
+				t.Errorf("metrics: %g tokens of %d pages, %v", report.Recomputed, report.PagesRead, report.Unread)
+			}
+		})
+	}
+}
+
+func runOnce(t *testing.T, keep bool) Report {
+	ecfg := engine.DefaultConfig()
+	ecfg.Models = []backendapi.LoadedModel{{Model: "m", Version: "1"}}
+	e, err := engine.New(ecfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go e.Run(t.Context())
+	s, err := service.New(service.Config{Faults: service.Faults{LatencyMillis: 20}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodes := &store{engine: e.Handler(), service: s.Handler(), keep: keep, answers: map[string]*httptest.ResponseRecorder{}}
+	network := pipenet.New()
+	defer network.Serve("node:1", nodes)()
+	defer network.Serve("node:2", nodes)()
+	defer network.Serve("service:1", s.Handler())()
+	cfg := DefaultConfig()
+	cfg.Nodes, cfg.Model, cfg.ServiceURL, cfg.Client = []string{"node:1", "node:2"}, "m", "http://service:1", network.Client()
+	cfg.Metrics = []string{"node:1", "node:2", "node:3"}
+	defer cfg.Client.CloseIdleConnections()
+	report, err := Run(t.Context(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+// Guards against a wrong verdict on what callers were told about a booking.
+func TestOutcomes(t *testing.T) {
+	done := caller.CallResult{Outcome: caller.OutcomeDone, Status: 201, Body: "b"}
+	other := caller.CallResult{Outcome: caller.OutcomeDone, Status: 201, Body: "c"}
+	told := func(o callerapi.Outcome) caller.CallResult { return caller.CallResult{Outcome: string(o)} }
+	notRun, attempt, unknown := told(callerapi.OutcomeNotRun), told(callerapi.OutcomeAttemptNotRun), told(callerapi.OutcomeUnknown)
+	for _, tc := range []struct {
+		name          string
+		first, second caller.CallResult
+		runs          int
+		ok            bool
+	}{
+		{"once", done, done, 1, true},
+		{"twice", done, done, 2, false},
+		{"done without a run", done, done, 0, false},
+		{"repeat with another answer", done, other, 1, false},
+		{"repeat ran after a refusal", notRun, done, 1, true},
+		{"refused after a run", done, notRun, 1, false},
+		{"refused twice and ran", attempt, attempt, 1, false},
+		{"refused after an unknown run", unknown, notRun, 1, false},
+		{"unknown and ran", unknown, unknown, 1, true},
+		{"unknown and did not run", unknown, attempt, 0, true},
+	} {
+		r := judge(Config{}, nil, []Booking{{Key: "k", First: tc.first, Second: tc.second}},
+			service.Runs{Keys: map[string]int{"k": tc.runs}})
+		if r.OK() != tc.ok {
+			t.Errorf("%s: problems %v", tc.name, r.Problems)
+		}
+	}
+}
+
+// Guards against an interruption that is counted twice or not at all.
+func TestInterruptions(t *testing.T) {
+	got := interruptions(caller.Result{
+		Breaks: []caller.Break{{Silence: 90 * time.Millisecond}, {Silence: 90 * time.Millisecond}, {}},
+		Gaps:   []time.Duration{90 * time.Millisecond, 200 * time.Millisecond, 50 * time.Millisecond},
+	}, 100*time.Millisecond)
+	if want := []time.Duration{90 * time.Millisecond, 200 * time.Millisecond}; !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/lab/demo/report.go
@@ -0,0 +1,190 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/lab/caller"
+	"github.com/yuccahatch/yuccahatch/lab/scrape"
+	"github.com/yuccahatch/yuccahatch/lab/service"
+)
+
+// Report sums up a run.
+type Report struct {
+	Answers  int
+	Verified int // complete and with every token right
+	Counts   caller.Counts
+	// Reconnects counts connections of callers that broke in an answer.
+	Reconnects int
+	// Interruptions holds the times without tokens that callers saw: those
+	// around a broken connection and those above Config.Interruption, sorted.
+	Interruptions []time.Duration
+
+	Bookings int
+	RanOnce  int
+	RanMore  int
+	Replays  int
+	Dropped  int
+	// Unanswered counts bookings whose service's answer the caller never got,
+	// UnansweredRan those of them that ran.
+	Unanswered    int
+	UnansweredRan int
+
+	PagesRead   int // metrics pages
+	NodeResumes float64
+	Recomputed  float64 // prompt tokens
+	Discarded   float64
+	Unread      []string // errors of metrics pages
+	Problems    []string // broken promises
+
+	interruption time.Duration
+}
+
+// judge compares what the callers received with what the service ran.
+func judge(cfg Config, answers []caller.Result, bookings []Booking, runs service.Runs) Report {
+	r := Report{Answers: len(answers), Bookings: len(bookings), interruption: cfg.Interruption}
+	for _, a := range answers {
+		r.addAnswer(a)
+	}
+	slices.Sort(r.Interruptions)
+	for _, b := range bookings {
+		r.addBooking(b, runs.Keys[b.Key])
+	}
+	return r
+}
+
+func (r *Report) problem(format string, args ...any) {
+	r.Problems = append(r.Problems, fmt.Sprintf(format, args...))
+}
+
+func (r *Report) addAnswer(a caller.Result) {
+	r.Counts.Tokens += a.Counts.Tokens
+	r.Counts.Missing += a.Counts.Missing
+	r.Counts.Repeated += a.Counts.Repeated
+	r.Counts.Mixed += a.Counts.Mixed
+	if a.Complete && a.Clean {
+		r.Verified++
+	} else {
+		reason := "length or finish reason is wrong"
+		if a.Error != nil {
+			reason = fmt.Sprintf("%s %s", a.Error.Code, a.Error.Message)
+		}
+		r.problem("answer %s: complete %t, %+v, %d connections: %s", a.RequestID, a.Complete, a.Counts, a.Attempts, reason)
+	}
+	r.Reconnects += len(a.Breaks)
+	r.Interruptions = append(r.Interruptions, interruptions(a, r.interruption)...)
+}
+
+// interruptions returns the times without tokens around broken connections,
+// each counted once, and the other gaps that are longer than the limit.
+func interruptions(a caller.Result, limit time.Duration) []time.Duration {
+	var out []time.Duration
+	atBreak := map[time.Duration]bool{}
+	for _, b := range a.Breaks {
+		// Successive breaks without a token between them share one silence.
+		if b.Silence > 0 && !atBreak[b.Silence] {
+			atBreak[b.Silence] = true
+			out = append(out, b.Silence)
+		}
+	}
+	for _, gap := range a.Gaps {
+		if gap > limit && !atBreak[gap] {
+			out = append(out, gap)
+		}
+	}
+	return out
+}
+
+func (r *Report) addBooking(b Booking, runs int) {
+	switch {
+	case runs == 1:
+		r.RanOnce++
+	case runs > 1:
+		r.RanMore++
+		r.problem("booking %s ran %d times", b.Key, runs)
+	}
+	if b.Dropped {
+		r.Dropped++
+	}
+	if b.Second.Replayed {
+		r.Replays++
+	}
+	if b.First.Outcome != caller.OutcomeDone && b.Second.Outcome != caller.OutcomeDone {
+		r.Unanswered++
+		if runs > 0 {
+			r.UnansweredRan++
+		}
+	}
+	r.checkOutcomes(b, runs)
+}
+
+// checkOutcomes compares what the caller was told with the runs. The first
+// call's not_run allows the repeat to run; that of the repeat covers both.
+func (r *Report) checkOutcomes(b Booking, runs int) {
+	first, second := b.First, b.Second
+	booked := func(c caller.CallResult) bool {
+		return c.Outcome == caller.OutcomeDone && c.Status >= 200 && c.Status < 300
+	}
+	refused := func(c caller.CallResult) bool {
+		return c.Outcome == string(callerapi.OutcomeNotRun) || c.Outcome == string(callerapi.OutcomeAttemptNotRun)
+	}
+	if runs == 0 && (booked(first) || booked(second)) {
+		r.problem("booking %s was reported as done and did not run", b.Key)
+	}
+	if runs > 0 && (second.Outcome == string(callerapi.OutcomeNotRun) || refused(first) && refused(second)) {
+		r.problem("booking %s was reported as %s, then %s, and ran", b.Key, first.Outcome, second.Outcome)
+	}
+	if first.Outcome == caller.OutcomeDone && second.Outcome == caller.OutcomeDone && first.Body != second.Body {
+		r.problem("booking %s: the repeat got another answer", b.Key)
+	}
+}
+
+func (r *Report) addMetrics(page scrape.Page, read int, unread []string) {
+	r.PagesRead, r.Unread = read, unread
+	r.NodeResumes = page.Sum(scrape.Resumes)
+	r.Recomputed = page.Sum(scrape.TokensRecomputed, "part", "prompt")
+	r.Discarded = page.Sum(scrape.TokensDiscarded)
+}
+
+// OK reports that no promise was broken.
+func (r Report) OK() bool { return len(r.Problems) == 0 }
+
+// Print writes the report as a table.
+func (r Report) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name, format string, args ...any) { fmt.Fprintf(t, "%s\t%s\n", name, fmt.Sprintf(format, args...)) }
+	row("answers complete and verified", "%d of %d", r.Verified, r.Answers)
+	row("tokens missing", "%d", r.Counts.Missing)
+	row("tokens repeated", "%d", r.Counts.Repeated)
+	row("tokens mixed", "%d", r.Counts.Mixed)
+	row("resumes inside nodes", "%.0f (of %d nodes whose metrics were read)", r.NodeResumes, r.PagesRead)
+	row("reconnections of callers", "%d", r.Reconnects)
+	row("interruptions seen by callers", "%d (broken connections, gaps over %s)", len(r.Interruptions), r.interruption)
+	if n := len(r.Interruptions); n > 0 {
+		row("resume latency, median", "%s", r.Interruptions[n/2].Round(time.Millisecond))
+		row("resume latency, maximum", "%s", r.Interruptions[n-1].Round(time.Millisecond))
+	}
+	row("prompt tokens computed again", "%.0f", r.Recomputed)
+	row("tokens discarded", "%.0f", r.Discarded)
+	row("bookings sent", "%d, each again through another node; %d first connections dropped", r.Bookings, r.Dropped)
+	row("bookings run exactly once", "%d of %d", r.RanOnce, r.Bookings)
+	row("bookings run more than once", "%d", r.RanMore)
+	row("replays", "%d", r.Replays)
+	if r.Unanswered > 0 {
+		row("bookings without an answer", "%d, of which %d ran", r.Unanswered, r.UnansweredRan)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, text := range r.Unread {
+		fmt.Fprintf(w, "metrics page not read: %s\n", text)
+	}
+	for _, text := range r.Problems {
+		fmt.Fprintf(w, "BROKEN: %s\n", text)
+	}
+	return nil
+}
