--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -83,6 +83,19 @@
 	First string
 	// Priority is used in direct mode only.
 	Priority int
+	// Observe, if set, is called for each event with tokens, from the goroutine
+	// that reads the answer. Result.Gaps then stays empty.
+	Observe func(Arrival)
+}
+
+// Arrival tells when an event with tokens arrived.
+type Arrival struct {
+	At time.Time
+	// Silence is the time since the event before, or since the request.
+	Silence time.Duration
+	First   bool // the first event of the answer
+	// AfterBreak reports that the connection broke since the event before.
+	AfterBreak bool
 }
 
 func (r Request) prompt() string {
