--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -5,13 +5,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/lab/caller"
+	"github.com/yuccahatch/yuccahatch/lab/ledger"
 	"github.com/yuccahatch/yuccahatch/lab/scrape"
 	"github.com/yuccahatch/yuccahatch/lab/service"
 )
@@ -71,22 +71,13 @@
 	}
 }
 
-// Booking is one booking and its repeat with the same key.
-type Booking struct {
-	Key string
-	// Dropped reports that the connection of the first call was dropped.
-	Dropped bool
-	First   caller.CallResult
-	Second  caller.CallResult
-}
-
 // Run sends the answers and bookings, waits for their ends and judges them.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	if len(cfg.Nodes) == 0 {
 		return Report{}, fmt.Errorf("no node is given")
 	}
 	answers := make([]caller.Result, cfg.Answers)
-	bookings := make([]Booking, cfg.Bookings)
+	bookings := make([]ledger.Booking, cfg.Bookings)
 	var wg sync.WaitGroup
 	for i := range answers {
 		wg.Go(func() { answers[i] = cfg.answer(ctx, i) })
@@ -95,9 +86,9 @@
 		wg.Go(func() { bookings[i] = cfg.booking(ctx, i) })
 	}
 	wg.Wait()
-	runs, err := cfg.runs(ctx)
+	runs, err := ledger.Runs(ctx, cfg.Client, cfg.ServiceURL)
 	if err != nil {
-		return Report{}, fmt.Errorf("runs of the service: %w", err)
+		return Report{}, err
 	}
 	var page scrape.Page
 	var unread []string
@@ -146,9 +137,9 @@
 
 // booking sends one booking and, after its answer, sends it again through
 // another node. The first connection of some is dropped before the answer.
-func (cfg Config) booking(ctx context.Context, i int) Booking {
+func (cfg Config) booking(ctx context.Context, i int) ledger.Booking {
 	sleep(ctx, bookingSpread*time.Duration(i)/time.Duration(cfg.Bookings))
-	b := Booking{Key: fmt.Sprintf("demo-%d-%d", i, time.Now().UnixNano()), Dropped: i%dropEvery == 1}
+	b := ledger.Booking{Key: fmt.Sprintf("demo-%d-%d", i, time.Now().UnixNano()), Dropped: i%dropEvery == 1}
 	call := caller.Call{Service: cfg.Service, Path: service.RouteBookings, Key: b.Key, First: cfg.node(i),
 		Body: fmt.Appendf(nil, `{"seat":%d}`, i)}
 	ctx, cancel := context.WithTimeout(ctx, bookingLimit)
@@ -162,20 +153,3 @@
 	b.Second = cfg.caller(i+1, bookingSilence, 0).Call(ctx, call)
 	return b
 }
-
-func (cfg Config) runs(ctx context.Context) (service.Runs, error) {
-	var runs service.Runs
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, cfg.ServiceURL+service.RouteAdminRuns, nil)
-	if err != nil {
-		return runs, err
-	}
-	resp, err := cfg.Client.Do(req)
-	if err != nil {
-		return runs, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return runs, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return runs, json.NewDecoder(resp.Body).Decode(&runs)
-}
--- a/lab/demo/demo_test.go
+++ b/lab/demo/demo_test.go
@@ -69,7 +69,7 @@
 			if err := report.Print(&out); err != nil {
 				t.Fatal(err)
 			}
-			if report.OK() != keep || (report.RanOnce == 30) != keep || report.Verified != 30 {
+			if report.OK() != keep || (report.Bookings.RanOnce == 30) != keep || report.Verified != 30 {
 				t.Errorf("answers kept %t: verdict %t\n%s", keep, report.OK(), &out)
 			}
 			if report.Recomputed != 24 || report.PagesRead != 2 || len(report.Unread) != 1 {
@@ -107,37 +107,6 @@
 	return report
 }
 
-// Guards against a wrong verdict on what callers were told about a booking.
-func TestOutcomes(t *testing.T) {
-	done := caller.CallResult{Outcome: caller.OutcomeDone, Status: 201, Body: "b"}
-	other := caller.CallResult{Outcome: caller.OutcomeDone, Status: 201, Body: "c"}
-	told := func(o callerapi.Outcome) caller.CallResult { return caller.CallResult{Outcome: string(o)} }
-	notRun, attempt, unknown := told(callerapi.OutcomeNotRun), told(callerapi.OutcomeAttemptNotRun), told(callerapi.OutcomeUnknown)
-	for _, tc := range []struct {
-		name          string
-		first, second caller.CallResult
-		runs          int
-		ok            bool
-	}{
-		{"once", done, done, 1, true},
-		{"twice", done, done, 2, false},
-		{"done without a run", done, done, 0, false},
-		{"repeat with another answer", done, other, 1, false},
-		{"repeat ran after a refusal", notRun, done, 1, true},
-		{"refused after a run", done, notRun, 1, false},
-		{"refused twice and ran", attempt, attempt, 1, false},
-		{"refused after an unknown run", unknown, notRun, 1, false},
-		{"unknown and ran", unknown, unknown, 1, true},
-		{"unknown and did not run", unknown, attempt, 0, true},
-	} {
-		r := judge(Config{}, nil, []Booking{{Key: "k", First: tc.first, Second: tc.second}},
-			service.Runs{Keys: map[string]int{"k": tc.runs}})
-		if r.OK() != tc.ok {
-			t.Errorf("%s: problems %v", tc.name, r.Problems)
-		}
-	}
-}
-
 // Guards against an interruption that is counted twice or not at all.
 func TestInterruptions(t *testing.T) {
 	got := interruptions(caller.Result{
--- a/lab/demo/report.go
+++ b/lab/demo/report.go
@@ -7,8 +7,8 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/yuccahatch/yuccahatch/api/callerapi"
 	"github.com/yuccahatch/yuccahatch/lab/caller"
+	"github.com/yuccahatch/yuccahatch/lab/ledger"
 	"github.com/yuccahatch/yuccahatch/lab/scrape"
 	"github.com/yuccahatch/yuccahatch/lab/service"
 )
@@ -24,15 +24,7 @@
 	// around a broken connection and those above Config.Interruption, sorted.
 	Interruptions []time.Duration
 
-	Bookings int
-	RanOnce  int
-	RanMore  int
-	Replays  int
-	Dropped  int
-	// Unanswered counts bookings whose service's answer the caller never got,
-	// UnansweredRan those of them that ran.
-	Unanswered    int
-	UnansweredRan int
+	Bookings ledger.Summary
 
 	PagesRead   int // metrics pages
 	NodeResumes float64
@@ -45,15 +37,14 @@
 }
 
 // judge compares what the callers received with what the service ran.
-func judge(cfg Config, answers []caller.Result, bookings []Booking, runs service.Runs) Report {
-	r := Report{Answers: len(answers), Bookings: len(bookings), interruption: cfg.Interruption}
+func judge(cfg Config, answers []caller.Result, bookings []ledger.Booking, runs service.Runs) Report {
+	r := Report{Answers: len(answers), interruption: cfg.Interruption}
 	for _, a := range answers {
 		r.addAnswer(a)
 	}
 	slices.Sort(r.Interruptions)
-	for _, b := range bookings {
-		r.addBooking(b, runs.Keys[b.Key])
-	}
+	r.Bookings = ledger.Check(bookings, runs)
+	r.Problems = append(r.Problems, r.Bookings.Problems...)
 	return r
 }
 
@@ -99,50 +90,6 @@
 	return out
 }
 
-func (r *Report) addBooking(b Booking, runs int) {
-	switch {
-	case runs == 1:
-		r.RanOnce++
-	case runs > 1:
-		r.RanMore++
-		r.problem("booking %s ran %d times", b.Key, runs)
-	}
-	if b.Dropped {
-		r.Dropped++
-	}
-	if b.Second.Replayed {
-		r.Replays++
-	}
-	if b.First.Outcome != caller.OutcomeDone && b.Second.Outcome != caller.OutcomeDone {
-		r.Unanswered++
-		if runs > 0 {
-			r.UnansweredRan++
-		}
-	}
-	r.checkOutcomes(b, runs)
-}
-
-// checkOutcomes compares what the caller was told with the runs. The first
-// call's not_run allows the repeat to run; that of the repeat covers both.
-func (r *Report) checkOutcomes(b Booking, runs int) {
-	first, second := b.First, b.Second
-	booked := func(c caller.CallResult) bool {
-		return c.Outcome == caller.OutcomeDone && c.Status >= 200 && c.Status < 300
-	}
-	refused := func(c caller.CallResult) bool {
-		return c.Outcome == string(callerapi.OutcomeNotRun) || c.Outcome == string(callerapi.OutcomeAttemptNotRun)
-	}
-	if runs == 0 && (booked(first) || booked(second)) {
-		r.problem("booking %s was reported as done and did not run", b.Key)
-	}
-	if runs > 0 && (second.Outcome == string(callerapi.OutcomeNotRun) || refused(first) && refused(second)) {
-		r.problem("booking %s was reported as %s, then %s, and ran", b.Key, first.Outcome, second.Outcome)
-	}
-	if first.Outcome == caller.OutcomeDone && second.Outcome == caller.OutcomeDone && first.Body != second.Body {
-		r.problem("booking %s: the repeat got another answer", b.Key)
-	}
-}
-
 func (r *Report) addMetrics(page scrape.Page, read int, unread []string) {
 	r.PagesRead, r.Unread = read, unread
 	r.NodeResumes = page.Sum(scrape.Resumes)
@@ -170,12 +117,12 @@
 	}
 	row("prompt tokens computed again", "%.0f", r.Recomputed)
 	row("tokens discarded", "%.0f", r.Discarded)
-	row("bookings sent", "%d, each again through another node; %d first connections dropped", r.Bookings, r.Dropped)
-	row("bookings run exactly once", "%d of %d", r.RanOnce, r.Bookings)
-	row("bookings run more than once", "%d", r.RanMore)
-	row("replays", "%d", r.Replays)
-	if r.Unanswered > 0 {
-		row("bookings without an answer", "%d, of which %d ran", r.Unanswered, r.UnansweredRan)
+	row("bookings sent", "%d, each again through another node; %d first connections dropped", r.Bookings.Sent, r.Bookings.Dropped)
+	row("bookings run exactly once", "%d of %d", r.Bookings.RanOnce, r.Bookings.Sent)
+	row("bookings run more than once", "%d", r.Bookings.RanMore)
+	row("replays", "%d", r.Bookings.Replays)
+	if r.Bookings.Unanswered > 0 {
+		row("bookings without an answer", "%d, of which %d ran", r.Bookings.Unanswered, r.Bookings.UnansweredRan)
 	}
 	if err := t.Flush(); err != nil {
 		return err
