--- a/internal/continuation/events.go
+++ b/internal/continuation/events.go
@@ -49,7 +49,11 @@
 
 // Ended tells that the stream of an attempt came to its end: the engine has no
 // token after those that it delivered.
-type Ended struct{ Attempt ident.AttemptID }
+type Ended struct {
+	Attempt ident.AttemptID
+	// Finish is the finish reason if the engine gave it without a token.
+	Finish string
+}
 
 // Probed answers a Probe action.
 type Probed struct {
--- a/internal/continuation/machine.go
+++ b/internal/continuation/machine.go
@@ -9,6 +9,7 @@
 package continuation
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -321,8 +322,8 @@
 	return append(actions, m.probe(now, a)...)
 }
 
-// finishUnknown is reported when a stream was resumed at its very end, where
-// the engine no longer tells why the answer finished.
+// finishUnknown is reported when a stream was resumed at its very end and the
+// engine did not tell why the answer finished.
 const finishUnknown = "stop"
 
 // ended takes the end of a stream that delivered nothing after the journal,
@@ -335,7 +336,7 @@
 	if m.journal.Len() == 0 {
 		return m.brokenStream(now, Broken{Attempt: e.Attempt, Rejected: true, Reason: "stream ended without a token"})
 	}
-	m.finish = finishUnknown
+	m.finish = cmp.Or(e.Finish, finishUnknown)
 	return append(m.cancelOthers(a), m.release()...)
 }
 
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -393,10 +393,23 @@
 		if event.PromptTokens > 0 {
 			r.send(message{prepare: func() { r.promptRead(event.PromptTokens, event.CachedPromptTokens) }})
 		}
+		if finish, ok := finishOnly(event); ok {
+			r.post(continuation.Ended{Attempt: id, Finish: finish})
+			continue
+		}
 		r.post(tokenOf(id, event, detector.Silence()))
 	}
 }
 
+// finishOnly returns the finish reason of an event without a token, which an
+// engine sends if the text that it continues is the whole answer already.
+func finishOnly(event backendapi.StreamEvent) (string, bool) {
+	if len(event.Choices) == 0 || event.Choices[0].Text != "" || event.Choices[0].FinishReason == nil {
+		return "", false
+	}
+	return *event.Choices[0].FinishReason, true
+}
+
 // promptRead learns how much of the prompt an attempt had to compute.
 func (r *Run) promptRead(tokens, cached int) {
 	resume := r.machine.Journal().Len() > 0
