Add the executor of calls that must not run twice

The send window is checked again just before the send, since the process may be paused after the decision.

--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -249,9 +249,14 @@
 	return []Action{{Kind: ActionSend}}
 }
 
-func (m *Machine) windowOver(now Now) bool {
-	wall := now.Wall.Sub(m.claimStart.Wall)
-	return wall < 0 || wall > SendWindow || now.Monotonic-m.claimStart.Monotonic > SendWindow
+func (m *Machine) windowOver(now Now) bool { return WindowOver(m.claimStart, now) }
+
+// WindowOver tells whether a claim whose write began at start may not be sent
+// any more, by either clock. A wall clock that was set back proves nothing, so
+// that the window counts as over.
+func WindowOver(start, now Now) bool {
+	wall := now.Wall.Sub(start.Wall)
+	return wall < 0 || wall > SendWindow || now.Monotonic-start.Monotonic > SendWindow
 }
 
 func (m *Machine) stepSealing(now Now, e Event) []Action {
--- /dev/null
+++ b/internal/idempotent/run.go
@@ -0,0 +1,165 @@
+package idempotent
+
+import (
+	"context"
+	"errors"
+	"net/url"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/internal/claim"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// run is one call that is being executed. Only the goroutine of loop uses
+// machine, last and claimStart.
+type run struct {
+	executor *Executor
+	call     Call
+	rowKey   string
+	attempt  ident.AttemptID
+	machine  claim.Machine
+	// events delivers the outcome of the operation under way.
+	events chan claim.Event
+	// answer has room for the one answer.
+	answer chan claim.Action
+	// done is closed when the machine finished.
+	done chan struct{}
+	// last is the reading of the clocks at the previous step.
+	last claim.Now
+	// claimStart is when the first write of the claim began.
+	claimStart claim.Now
+}
+
+func (r *run) loop(deadline <-chan struct{}) {
+	defer close(r.done)
+	r.last = r.executor.config.Now()
+	r.step(claim.Event{Kind: claim.EventStart, Refusal: r.call.Refusal, RetryAfter: r.call.RetryAfter})
+	for !r.machine.Finished() {
+		select {
+		case event := <-r.events:
+			r.step(event)
+		case <-deadline:
+			deadline = nil
+			r.step(claim.Event{Kind: claim.EventDeadline})
+		}
+	}
+}
+
+func (r *run) step(event claim.Event) {
+	now := r.executor.config.Now()
+	if drifted(r.last, now) {
+		r.executor.config.Metrics.Counter("clock_jumps").Inc(1)
+		r.carryOut(now, r.machine.Step(now, claim.Event{Kind: claim.EventClockJump}))
+	}
+	r.last = now
+	r.carryOut(now, r.machine.Step(now, event))
+}
+
+// drifted tells whether one clock moved without the other.
+func drifted(before, now claim.Now) bool {
+	drift := now.Wall.Sub(before.Wall) - (now.Monotonic - before.Monotonic)
+	return drift.Abs() > maxClockDrift
+}
+
+func (r *run) carryOut(now claim.Now, actions []claim.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case claim.ActionRead:
+			r.operation(func() claim.Event {
+				r.sleep(a.Delay)
+				return r.executor.config.Claims.Read(r.rowKey)
+			})
+		case claim.ActionWrite:
+			if a.Row.State == claim.StateClaimed && r.claimStart == (claim.Now{}) {
+				r.claimStart = now
+			}
+			r.operation(func() claim.Event { return r.write(a) })
+		case claim.ActionSend:
+			start := r.claimStart
+			r.operation(func() claim.Event { return r.send(start) })
+		case claim.ActionAnswer:
+			r.count(a)
+			r.answer <- a
+		}
+	}
+}
+
+// operation runs the one operation that may be under way. Its event is dropped
+// if the machine finished meanwhile.
+func (r *run) operation(f func() claim.Event) {
+	r.executor.calls.Go(func() { r.events <- f() })
+}
+
+// sleep returns early when the machine finishes.
+func (r *run) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.done:
+	}
+}
+
+func (r *run) write(a claim.Action) claim.Event {
+	row := a.Row
+	if row.Result != nil && len(row.Result.Body) > maxRowBody {
+		name := "claim-results/" + url.PathEscape(string(r.call.Customer)) + "/" + string(r.attempt)
+		ctx, cancel := context.WithTimeout(context.Background(), objectTimeout)
+		defer cancel()
+		if err := r.executor.config.Objects.Put(ctx, name, row.Result.Body); err != nil {
+			r.executor.config.Log.WithError(newError(CodeObject).Wrapf(err, "store %q", name)).Warn("result not stored yet")
+			return claim.Event{Kind: claim.EventUnavailable}
+		}
+		row.Result = &claim.Result{Status: row.Result.Status, Header: row.Result.Header, Object: name}
+	}
+	return r.executor.config.Claims.Write(r.rowKey, row, a.Version)
+}
+
+// send checks the send window once more, because the process may have been
+// paused after the decision to send.
+func (r *run) send(claimStart claim.Now) claim.Event {
+	config := &r.executor.config
+	if claim.WindowOver(claimStart, config.Now()) {
+		return claim.Event{Kind: claim.EventNotSent}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), config.SendTimeout)
+	defer cancel()
+	response, err := config.Sender.Send(ctx, r.call)
+	switch {
+	case err == nil:
+		result := &claim.Result{Status: response.Status, Header: response.Header, Body: response.Body}
+		return claim.Event{Kind: claim.EventResponse, Result: result}
+	case errors.Is(err, ErrNotSent) && !errors.Is(err, ErrMaybeSent):
+		return claim.Event{Kind: claim.EventNotSent}
+	default:
+		return claim.Event{Kind: claim.EventMaybeSent}
+	}
+}
+
+func (r *run) count(a claim.Action) {
+	outcome := string(a.Outcome)
+	if a.Result != nil {
+		outcome = "result"
+	}
+	r.executor.config.Metrics.Tagged(map[string]string{"outcome": outcome}).Counter("answers").Inc(1)
+}
+
+func (r *run) response(a claim.Action) (Response, error) {
+	if a.Result == nil {
+		return Response{}, newError(CodeFailed).Wrap(&Failure{Code: a.Code, Outcome: a.Outcome, RetryAfter: a.RetryAfter})
+	}
+	body := a.Result.Body
+	if a.Result.Object != "" {
+		ctx, cancel := context.WithTimeout(context.Background(), objectTimeout)
+		defer cancel()
+		var err error
+		if body, err = r.executor.config.Objects.Get(ctx, a.Result.Object); err != nil {
+			// The call ran, but its result cannot be shown now.
+			r.executor.config.Log.WithError(newError(CodeObject).Wrapf(err, "load %q", a.Result.Object)).Warn("result not loaded")
+			failure := &Failure{Code: callerapi.CodeOutcomeUnknown, Outcome: callerapi.OutcomeUnknown, RetryAfter: claim.ResultWait}
+			return Response{}, newError(CodeObject).Wrap(failure)
+		}
+	}
+	return Response{Status: a.Result.Status, Header: a.Result.Header, Body: body, Replayed: a.Replayed}, nil
+}
