--- a/cmd/yuccahatchd/main.go
+++ b/cmd/yuccahatchd/main.go
@@ -1,4 +1,17 @@
 // Command yuccahatchd is the node of yuccahatch that runs on each entry host.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/yuccahatch/yuccahatch/internal/daemoncmd"
+)
+
+func main() {
+	if err := daemoncmd.New().ExecuteContext(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "yuccahatchd:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,7 +43,17 @@
 	observer    *observer
 	explain     *explain.Store
 
+	logger       *logrus.Entry
 	table        table.Table
+	objects      *objects.Client
+	hostList     *hostlist.Client
+	trail        *audit.Trail
+	log          *contractlog.Log
+	follower     *contractlog.Follower
+	claims       *claimwriter.Writer
+	calls        *idempotent.Executor
+	replicator   *replica.Replicator
+	copies       *copyStore
 	cursors      *cursor.Codec
 	contracts    *contractset.Set
 	backends     *backendpool.Pool
@@ -85,7 +95,8 @@
 
 func (n *Node) setUpTelemetry(time.Time) error {
 	s := n.settings
-	n.events = telemetry.NewEventLog(telemetry.NewLogger(os.Stderr, s.Log.Level, s.Host.ID, s.Host.DataCentre))
+	n.logger = telemetry.NewLogger(os.Stderr, s.Log.Level, s.Host.ID, s.Host.DataCentre)
+	n.events = telemetry.NewEventLog(n.logger)
 	scope, page, _, err := telemetry.NewMetrics()
 	if err != nil {
 		return err
@@ -117,12 +128,29 @@
 		}
 	}
 	n.peers = peernode.NewPool(peernode.PoolOptions{Certificates: n.certificates})
+	n.setUpCopies()
 	return nil
 }
 
 func (n *Node) setUpPlatform(time.Time) error {
 	platform := n.settings.Platform
 	n.table = table.NewClient(platform.URL, platform.Timeout.Duration)
+	n.objects = objects.NewClient(platform.URL, platform.Timeout.Duration)
+	n.hostList = hostlist.NewClient(platform.URL, platform.Timeout.Duration)
+	n.trail = audit.NewTrail(n.table, n.logger, n.scope)
+	n.log = contractlog.New(n.table, n.trail, n.host, time.Now)
+	n.follower = contractlog.NewFollower(n.log, n.contracts)
+	n.claims = claimwriter.New(n.table, n.logger, n.scope)
+	n.calls = idempotent.New(idempotent.Config{
+		Host:        n.host,
+		Incarnation: n.incarnation,
+		Claims:      n.claims,
+		Sender:      callSender{n},
+		Objects:     n.objects,
+		SendTimeout: callTimeout,
+		Log:         n.logger,
+		Metrics:     n.scope,
+	})
 	return nil
 }
 
@@ -204,4 +232,3 @@
 		Config:   n.continuationConfig(),
 	}
 }
-
--- a/internal/node/replicas.go
+++ b/internal/node/replicas.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -190,3 +191,65 @@
 func (n *Node) siteOf(host ident.HostID, dataCentre ident.DataCentre) replica.Site {
 	return replica.Site{Host: host, DataCentre: dataCentre, Region: n.settings.RegionOf(string(dataCentre))}
 }
+
+// setUpCopies prepares sending journals and holding those of others.
+func (n *Node) setUpCopies() {
+	copies := n.settings.Copies
+	n.replicator = replica.NewReplicator(replica.Options{
+		Self:               n.sender(),
+		FlushInterval:      copies.FlushInterval.Duration,
+		AcknowledgeTimeout: copies.AcknowledgeTimeout.Duration,
+		Open:               n.openCopyStream,
+	})
+	limit := int64(copies.MemoryLimitMiB) << 20
+	n.copies = &copyStore{replica.NewStore(limit, copies.Retention.Duration)}
+}
+
+func (n *Node) openCopyStream(ctx context.Context, peer ident.HostID) (replica.Stream, error) {
+	client, err := n.clientOf(peer)
+	if err != nil {
+		return nil, err
+	}
+	return client.CopyJournals(ctx)
+}
+
+// retainPeers ends the connections and copy workers of nodes that are gone.
+func (n *Node) retainPeers(context.Context) {
+	n.mu.Lock()
+	nodes := n.view.Nodes()
+	n.mu.Unlock()
+	hosts := map[ident.HostID]bool{}
+	var addresses []string
+	for _, node := range nodes {
+		if node.Address == "" || node.State == membership.Dead || node.State == membership.Left {
+			continue
+		}
+		hosts[node.Host] = true
+		addresses = append(addresses, node.Address)
+	}
+	n.replicator.Retain(hosts)
+	n.peers.Retain(addresses)
+}
+
+// copyStore answers other nodes from the copies held for them.
+type copyStore struct{ store *replica.Store }
+
+// Apply stores one batch.
+func (c *copyStore) Apply(batch *nodepb.JournalBatch) *nodepb.JournalAck {
+	return c.store.Apply(time.Now(), batch)
+}
+
+// Fetch returns one journal.
+func (c *copyStore) Fetch(request *nodepb.FetchJournalRequest) *nodepb.FetchJournalResponse {
+	journal, ok := c.store.Fetch(time.Now(), ident.GenerationID(request.GetGenerationId()))
+	if !ok {
+		return &nodepb.FetchJournalResponse{}
+	}
+	return &nodepb.FetchJournalResponse{
+		Found:        true,
+		Head:         journal.Head,
+		Tokens:       journal.Tokens,
+		Finished:     journal.Finished,
+		FinishReason: journal.FinishReason,
+	}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -82,6 +82,7 @@
 	workers.Go(func() { n.gate.Run(ctx) })
 	workers.Go(func() { n.trail.Run(ctx) })
 	workers.Go(func() { n.claims.Run(ctx) })
+	periodic(time.Second, n.retainPeers)
 }
 
 func (n *Node) reloadCertificates(context.Context) {
@@ -158,7 +159,7 @@
 		MaxBodyBytes:    n.settings.Limits.MaxBodyBytes,
 		MaxOutputTokens: n.settings.Limits.MaxOutputTokens,
 	})
-	operators := operator.NewServer(n.operatorBackend(), n.operatorOptions())
+	operators := operator.NewHandler(n.operatorConfig())
 	return &servers{
 		callers: &http.Server{
 			Handler:           callers.Handler(),
