--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -59,6 +59,15 @@
 	return &Caller{cfg: cfg, addresses: newAddressBook(cfg.Client, cfg.Nodes)}
 }
 
+// pick returns the address of the next connection; last is that of the one
+// before, empty for the first.
+func (c *Caller) pick(ctx context.Context, first, last string) (string, error) {
+	if last == "" && first != "" {
+		return first, nil
+	}
+	return c.addresses.pick(ctx, last)
+}
+
 // Request is one generation to ask for.
 type Request struct {
 	Model  string
@@ -69,8 +78,24 @@
 	MaxTokens int
 	// RequestID is made up if it is empty.
 	RequestID string
+	// First is the address of the first connection; empty: one that the nodes
+	// name. Later connections follow the nodes' addresses.
+	First string
 	// Priority is used in direct mode only.
 	Priority int
+	// Observe, if set, is called for each event with tokens, from the goroutine
+	// that reads the answer. Result.Gaps then stays empty.
+	Observe func(Arrival)
+}
+
+// Arrival tells when an event with tokens arrived.
+type Arrival struct {
+	At time.Time
+	// Silence is the time since the event before, or since the request.
+	Silence time.Duration
+	First   bool // the first event of the answer
+	// AfterBreak reports that the connection broke since the event before.
+	AfterBreak bool
 }
 
 func (r Request) prompt() string {
