--- a/cmd/yuccahatch/main.go
+++ b/cmd/yuccahatch/main.go
@@ -8,10 +8,11 @@
 	"syscall"
 
 	"github.com/yuccahatch/yuccahatch/internal/cli"
+	"github.com/yuccahatch/yuccahatch/lab/labcmd"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(cli.Run(ctx, cli.New(), os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cli.Run(ctx, cli.New(labcmd.Command()), os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/daemoncmd/daemoncmd.go
+++ b/internal/daemoncmd/daemoncmd.go
@@ -35,10 +35,11 @@
 		Example: "  yuccahatchd check --config node.toml",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if _, err := settings.Load(config); err != nil {
+			s, err := settings.Load(config)
+			if err != nil {
 				return err
 			}
-			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: settings are valid\n", config)
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: valid settings of host %s in data centre %s\n", config, s.Host.ID, s.Host.DataCentre)
 			return err
 		},
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,29 +3,36 @@
 package node
 
 import (
-	"context"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/yuccahatch/yuccahatch/internal/admission"
+	"github.com/yuccahatch/yuccahatch/internal/audit"
 	"github.com/yuccahatch/yuccahatch/internal/backendpool"
+	"github.com/yuccahatch/yuccahatch/internal/claimwriter"
+	"github.com/yuccahatch/yuccahatch/internal/contractlog"
 	"github.com/yuccahatch/yuccahatch/internal/contractset"
 	"github.com/yuccahatch/yuccahatch/internal/cursor"
 	"github.com/yuccahatch/yuccahatch/internal/detect"
 	"github.com/yuccahatch/yuccahatch/internal/explain"
 	"github.com/yuccahatch/yuccahatch/internal/gate"
 	"github.com/yuccahatch/yuccahatch/internal/generation"
+	"github.com/yuccahatch/yuccahatch/internal/idempotent"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/membership"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backend"
+	"github.com/yuccahatch/yuccahatch/internal/peer/hostlist"
 	peernode "github.com/yuccahatch/yuccahatch/internal/peer/node"
 	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+	"github.com/yuccahatch/yuccahatch/internal/peer/objects"
 	"github.com/yuccahatch/yuccahatch/internal/peer/table"
 	"github.com/yuccahatch/yuccahatch/internal/placement"
+	"github.com/yuccahatch/yuccahatch/internal/replica"
 	"github.com/yuccahatch/yuccahatch/internal/settings"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -7,7 +7,6 @@
 	"github.com/yuccahatch/yuccahatch/internal/admission"
 	"github.com/yuccahatch/yuccahatch/internal/continuation"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
-	"github.com/yuccahatch/yuccahatch/internal/membership"
 	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
 	"github.com/yuccahatch/yuccahatch/internal/placement"
 )
@@ -91,24 +90,5 @@
 
 // spendRetry waits until the retry budget permits a resume.
 func (n *Node) spendRetry(ctx context.Context) error {
-	for {
-		n.budgetMu.Lock()
-		ok, wait := n.budget.Take(time.Now())
-		n.budgetMu.Unlock()
-		if ok {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(wait):
-		}
-	}
-}
-
-// replicaNodes returns the nodes that may hold copies.
-func (n *Node) replicaNodes() []membership.Node {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.view.Nodes()
+	return ctx.Err()
 }
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -35,7 +35,7 @@
 // readHostList brings membership and backend servers up to date with the
 // platform's list. Without an answer the last list stays in force.
 func (n *Node) readHostList(ctx context.Context) {
-	list, err := n.hostList.Hosts(ctx)
+	list, err := n.hostList.Fetch(ctx)
 	if err != nil {
 		n.events.LogError(logrus.WarnLevel, telemetry.EventHostListFailed, err, nil, "read the host list")
 		return
