--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"net"
 	"slices"
@@ -15,7 +16,6 @@
 	"github.com/yuccahatch/yuccahatch/internal/generation"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/peer/caller"
-	"github.com/yuccahatch/yuccahatch/internal/quarantine"
 )
 
 // addressLifetime is how long callers may use an answer of addresses. It is
@@ -184,7 +184,7 @@
 		Prompt:        request.Prompt,
 		MaxTokens:     request.MaxTokens,
 		Priority:      enginePriority[priority],
-		Fingerprint:   quarantine.Fingerprint(access.Customer, request.Body),
+		Fingerprint:   sha256.Sum256(append([]byte(access.Customer+"\x00"), request.Body...)),
 	}
 }
 
