--- a/cmd/yuccahatchd/main.go
+++ b/cmd/yuccahatchd/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -9,8 +10,8 @@
 )
 
 func main() {
-	if err := daemoncmd.New().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+	if err := daemoncmd.New().ExecuteContext(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "yuccahatchd:", err)
 		os.Exit(1)
 	}
 }
--- a/internal/replica/copy.go
+++ b/internal/replica/copy.go
@@ -30,8 +30,10 @@
 	first    int64               // index of the first pending token
 	pending  []string
 	finished bool // the generation is finished
-	queued   bool // the copy is in the ring or in the worker's list
-	ended    bool // lost, abandoned or completely acknowledged
+	// finishReason is set with finished.
+	finishReason string
+	queued       bool // the copy is in the ring or in the worker's list
+	ended        bool // lost, abandoned or completely acknowledged
 }
 
 // Append adds the tokens that follow those appended before. It returns false if
@@ -43,11 +45,13 @@
 	return c.enqueue()
 }
 
-// Finish reports the end of the generation. The sink gets one more call.
-func (c *Copy) Finish() bool {
+// Finish reports the end of the generation and its finish reason. The sink gets
+// one more call.
+func (c *Copy) Finish(reason string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.finished = true
+	c.finishReason = reason
 	return c.enqueue()
 }
 
@@ -141,6 +145,7 @@
 	} else {
 		u.Tokens, c.pending = c.pending, u.Tokens[:0]
 		u.Finished, t.finished = c.finished, c.finished
+		u.FinishReason = c.finishReason
 		c.queued = false
 	}
 	c.first, c.head = t.through, nil
--- a/internal/replica/peer.go
+++ b/internal/replica/peer.go
@@ -218,7 +218,7 @@
 		if cap(tokens) > maxKeptTokens {
 			tokens = nil
 		}
-		u.GenerationId, u.Head, u.FirstIndex, u.Finished, u.CopyId = "", nil, 0, false, 0
+		u.GenerationId, u.Head, u.FirstIndex, u.Finished, u.FinishReason, u.CopyId = "", nil, 0, false, "", 0
 		u.Tokens = tokens[:0]
 	}
 	clear(p.sent)
--- a/internal/replica/replicator_test.go
+++ b/internal/replica/replicator_test.go
@@ -245,7 +245,7 @@
 		}
 		sink := &recorder{}
 		c := r.Start("a", head, journal, "p0", sink)
-		c.Finish()
+		c.Finish("stop")
 		time.Sleep(time.Second)
 		r.Close()
 		j, _ := n.stores["p0"].Fetch(time.Now(), "a")
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -18,6 +18,8 @@
 	Head     *nodepb.JournalHead
 	Tokens   []string
 	Finished bool
+	// FinishReason is set with Finished.
+	FinishReason string
 	// Owner is the node that sent the copy.
 	Owner ident.HostID
 }
@@ -50,10 +52,12 @@
 	text       []byte
 	ends       []uint32
 	finished   bool
-	changed    time.Time
-	element    *list.Element
-	in         *list.List
-	bytes      int64
+	// finishReason is set with finished.
+	finishReason string
+	changed      time.Time
+	element      *list.Element
+	in           *list.List
+	bytes        int64
 }
 
 // NewStore returns an empty store that holds at most limitBytes and keeps each
@@ -96,7 +100,9 @@
 	if known := int64(len(c.ends)) - u.GetFirstIndex(); known < int64(len(u.GetTokens())) {
 		c.append(u.GetTokens()[known:])
 	}
-	c.finished = c.finished || u.GetFinished()
+	if u.GetFinished() {
+		c.finished, c.finishReason = true, u.GetFinishReason()
+	}
 	c.changed = now
 	s.place(c)
 	s.account(c)
@@ -210,7 +216,7 @@
 		tokens[i] = text[start:end]
 		start = end
 	}
-	return Journal{Head: c.head, Tokens: tokens, Finished: c.finished, Owner: ident.HostID(c.owner.GetHostId())}, true
+	return Journal{Head: c.head, Tokens: tokens, Finished: c.finished, FinishReason: c.finishReason, Owner: ident.HostID(c.owner.GetHostId())}, true
 }
 
 // StoreStats is a snapshot of a Store.
