node: acknowledge a pushed contract by sequence and report freshness in one step

A push was acknowledged by version, also above a gap, and the node that took a change always counted itself; peers that fetch up to its sequence would not have got the entry, so that an accepted change could be missing on nodes that admit work. The sequence of a heartbeat was read before the age of its proof, which could pair an old sequence with a newer proof. Ages are rounded up, and a transfer that completes the sequence without a newer version now releases waiting proofs.

--- a/internal/node/contracts.go
+++ b/internal/node/contracts.go
@@ -65,13 +65,14 @@
 			Outcome:  "applied",
 		})
 	}
-	if len(entries) == 0 {
-		return
-	}
+	// A transfer may complete the sequence without a newer version, and proofs
+	// may wait for that.
 	n.mu.Lock()
 	n.freshness.Advance(n.contracts.Sequence())
 	n.mu.Unlock()
-	n.updateAdmission()
+	if len(entries) > 0 {
+		n.updateAdmission()
+	}
 }
 
 // pushTimeout bounds the acknowledgements of a change. Nodes that do not answer
@@ -93,7 +94,12 @@
 			continue
 		}
 		wait.Go(func() {
-			ok := peer.Host == n.host || n.pushTo(ctx, peer, entry)
+			ok := false
+			if peer.Host == n.host {
+				ok = n.contracts.Acknowledges(entry)
+			} else {
+				ok = n.pushTo(ctx, peer, entry)
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			if ok {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -178,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	n.freshness = contractset.NewFreshness(n.host, s.Contracts.StalenessLimit.Duration)
+	n.freshness = contractset.NewFreshness(n.host, s.Contracts.StalenessLimit.Duration, now)
 	seed := uint64(n.incarnation)
 	n.gate, err = gate.New(admission.Config{
 		QueueLimit: s.Admission.QueueRequestsPerCustomer,
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -64,6 +64,10 @@
 		return operatorapi.PutResult{}, err
 	}
 	n.contractsApplied(n.contracts.Apply(entry), "put")
+	if !n.contracts.Acknowledges(entry) {
+		// Another node took the change before; its push has not arrived.
+		n.followContracts(ctx)
+	}
 	inForce, pending := n.push(ctx, entry)
 	return operatorapi.PutResult{
 		Contract: contractOf(entry),
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -138,16 +138,17 @@
 	now := time.Now()
 	h := &nodepb.HeartbeatRequest{
 		Sender:   n.sender(),
-		Sequence: int64(n.contracts.Sequence()),
 		InFlight: int32(n.runs.inFlight()),
 		Uses:     n.backendUses(),
 		Evidence: n.crashEvidence(),
 	}
 	n.mu.Lock()
 	_, h.Leaving = n.view.Leaving()
-	h.FreshAgeMs = -1
-	if age := n.freshness.Age(now); age >= 0 {
-		h.FreshAgeMs = age.Milliseconds()
+	sequence, age := n.freshness.Report(now, n.contracts)
+	h.Sequence, h.FreshAgeMs = int64(sequence), -1
+	if age >= 0 {
+		// Rounded up, so that the knowledge does not seem younger than it is.
+		h.FreshAgeMs = (age + time.Millisecond - 1).Milliseconds()
 	}
 	n.mu.Unlock()
 	n.addShares(now, to, h)
