--- a/internal/cli/put.go
+++ b/internal/cli/put.go
@@ -81,8 +81,9 @@
 	var result operatorapi.PutResult
 	status, err := c.call(cmd.Context(), http.MethodPut, contractPath(string(customer)), header, document, &result)
 	if err != nil {
-		// A node may have taken the change without its answer arriving.
-		if status == 0 || status >= http.StatusInternalServerError {
+		// A node may have taken the change without its answer arriving. 503 says
+		// that it did not.
+		if status == 0 || status == http.StatusInternalServerError || status == http.StatusGatewayTimeout {
 			fmt.Fprintf(cmd.ErrOrStderr(), "To repeat this change safely, add: --change-id %s\n", flags.changeID)
 		}
 		return err
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -69,9 +69,16 @@
 		n.followContracts(ctx)
 	}
 	inForce, pending := n.push(ctx, entry)
+	accepted := n.acceptedBy(inForce)
+	if accepted {
+		n.trail.Record(operatorapi.AuditRecord{
+			At: time.Now(), Actor: change.Actor, HostID: string(n.host), Action: audit.ActionPut, Customer: string(entry.Customer),
+			From: int64(entry.Version) - 1, To: int64(entry.Version), Outcome: audit.OutcomeAccepted,
+		})
+	}
 	return operatorapi.PutResult{
 		Contract: contractOf(entry),
-		Accepted: n.acceptedBy(inForce),
+		Accepted: accepted,
 		InForce:  hostNames(inForce),
 		Pending:  hostNames(pending),
 	}, nil
