--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -20,6 +20,6 @@
 
 func (n *Node) backendDied(ident.BackendID, int64) {}
 
-func (n *Node) crashEvidence() []*nodepb.Evidence { return nil }
+func (n *Node) crashEvidence(ident.HostID) *nodepb.Evidence { return nil }
 
-func (n *Node) observeEvidence(time.Time, ident.HostID, []*nodepb.Evidence) {}
+func (n *Node) observeEvidence(time.Time, *nodepb.Sender, *nodepb.Evidence) {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/placement"
 	"github.com/yuccahatch/yuccahatch/internal/replica"
 	"github.com/yuccahatch/yuccahatch/internal/settings"
+	"github.com/yuccahatch/yuccahatch/internal/share"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
@@ -69,8 +70,10 @@
 	certificates *peernode.Certificates
 	runs         *runs
 
-	// mu guards view, freshness and listed: what this node knows about others.
+	// mu guards view, freshness, ledger and listed: what this node knows about
+	// others.
 	mu        sync.Mutex
+	ledger    *share.Ledger
 	view      *membership.View
 	freshness *contractset.Freshness
 	listed    []ident.HostID
@@ -178,11 +181,15 @@
 	if err != nil {
 		return err
 	}
+	if n.ledger, err = share.New(n.host, n.incarnation, share.Config{}, now); err != nil {
+		return err
+	}
 	n.freshness = contractset.NewFreshness(n.host, s.Contracts.StalenessLimit.Duration)
 	seed := uint64(n.incarnation)
 	n.gate, err = gate.New(admission.Config{
 		QueueLimit: s.Admission.QueueRequestsPerCustomer,
 		MaxWait:    s.Admission.MaxWait.Duration,
+		Burst:      limitBurst,
 	}, n.recheck, seed)
 	if err != nil {
 		return err
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -19,6 +19,7 @@
 func (h *peerHandler) Heartbeat(_ context.Context, r *nodepb.HeartbeatRequest) (*nodepb.HeartbeatResponse, error) {
 	n := (*Node)(h)
 	n.observeHeartbeat(time.Time{}, r)
+	loans := n.answerDemands(time.Now(), r)
 	own := n.heartbeat(ident.HostID(r.GetSender().GetHostId()))
 	return &nodepb.HeartbeatResponse{
 		Sender:     own.GetSender(),
@@ -27,8 +28,7 @@
 		FreshAgeMs: own.GetFreshAgeMs(),
 		InFlight:   own.GetInFlight(),
 		Uses:       own.GetUses(),
-		Demands:    own.GetDemands(),
-		Loans:      own.GetLoans(),
+		Loans:      loans,
 		Evidence:   own.GetEvidence(),
 	}, nil
 }
--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -19,6 +19,11 @@
 	// expectedOutputTokens stands for the length of an answer in estimates.
 	// max_tokens is only a bound, which most callers leave at its default.
 	expectedOutputTokens = 512
+	// limitBurst is the time that an answer of expectedOutputTokens takes at 17
+	// tokens/s. A customer whose limit is unused may fill its part of all slots
+	// at once: a burst of 1 s would refuse a ramp of new streams while the engines
+	// are idle.
+	limitBurst = 30 * time.Second
 	// capacityMargin lets engines queue a little, so that they never run empty
 	// because of the lag of load reports.
 	capacityMargin = 1.25
@@ -125,7 +130,7 @@
 			limits := admission.Limits{
 				Priority: admissionClass[f.Contract.Priority],
 				Weight:   math.Max(f.Contract.SharePercent, 0.1),
-				Rate:     n.customerRate(f.Entry.Customer, f.Contract.SharePercent, capacity.Rate),
+				Rate:     n.customerRate(now, c, f.Entry.Customer, f.Contract.SharePercent, capacity.Rate),
 			}
 			// The limits come from a checked contract.
 			_ = c.SetCustomer(now, f.Entry.Customer, limits)
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -1,19 +1,113 @@
 package node
 
 import (
+	"math"
 	"time"
 
+	"github.com/yuccahatch/yuccahatch/internal/admission"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/membership"
 	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+	"github.com/yuccahatch/yuccahatch/internal/share"
 )
 
-func (n *Node) addShares(time.Time, ident.HostID, *nodepb.HeartbeatRequest) {}
+// shareHosts tells the ledger how many hosts divide each limit.
+func (n *Node) shareHosts(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ledger.SetHosts(now, n.listed)
+}
+
+// demandsFor returns what to ask of each peer, in the order of the peers.
+func (n *Node) demandsFor(now time.Time, peers []membership.Node) [][]*nodepb.Demand {
+	hosts := make([]ident.HostID, len(peers))
+	for i, peer := range peers {
+		hosts[i] = peer.Host
+	}
+	n.mu.Lock()
+	asked := n.ledger.Demands(now, hosts)
+	n.mu.Unlock()
+	messages := make([][]*nodepb.Demand, len(peers))
+	for i, demands := range asked {
+		for _, d := range demands {
+			messages[i] = append(messages[i], &nodepb.Demand{
+				Customer:          string(d.Customer),
+				Want:              d.Want,
+				Keep:              d.Keep,
+				LoanSequence:      d.LoanSequence,
+				LenderIncarnation: int64(d.LenderIncarnation),
+				StampNs:           int64(d.Stamp),
+			})
+		}
+	}
+	return messages
+}
 
-func (n *Node) observeShares(time.Time, ident.HostID, *nodepb.HeartbeatRequest) {}
+// answerDemands returns the loans that answer a peer's demands.
+func (n *Node) answerDemands(now time.Time, r *nodepb.HeartbeatRequest) []*nodepb.Loan {
+	peer := ident.HostID(r.GetSender().GetHostId())
+	incarnation := ident.Incarnation(r.GetSender().GetIncarnation())
+	var demands []share.Demand
+	for _, d := range r.GetDemands() {
+		demands = append(demands, share.Demand{
+			Customer:          ident.Customer(d.GetCustomer()),
+			Want:              d.GetWant(),
+			Keep:              d.GetKeep(),
+			LoanSequence:      d.GetLoanSequence(),
+			LenderIncarnation: ident.Incarnation(d.GetLenderIncarnation()),
+			Stamp:             time.Duration(d.GetStampNs()),
+		})
+	}
+	n.mu.Lock()
+	n.ledger.ObserveIncarnation(now, peer, incarnation)
+	loans := n.ledger.ObserveDemands(now, peer, incarnation, demands)
+	n.mu.Unlock()
+	var messages []*nodepb.Loan
+	for _, l := range loans {
+		messages = append(messages, &nodepb.Loan{
+			Customer:            string(l.Customer),
+			Sequence:            l.Sequence,
+			Fraction:            l.Fraction,
+			StampNs:             int64(l.Stamp),
+			BorrowerIncarnation: int64(l.BorrowerIncarnation),
+			ValidMs:             l.ValidFor.Milliseconds(),
+		})
+	}
+	return messages
+}
+
+// observeLoans takes the loans in a peer's answer.
+func (n *Node) observeLoans(now time.Time, answer *nodepb.HeartbeatResponse) {
+	peer := ident.HostID(answer.GetSender().GetHostId())
+	incarnation := ident.Incarnation(answer.GetSender().GetIncarnation())
+	var loans []share.Loan
+	for _, l := range answer.GetLoans() {
+		loans = append(loans, share.Loan{
+			Customer:            ident.Customer(l.GetCustomer()),
+			Sequence:            l.GetSequence(),
+			Fraction:            l.GetFraction(),
+			Stamp:               time.Duration(l.GetStampNs()),
+			BorrowerIncarnation: ident.Incarnation(l.GetBorrowerIncarnation()),
+			ValidFor:            time.Duration(l.GetValidMs()) * time.Millisecond,
+		})
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ledger.ObserveIncarnation(now, peer, incarnation)
+	n.ledger.Acknowledged(now, peer)
+	n.ledger.ObserveLoans(now, peer, incarnation, loans)
+}
 
-// customerRate returns this node's part of a customer's limit in tokens/s.
-func (n *Node) customerRate(_ ident.Customer, sharePercent, fleetRate float64) float64 {
+// customerRate returns this node's part of a customer's limit in tokens/s, and
+// records what the customer could use here now. Without load reports the limit
+// is not known; the lack of slots then holds work back.
+func (n *Node) customerRate(now time.Time, c *admission.Controller, customer ident.Customer, sharePercent, fleetRate float64) float64 {
+	limit := fleetRate * sharePercent / 100
+	if limit <= 0 {
+		return math.Inf(1)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return fleetRate * sharePercent / 100 / float64(max(len(n.listed), 1))
+	n.ledger.SetDemand(now, customer, c.Demand(customer)/limit)
+	return limit * n.ledger.Part(now, customer)
 }
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -48,6 +48,7 @@
 	}
 	n.mu.Unlock()
 	n.observeTransitions(transitions)
+	n.shareHosts(now)
 	n.backends.ObserveList(list.Backends)
 }
 
@@ -94,18 +95,21 @@
 	n.mu.Lock()
 	peers := n.view.HeartbeatPeers()
 	n.mu.Unlock()
-	for _, peer := range peers {
-		go n.sendHeartbeat(ctx, peer)
+	demands := n.demandsFor(time.Now(), peers)
+	for i, peer := range peers {
+		heartbeat := n.heartbeat(peer.Host)
+		heartbeat.Demands = demands[i]
+		go n.sendHeartbeat(ctx, peer, heartbeat)
 	}
 }
 
-func (n *Node) sendHeartbeat(ctx context.Context, peer membership.Node) {
+func (n *Node) sendHeartbeat(ctx context.Context, peer membership.Node, heartbeat *nodepb.HeartbeatRequest) {
 	client, err := n.peers.Client(peer.Address)
 	if err != nil {
 		return
 	}
 	askedAt := time.Now()
-	answer, err := client.Heartbeat(ctx, n.heartbeat(peer.Host))
+	answer, err := client.Heartbeat(ctx, heartbeat)
 	if err != nil {
 		n.mu.Lock()
 		transitions := n.view.ConnectionFailed(time.Now(), peer.Host, peer.Incarnation)
@@ -114,6 +118,7 @@
 		return
 	}
 	n.observeHeartbeat(askedAt, answerAsRequest(answer))
+	n.observeLoans(time.Now(), answer)
 	if ident.LogSequence(answer.GetSequence()) > n.contracts.Sequence() {
 		n.fetchContracts(ctx, client)
 	}
@@ -127,8 +132,6 @@
 		FreshAgeMs: a.GetFreshAgeMs(),
 		InFlight:   a.GetInFlight(),
 		Uses:       a.GetUses(),
-		Demands:    a.GetDemands(),
-		Loans:      a.GetLoans(),
 		Evidence:   a.GetEvidence(),
 	}
 }
@@ -141,7 +144,7 @@
 		Sequence: int64(n.contracts.Sequence()),
 		InFlight: int32(n.runs.inFlight()),
 		Uses:     n.backendUses(),
-		Evidence: n.crashEvidence(),
+		Evidence: n.crashEvidence(to),
 	}
 	n.mu.Lock()
 	_, h.Leaving = n.view.Leaving()
@@ -150,7 +153,6 @@
 		h.FreshAgeMs = age.Milliseconds()
 	}
 	n.mu.Unlock()
-	n.addShares(now, to, h)
 	return h
 }
 
@@ -181,6 +183,5 @@
 	n.mu.Unlock()
 	n.observeTransitions(transitions)
 	n.observeUses(now, host, h.GetUses())
-	n.observeEvidence(now, host, h.GetEvidence())
-	n.observeShares(now, host, h)
+	n.observeEvidence(now, h.GetSender(), h.GetEvidence())
 }
