--- a/internal/node/contracts.go
+++ b/internal/node/contracts.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		wait.Go(func() {
-			ok := peer.Host == n.host || n.pushTo(ctx, peer, entry)
+			ok := n.acknowledgedBy(ctx, peer, entry)
 			mu.Lock()
 			defer mu.Unlock()
 			if ok {
@@ -107,6 +107,13 @@
 	return inForce, pending
 }
 
+func (n *Node) acknowledgedBy(ctx context.Context, peer membership.Node, entry contractset.Entry) bool {
+	if peer.Host == n.host {
+		return n.contracts.Acknowledges(entry)
+	}
+	return n.pushTo(ctx, peer, entry)
+}
+
 func (n *Node) pushTo(ctx context.Context, peer membership.Node, entry contractset.Entry) bool {
 	client, err := n.peers.Client(peer.Address)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -184,7 +184,7 @@
 	if n.ledger, err = share.New(n.host, n.incarnation, share.Config{}, now); err != nil {
 		return err
 	}
-	n.freshness = contractset.NewFreshness(n.host, s.Contracts.StalenessLimit.Duration)
+	n.freshness = contractset.NewFreshness(n.host, s.Contracts.StalenessLimit.Duration, now)
 	seed := uint64(n.incarnation)
 	n.gate, err = gate.New(admission.Config{
 		QueueLimit: s.Admission.QueueRequestsPerCustomer,
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -64,6 +64,11 @@
 		return operatorapi.PutResult{}, err
 	}
 	n.contractsApplied(n.contracts.Apply(entry), "put")
+	if !n.contracts.Acknowledges(entry) {
+		// Earlier changes are missing here; without them the push would count
+		// for nothing.
+		n.followContracts(ctx)
+	}
 	inForce, pending := n.push(ctx, entry)
 	return operatorapi.PutResult{
 		Contract: contractOf(entry),
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -49,10 +49,9 @@
 	n := (*Node)(h)
 	entry := entryOf(r.GetEntry())
 	n.contractsApplied(n.contracts.Apply(entry), "push")
-	inForce, ok := n.contracts.Contract(entry.Customer)
 	return &nodepb.PushContractResponse{
 		Sequence: int64(n.contracts.Sequence()),
-		InForce:  ok && inForce.Entry.Version >= entry.Version,
+		InForce:  n.contracts.Acknowledges(entry),
 	}, nil
 }
 
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -141,18 +141,20 @@
 	now := time.Now()
 	h := &nodepb.HeartbeatRequest{
 		Sender:   n.sender(),
-		Sequence: int64(n.contracts.Sequence()),
 		InFlight: int32(n.runs.inFlight()),
 		Uses:     n.backendUses(),
 		Evidence: n.crashEvidence(to),
 	}
 	n.mu.Lock()
 	_, h.Leaving = n.view.Leaving()
+	sequence, age := n.freshness.Report(now, n.contracts)
+	n.mu.Unlock()
+	h.Sequence = int64(sequence)
 	h.FreshAgeMs = -1
-	if age := n.freshness.Age(now); age >= 0 {
-		h.FreshAgeMs = age.Milliseconds()
+	if age >= 0 {
+		// Rounded up, so that the proof never looks younger than it is.
+		h.FreshAgeMs = age.Milliseconds() + 1
 	}
-	n.mu.Unlock()
 	return h
 }
 
