--- a/internal/peer/node/node_test.go
+++ b/internal/peer/node/node_test.go
@@ -18,8 +18,10 @@
 
 var sender = &nodepb.Sender{HostId: "n1", Incarnation: 1, DataCentre: "a"}
 
-// echo is a Handler whose heartbeats wait for hold, if it is set.
+// echo is a Handler whose heartbeats wait for hold, if it is set. Calls that no
+// test lets through to the handler are not implemented.
 type echo struct {
+	Handler
 	hold chan struct{}
 }
 
@@ -37,22 +39,6 @@
 	return nil, errors.New("handler fault")
 }
 
-func (e *echo) PushContract(context.Context, *nodepb.PushContractRequest) (*nodepb.PushContractResponse, error) {
-	return &nodepb.PushContractResponse{}, nil
-}
-
-func (e *echo) FetchJournal(context.Context, *nodepb.FetchJournalRequest) (*nodepb.FetchJournalResponse, error) {
-	return &nodepb.FetchJournalResponse{}, nil
-}
-
-func (e *echo) Release(context.Context, *nodepb.ReleaseRequest) (*nodepb.ReleaseResponse, error) {
-	return &nodepb.ReleaseResponse{}, nil
-}
-
-func (e *echo) Explain(context.Context, *nodepb.ExplainRequest) (*nodepb.ExplainResponse, error) {
-	return &nodepb.ExplainResponse{}, nil
-}
-
 func (e *echo) ApplyJournals(b *nodepb.JournalBatch) *nodepb.JournalAck {
 	return &nodepb.JournalAck{Batch: b.Batch}
 }
