--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -108,6 +108,6 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.ledger.SetDemand(now, customer, c.Demand(customer)/limit)
+	n.ledger.SetDemand(now, customer, c.Demand(now, customer)/limit)
 	return limit * n.ledger.Part(now, customer)
 }
