--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -158,6 +158,7 @@
 	callers := caller.NewServer(n, caller.Limits{
 		MaxBodyBytes:    n.settings.Limits.MaxBodyBytes,
 		MaxOutputTokens: n.settings.Limits.MaxOutputTokens,
+		MaxRequests:     n.settings.Limits.MaxConnections,
 	})
 	operators := operator.NewHandler(n.operatorConfig())
 	return &servers{
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -82,6 +82,8 @@
 type Limits struct {
 	MaxBodyBytes    int64
 	MaxOutputTokens int
+	// MaxRequests bounds the requests under way, 0 for no bound.
+	MaxRequests int
 }
 
 // Server serves callers.
@@ -106,7 +108,10 @@
 	router.PathPrefix(callerapi.RouteServices).HandlerFunc(s.authenticated(s.service))
 	router.NotFoundHandler = http.HandlerFunc(notFound)
 	router.MethodNotAllowedHandler = http.HandlerFunc(methodNotAllowed)
-	return router
+	if s.limits.MaxRequests <= 0 {
+		return router
+	}
+	return limitRequests(s.limits.MaxRequests, router)
 }
 
 func notFound(w http.ResponseWriter, r *http.Request) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -115,7 +115,7 @@
 // Limits bounds what one caller can use of a node.
 type Limits struct {
 	MaxBodyBytes    int64 `toml:"max_body_bytes" default:"4194304" min:"1024" max:"33554432" unit:"bytes" doc:"Largest request body."`
-	MaxConnections  int   `toml:"max_connections" default:"4096" min:"1" max:"1000000" unit:"connections" doc:"Open connections of callers."`
+	MaxConnections  int   `toml:"max_connections" default:"4096" min:"1" max:"1000000" unit:"connections" doc:"Requests of callers under way; further ones are refused with 503 overloaded."`
 	MaxOutputTokens int   `toml:"max_output_tokens" default:"32768" min:"1" max:"10000000" unit:"tokens" doc:"Upper limit of the tokens of one answer."`
 }
 
