--- a/lab/labcmd/labcmd.go
+++ b/lab/labcmd/labcmd.go
@@ -35,7 +35,7 @@
   yuccahatch lab call --node 127.0.0.1:9001 --key demo --model airing-plan-1 --prompt "plan length=200"`,
 	}
 	cmd.AddCommand(engineCommand(), platformCommand(), serviceCommand(), callCommand(caller.DefaultConfig()),
-		getCommand(), demoCommand())
+		getCommand(), demoCommand(), loadCommand(), compareCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/lab/load/positions.go
@@ -0,0 +1,91 @@
+package load
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// lines maps key paths such as "faults[1].at" to line numbers. The decoder
+// reports lines of its own errors only, so the file is read a second time for
+// the checks that follow it.
+type lines map[string]int
+
+// of returns the line of a key, or of the closest enclosing key that the file
+// has.
+func (l lines) of(key string) int {
+	for key != "" {
+		if line, ok := l[key]; ok {
+			return line
+		}
+		cut := strings.LastIndexAny(key, ".[")
+		if cut < 0 {
+			break
+		}
+		key = key[:cut]
+	}
+	return 1
+}
+
+// findLines reads a file that the decoder has accepted.
+func findLines(text []byte) lines {
+	found := lines{}
+	var parser unstable.Parser
+	parser.Reset(text)
+	counts := map[string]int{}
+	table := ""
+	for parser.NextExpression() {
+		node := parser.Expression()
+		switch node.Kind {
+		case unstable.ArrayTable:
+			name, line := keyOf(&parser, node)
+			if before, last, ok := cutLast(name); ok && counts[before] > 0 {
+				name = fmt.Sprintf("%s[%d].%s", before, counts[before]-1, last)
+			}
+			table = fmt.Sprintf("%s[%d]", name, counts[name])
+			counts[name]++
+			found[table] = line
+		case unstable.Table:
+			name, line := keyOf(&parser, node)
+			table, found[name] = name, line
+		case unstable.KeyValue:
+			found.add(&parser, table, node)
+		}
+	}
+	return found
+}
+
+func cutLast(name string) (before, last string, ok bool) {
+	at := strings.LastIndexByte(name, '.')
+	if at < 0 {
+		return name, "", false
+	}
+	return name[:at], name[at+1:], true
+}
+
+func (l lines) add(parser *unstable.Parser, table string, node *unstable.Node) {
+	name, line := keyOf(parser, node)
+	if table != "" {
+		name = table + "." + name
+	}
+	l[name] = line
+	if value := node.Value(); value.Kind == unstable.InlineTable {
+		for children := value.Children(); children.Next(); {
+			l.add(parser, name, children.Node())
+		}
+	}
+}
+
+// keyOf returns the dotted key of a node and its line.
+func keyOf(parser *unstable.Parser, node *unstable.Node) (string, int) {
+	var parts []string
+	line := 0
+	for it := node.Key(); it.Next(); {
+		if len(parts) == 0 {
+			line = parser.Shape(it.Node().Raw).Start.Line
+		}
+		parts = append(parts, string(it.Node().Data))
+	}
+	return strings.Join(parts, "."), line
+}
--- a/lab/scrape/scrape.go
+++ b/lab/scrape/scrape.go
@@ -21,6 +21,7 @@
 	TokensDiscarded  = "yuccahatch_tokens_discarded_total"
 	TokensRecomputed = "yuccahatch_tokens_recomputed_total"
 	Resumes          = "yuccahatch_resumes_total"
+	ResumeSeconds    = "yuccahatch_resume_seconds" // _sum and _count
 	CopyTokens       = "yuccahatch_copy_tokens_total"
 	CopyBytes        = "yuccahatch_copy_bytes_total"
 )
