--- a/internal/node/contracts.go
+++ b/internal/node/contracts.go
@@ -65,14 +65,13 @@
 			Outcome:  "applied",
 		})
 	}
-	// A transfer may complete the sequence without a newer version, and proofs
-	// may wait for that.
+	if len(entries) == 0 {
+		return
+	}
 	n.mu.Lock()
 	n.freshness.Advance(n.contracts.Sequence())
 	n.mu.Unlock()
-	if len(entries) > 0 {
-		n.updateAdmission()
-	}
+	n.updateAdmission()
 }
 
 // pushTimeout bounds the acknowledgements of a change. Nodes that do not answer
@@ -94,12 +93,7 @@
 			continue
 		}
 		wait.Go(func() {
-			ok := false
-			if peer.Host == n.host {
-				ok = n.contracts.Acknowledges(entry)
-			} else {
-				ok = n.pushTo(ctx, peer, entry)
-			}
+			ok := n.acknowledgedBy(ctx, peer, entry)
 			mu.Lock()
 			defer mu.Unlock()
 			if ok {
@@ -113,6 +107,13 @@
 	return inForce, pending
 }
 
+func (n *Node) acknowledgedBy(ctx context.Context, peer membership.Node, entry contractset.Entry) bool {
+	if peer.Host == n.host {
+		return n.contracts.Acknowledges(entry)
+	}
+	return n.pushTo(ctx, peer, entry)
+}
+
 func (n *Node) pushTo(ctx context.Context, peer membership.Node, entry contractset.Entry) bool {
 	client, err := n.peers.Client(peer.Address)
 	if err != nil {
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -65,7 +65,8 @@
 	}
 	n.contractsApplied(n.contracts.Apply(entry), "put")
 	if !n.contracts.Acknowledges(entry) {
-		// Another node took the change before; its push has not arrived.
+		// Earlier changes are missing here; without them the push would count
+		// for nothing.
 		n.followContracts(ctx)
 	}
 	inForce, pending := n.push(ctx, entry)
