Add the tracker of requests that crash backend servers

A request is confirmed after two deaths of servers, if it was the only suspect at the second.

- Three servers that die within 2 s of one another are a burst.
It makes a suspect only of a request that was on two of them and confirms only one that was on all, so that a lost rack confirms nobody and a crashing request placed by many nodes at once does not hide in its own burst.
- The second death is judged when every peer has reported on it.
Until then the request is neither refused nor placed, since an innocent suspect may have shared the server with a request placed by a node without the news.
- A suspect whose deaths another one shares, with more of its own, does not count as a second suspect.

--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,116 @@
+package quarantine
+
+import (
+	"sort"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// Evidence is what one node tells another in a heartbeat. Taking the same
+// evidence twice or out of order changes nothing.
+type Evidence struct {
+	From      ident.HostID
+	SentAt    time.Time
+	Deaths    []DeathReport
+	Cleared   []Finding
+	Confirmed []Finding
+	// Suspects lists all suspects that run by the sender's hand.
+	Suspects []Placement
+}
+
+// DeathReport tells what ran on a server that died, as far as the sender knows.
+type DeathReport struct {
+	Server      ident.BackendID
+	Incarnation ident.Incarnation
+	At          time.Time
+	Running     []Fingerprint
+}
+
+// Finding is a fingerprint and when it finished or last crashed a server.
+type Finding struct {
+	Fingerprint Fingerprint
+	At          time.Time
+}
+
+// Placement is a suspect that runs on a server.
+type Placement struct {
+	Fingerprint Fingerprint
+	Server      ident.BackendID
+}
+
+// Evidence returns what changed since the sequence after, and the sequence to
+// pass next time. What was learned from peers is passed on.
+func (t *Tracker) Evidence(now time.Time, after uint64) (Evidence, uint64) {
+	e := Evidence{From: t.self, SentAt: now}
+	for _, d := range t.deaths {
+		if d.sequence > after {
+			e.Deaths = append(e.Deaths, DeathReport{d.server, d.incarnation, d.at, sorted(d.running)})
+		}
+	}
+	e.Cleared = findings(t.cleared, after)
+	e.Confirmed = findings(t.confirmed, after)
+	for server, running := range t.onServer {
+		for f := range running {
+			if t.isSuspect(f) {
+				e.Suspects = append(e.Suspects, Placement{f, server})
+			}
+		}
+	}
+	sort.Slice(e.Suspects, func(i, j int) bool {
+		a, b := e.Suspects[i], e.Suspects[j]
+		return a.Fingerprint < b.Fingerprint || a.Fingerprint == b.Fingerprint && a.Server < b.Server
+	})
+	return e, t.sequence
+}
+
+func sorted(set map[Fingerprint]bool) []Fingerprint {
+	out := make([]Fingerprint, 0, len(set))
+	for f := range set {
+		out = append(out, f)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+func findings(set map[Fingerprint]news, after uint64) []Finding {
+	var out []Finding
+	for f, n := range set {
+		if n.sequence > after {
+			out = append(out, Finding{f, n.at})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Fingerprint < out[j].Fingerprint })
+	return out
+}
+
+// Learn takes a peer's evidence. A time in the future, by a peer whose clock is
+// ahead, counts as now. What it shows is judged at the next Expire.
+func (t *Tracker) Learn(now time.Time, e Evidence) {
+	for _, d := range e.Deaths {
+		if at := earlier(d.At, now); now.Sub(at) <= EvidenceLifetime {
+			t.record(life{d.Server, d.Incarnation}, at, d.Running)
+		}
+	}
+	for _, c := range e.Cleared {
+		if at := earlier(c.At, now); now.Sub(at) <= EvidenceLifetime {
+			t.clear(c.Fingerprint, at)
+		}
+	}
+	for _, c := range e.Confirmed {
+		at := earlier(c.At, now)
+		if _, known := t.confirmed[c.Fingerprint]; !known && now.Sub(at) <= EvidenceLifetime {
+			t.confirm(c.Fingerprint, append(t.strikes(c.Fingerprint), &death{at: at}))
+		}
+	}
+	if last := t.peers[e.From]; e.From != t.self && !e.SentAt.Before(last.sentAt) {
+		t.peers[e.From] = peer{sentAt: earlier(e.SentAt, now), heardAt: now, suspects: e.Suspects}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/quarantine/tracker_test.go
@@ -0,0 +1,130 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// Guards the bound on servers that one crashing request kills when its caller
+// sends it again under new ids through all nodes, and innocent requests against
+// a refusal.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	for delay, seeds := range map[time.Duration]uint64{0: 8, 500 * time.Millisecond: 8, 2 * time.Second: 4, 5 * time.Second: 2} {
+		t.Run(delay.String(), func(t *testing.T) {
+			// One copy is placed in each tick and crash time while news is late.
+			bound := 2 + int(delay/(crashAfter+tick)) + 1
+			if delay == 0 {
+				bound = 2
+			}
+			worst, waiting := 0, 0
+			for seed := range seeds {
+				f := newFleet(seed, delay)
+				f.addCrasher("crasher")
+				f.run(int((8*time.Second + 4*delay) / tick))
+				worst, waiting = max(worst, f.killed), max(waiting, f.waiting)
+				if f.killed > bound {
+					t.Errorf("seed %d: %d servers killed, bound %d", seed, f.killed, bound)
+				}
+				if f.refused > 0 {
+					t.Errorf("seed %d: innocent requests refused %d times", seed, f.refused)
+				}
+				for i, n := range f.nodes {
+					if v := n.Verdict("crasher"); v != Confirmed {
+						t.Errorf("seed %d: node %d finds the crashing request %s", seed, i, v)
+					}
+				}
+			}
+			t.Logf("delay %s: at most %d servers killed, bound %d; innocent requests waited %s at most in all",
+				delay, worst, bound, time.Duration(waiting)*tick)
+		})
+	}
+}
+
+// Guards innocent requests against a refusal after the loss of a quarter of the
+// servers, also shortly after or before the loss of another server.
+func TestRackLossConfirmsNobody(t *testing.T) {
+	for _, delay := range []time.Duration{0, 2 * time.Second} {
+		for seed := range uint64(2) {
+			f := newFleet(seed, delay)
+			single := f.random.IntN(servers)
+			f.kill([]int{single})
+			f.run(f.random.IntN(30))
+			f.kill(f.random.Perm(servers)[:servers/4+1])
+			f.run(f.random.IntN(30))
+			f.kill(f.random.Perm(servers)[:servers/4+1])
+			f.run(int(8 * time.Second / tick))
+			if f.refused > 0 {
+				t.Errorf("delay %s, seed %d: innocent requests refused %d times", delay, seed, f.refused)
+			}
+			for _, n := range f.nodes {
+				if len(n.confirmed) > 0 {
+					t.Errorf("delay %s, seed %d: confirmed %v", delay, seed, n.confirmed)
+				}
+			}
+		}
+	}
+}
+
+// Guards against retries that look like other requests and the reverse.
+func TestFingerprint(t *testing.T) {
+	base := FingerprintOf("c", []byte(`{"model":"m","prompt":"p","n":1}`))
+	for body, same := range map[string]bool{
+		` { "prompt" : "p", "n":1, "model":"m" }`:              true,
+		`{"model":"m","prompt":"p","n":1,"request_id":"x"}`:    true,
+		`{"model":"m","prompt":"p","n":1,"stream":true}`:       true,
+		`{"model":"m","prompt":"q","n":1}`:                     false,
+		`{"model":"m","prompt":"p","n":9007199254740993}`:      false,
+		`{"model":"m","prompt":"p","n":1} {}`:                  false,
+		`not JSON`:                                             false,
+		`{"model":"m","prompt":"p","n":1,"x":{"stream":true}}`: false,
+	} {
+		if got := FingerprintOf("c", []byte(body)) == base; got != same {
+			t.Errorf("%s: same = %v, want %v", body, got, same)
+		}
+	}
+	if FingerprintOf("d", []byte(`{"model":"m","prompt":"p","n":1}`)) == base {
+		t.Error("two customers share a fingerprint")
+	}
+}
+
+// Guards the bounds of memory and the expiry of evidence.
+func TestBoundsAndExpiry(t *testing.T) {
+	now, n := time.Unix(1e6, 0), New("a")
+	for i := range 3 * maxDeaths {
+		now = now.Add(10 * time.Millisecond)
+		server, attempt := ident.BackendID(fmt.Sprint(i)), ident.AttemptID(fmt.Sprint(i))
+		n.Started(attempt, Fingerprint(attempt), server)
+		n.Died(now, server, 1)
+	}
+	if len(n.deaths) != maxDeaths || len(n.byLife) != maxDeaths || len(n.byRequest) != maxDeaths || len(n.runs) != 0 {
+		t.Errorf("%d deaths, %d lives, %d requests, %d runs", len(n.deaths), len(n.byLife), len(n.byRequest), len(n.runs))
+	}
+	n.Expire(now.Add(EvidenceLifetime + time.Second))
+	if len(n.deaths)+len(n.byLife)+len(n.byRequest) != 0 {
+		t.Error("evidence kept after its lifetime")
+	}
+}
+
+// Guards a suspect that finished against being counted a second time.
+func TestFinishedSuspectIsReleased(t *testing.T) {
+	now, n := time.Unix(1e6, 0), New("a")
+	n.Started("1", "f", "s1")
+	n.Died(now, "s1", 1)
+	if n.Verdict("f") != Suspect {
+		t.Fatal("no suspect after the first death")
+	}
+	n.Started("2", "f", "s2")
+	n.Finished(now.Add(time.Second), "2", true)
+	if n.Verdict("f") != Clear {
+		t.Fatal("suspect after it finished")
+	}
+	n.Started("3", "f", "s3")
+	n.Died(now.Add(time.Minute), "s3", 1)
+	n.Expire(now.Add(2 * time.Minute))
+	if n.Verdict("f") != Suspect {
+		t.Fatal(n.Verdict("f"))
+	}
+}
