--- a/lab/demo/report.go
+++ b/lab/demo/report.go
@@ -18,7 +18,7 @@
 	Answers  int
 	Verified int // complete and with every token right
 	Counts   caller.Counts
-	// Reconnects counts connections of callers that broke in an answer.
+	// Reconnects counts the connections of callers beyond the first of an answer.
 	Reconnects int
 	// Interruptions holds the times without tokens that callers saw: those
 	// around a broken connection and those above Config.Interruption, sorted.
@@ -66,7 +66,7 @@
 		}
 		r.problem("answer %s: complete %t, %+v, %d connections: %s", a.RequestID, a.Complete, a.Counts, a.Attempts, reason)
 	}
-	r.Reconnects += len(a.Breaks)
+	r.Reconnects += max(0, a.Attempts-1)
 	r.Interruptions = append(r.Interruptions, interruptions(a, r.interruption)...)
 }
 
--- a/lab/load/collect.go
+++ b/lab/load/collect.go
@@ -157,7 +157,7 @@
 	s.Missing += r.Counts.Missing
 	s.Repeated += r.Counts.Repeated
 	s.Mixed += r.Counts.Mixed
-	s.Reconnects += len(r.Breaks)
+	s.Reconnects += max(0, r.Attempts-1)
 	switch {
 	case r.Complete && r.Clean:
 		s.Verified++
