generation: do not take a wrapped io.EOF for the end of an answer

TestQuarterOfEnginesKilled saw an answer that was sent as complete ("stop", [DONE]) with 22 of 160 tokens. Cause: postBroken used errors.Is(err, io.EOF). When a second engine dies, opening the resume fails with an error of net/http that wraps io.EOF, which ended the answer. A response that ends without its end mark was taken for a complete one in the same way.

Ruled out: the engine stand-in sends the end mark only for finished streams, and the state machine does not end a stream on Broken.

Only the bare io.EOF of Stream.Next ends an answer now.

--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -65,7 +65,8 @@
 
 // Stream is one connection to a stream.
 type Stream interface {
-	// Next returns io.EOF after the end of the answer.
+	// Next returns io.EOF itself, not wrapped, after the end of the answer, and
+	// any other error if the connection ended before.
 	Next() (backendapi.StreamEvent, error)
 	Close()
 }
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -435,7 +435,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if errors.Is(err, io.EOF) {
+	// Only the bare io.EOF of Stream.Next is the end of an answer. Connection
+	// errors may wrap io.EOF.
+	if err == io.EOF {
 		r.post(continuation.Ended{Attempt: id})
 		return
 	}
--- /dev/null
+++ b/internal/generation/run_test.go
@@ -0,0 +1,133 @@
+package generation
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/internal/continuation"
+	"github.com/yuccahatch/yuccahatch/internal/cursor"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// script is what one attempt delivers: tokens, then an error.
+type script struct {
+	openErr error
+	tokens  []string
+	finish  string // of the last token
+	err     error
+}
+
+// scripted plays one script for each attempt that is opened.
+type scripted struct {
+	scripts []script
+	opened  int
+}
+
+func (s *scripted) Open(_ context.Context, _ ident.BackendID, request backendapi.CompletionRequest) (Stream, error) {
+	played := s.scripts[s.opened]
+	s.opened++
+	first := 0
+	if request.ContinueFrom != nil {
+		first = request.ContinueFrom.Tokens
+	}
+	return &scriptedStream{script: played, first: first}, played.openErr
+}
+
+func (*scripted) Resume(context.Context, ident.BackendID, ident.AttemptID, int) (Stream, error) {
+	return nil, io.ErrClosedPipe
+}
+
+func (*scripted) Status(context.Context, ident.BackendID, ident.AttemptID) (backendapi.StreamStatus, error) {
+	return backendapi.StreamStatus{}, io.ErrClosedPipe
+}
+
+func (*scripted) Cancel(ident.BackendID, ident.AttemptID) {}
+
+type scriptedStream struct {
+	script
+	first, sent int
+}
+
+func (s *scriptedStream) Next() (backendapi.StreamEvent, error) {
+	if s.sent == len(s.tokens) {
+		return backendapi.StreamEvent{}, s.err
+	}
+	choice := backendapi.Choice{Text: s.tokens[s.sent]}
+	s.sent++
+	if s.sent == len(s.tokens) && s.finish != "" {
+		choice.FinishReason = &s.finish
+	}
+	return backendapi.StreamEvent{Index: s.first + s.sent - 1, Choices: []backendapi.Choice{choice}}, nil
+}
+
+func (*scriptedStream) Close() {}
+
+type anyServer struct{}
+
+func (anyServer) Place(context.Context, *Request, Ask) (Placement, error) {
+	return Placement{Backend: "e", FirstTokenLimit: time.Minute, Release: func(Outcome) {}}, nil
+}
+
+type patientDetector struct{}
+
+func (patientDetector) Observe(time.Duration)  {}
+func (patientDetector) Silence() time.Duration { return time.Minute }
+
+type noObserver struct{}
+
+func (noObserver) Decision(*Request, string, string)     {}
+func (noObserver) Opened(*Request, bool, int, int)       {}
+func (noObserver) Discarded(*Request)                    {}
+func (noObserver) Resumed(*Request, time.Duration, bool) {}
+func (noObserver) FirstToken(*Request, time.Duration)    {}
+func (noObserver) Unprotected(*Request)                  {}
+
+type textSink struct {
+	strings.Builder
+	finish string
+}
+
+func (s *textSink) Tokens(tokens []ReleasedToken) error {
+	for _, t := range tokens {
+		s.WriteString(t.Text)
+	}
+	return nil
+}
+
+func (s *textSink) Finish(reason string) error { s.finish = reason; return nil }
+
+// Guards against an answer that is passed off as complete because a connection
+// error wraps io.EOF, which alone stands for the end of an answer.
+func TestBrokenConnectionIsNoEnd(t *testing.T) {
+	cut := script{tokens: []string{" a", " b"}, err: io.ErrUnexpectedEOF}
+	rest := script{tokens: []string{" c"}, finish: "stop", err: io.EOF}
+	wrapped := fmt.Errorf("read: %w", io.EOF)
+	cases := map[string][]script{
+		"no connection for the resume":      {cut, {openErr: wrapped}, rest},
+		"response ends without end mark":    {{tokens: []string{" a", " b"}, err: wrapped}, rest},
+		"resumed response ends immediately": {cut, {err: wrapped}, rest},
+	}
+	for name, scripts := range cases {
+		t.Run(name, func(t *testing.T) {
+			codec, err := cursor.NewCodec(make([]byte, 32))
+			if err != nil {
+				t.Fatal(err)
+			}
+			sink := &textSink{}
+			run := New(Deps{
+				Backends: &scripted{scripts: scripts}, Placer: anyServer{}, Cursors: codec,
+				Detector: func(string) Detector { return patientDetector{} },
+				Observer: noObserver{}, Config: continuation.DefaultConfig,
+			}, &Request{}, Start{}, sink)
+			result := run.Execute(t.Context())
+			if sink.String() != " a b c" || sink.finish != "stop" || result.Failed != "" {
+				t.Errorf("answer %q with finish reason %q, failure %q; want %q with stop", sink.String(), sink.finish, result.Failed, " a b c")
+			}
+		})
+	}
+}
