Keep requests that crash backend servers apart and pass evidence on

A death made suspects of everything that ran on the server, and suspects did not share servers.

Only a request that had delivered no token on a server that died is kept apart, and only until its first token. Two such deaths confirm it, or three of any kind. A refused probe counts as a death at once, before the replacement is placed, and peers are told by an early heartbeat.

--- a/internal/backendpool/pool.go
+++ b/internal/backendpool/pool.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,13 +34,18 @@
 	cancelTimeout = 2 * time.Second
 )
 
-// Deaths is told when a backend server's process has died. It must not block.
-type Deaths func(id ident.BackendID, incarnation int64)
+// Hooks are told what happens on backend servers. They must not block.
+type Hooks struct {
+	// Died tells that an incarnation of a server's process has died.
+	Died func(id ident.BackendID, incarnation int64)
+	// Answered tells that an attempt has delivered its first token.
+	Answered func(attempt ident.AttemptID)
+}
 
 // Pool holds the backend servers that a node follows.
 type Pool struct {
 	client *backend.Client
-	deaths Deaths
+	hooks  Hooks
 
 	mu sync.Mutex
 	// fleet, rng, polling and down are guarded by mu.
@@ -52,14 +58,14 @@
 }
 
 // New returns a pool without servers.
-func New(config placement.Config, client *backend.Client, seed uint64, deaths Deaths) (*Pool, error) {
+func New(config placement.Config, client *backend.Client, seed uint64, hooks Hooks) (*Pool, error) {
 	fleet, err := placement.NewFleet(config)
 	if err != nil {
 		return nil, err
 	}
 	return &Pool{
 		client:  client,
-		deaths:  deaths,
+		hooks:   hooks,
 		fleet:   fleet,
 		rng:     rand.New(rand.NewPCG(seed, seed)),
 		polling: map[ident.BackendID]bool{},
@@ -135,27 +141,27 @@
 	if err == nil && target.engine {
 		events, eventsErr = p.client.CacheEvents(ctx, target.url, target.after)
 	}
-	died := p.polled(target, load, err, events, eventsErr)
-	if died && p.deaths != nil {
-		p.deaths(target.id, load.Incarnation)
+	if incarnation, died := p.polled(target, load, err, events, eventsErr); died {
+		p.hooks.Died(target.id, incarnation)
 	}
 }
 
-// polled records the result of a poll and tells whether it shows a death.
-func (p *Pool) polled(target pollTarget, load backendapi.Load, err error, events backendapi.CacheEvents, eventsErr error) bool {
+// polled records the result of a poll and tells whether it shows a death, and
+// of which incarnation.
+func (p *Pool) polled(target pollTarget, load backendapi.Load, err error, events backendapi.CacheEvents, eventsErr error) (int64, bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.polling, target.id)
 	server := p.fleet.Server(target.id)
 	if server == nil {
-		return false
+		return 0, false
 	}
+	known := server.Load.Incarnation
 	if err != nil {
-		return p.pollFailed(now, target.id, err)
+		return known, p.pollFailed(now, target.id, err)
 	}
 	delete(p.down, target.id)
-	known := server.Load.Incarnation
 	restarted := known != 0 && load.Incarnation > known
 	if restarted {
 		p.fleet.Died(now, target.id)
@@ -164,7 +170,7 @@
 	if target.engine && eventsErr == nil {
 		p.fleet.ObserveCache(target.id, events)
 	}
-	return restarted
+	return known, restarted
 }
 
 // pollFailed requires mu.
@@ -192,13 +198,18 @@
 // Choose picks a server for an attempt and counts the attempt as sent. If all
 // usable servers are excluded, the exclusion is dropped: a server that failed
 // once is better than none.
-func (p *Pool) Choose(request placement.Request, attempt ident.AttemptID) (Chosen, error) {
+//
+// The servers for which forbidden returns true are never used.
+func (p *Pool) Choose(request placement.Request, attempt ident.AttemptID, forbidden func(ident.BackendID) bool) (Chosen, error) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	never := p.forbidden(forbidden)
+	avoided := request.Exclude
+	request.Exclude = slices.Concat(never, avoided)
 	id, reasons, err := p.fleet.Choose(request, now, p.rng)
-	if err != nil && len(request.Exclude) > 0 {
-		request.Exclude = nil
+	if err != nil && len(avoided) > 0 {
+		request.Exclude = never
 		id, reasons, err = p.fleet.Choose(request, now, p.rng)
 	}
 	if err != nil {
@@ -216,6 +227,20 @@
 	}, nil
 }
 
+// forbidden requires mu.
+func (p *Pool) forbidden(test func(ident.BackendID) bool) []ident.BackendID {
+	if test == nil {
+		return nil
+	}
+	var ids []ident.BackendID
+	for _, s := range p.fleet.Servers() {
+		if test(s.ID) {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
 func prefillTime(tokens int, rate float64) time.Duration {
 	if rate <= 0 {
 		rate = placement.DefaultPrefillRate
@@ -226,8 +251,9 @@
 // Answered records the first token of an attempt.
 func (p *Pool) Answered(id ident.BackendID, attempt ident.AttemptID) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.fleet.Answered(id, attempt)
+	p.mu.Unlock()
+	p.hooks.Answered(attempt)
 }
 
 // Finished records the end of an attempt.
@@ -241,6 +267,23 @@
 	}
 }
 
+// Died records that a server's process is gone, as a refused connection shows
+// before the next poll does. It tells the death if it is news.
+func (p *Pool) Died(id ident.BackendID) {
+	now := time.Now()
+	p.mu.Lock()
+	server := p.fleet.Server(id)
+	if server == nil || p.down[id] {
+		p.mu.Unlock()
+		return
+	}
+	p.down[id] = true
+	incarnation := server.Load.Incarnation
+	p.fleet.Died(now, id)
+	p.mu.Unlock()
+	p.hooks.Died(id, incarnation)
+}
+
 // Fleet calls view with the fleet while no other goroutine uses it. The
 // function must not block or keep what it is given.
 func (p *Pool) Fleet(view func(*placement.Fleet)) {
--- a/internal/continuation/events.go
+++ b/internal/continuation/events.go
@@ -60,6 +60,9 @@
 	Attempt ident.AttemptID
 	// Alive tells that the backend server knows the stream.
 	Alive bool
+	// Dead tells that the backend server refused the connection: its process is
+	// gone.
+	Dead bool
 	// Queued tells that the stream waits for its prefill.
 	Queued bool
 	// Tokens is the index of the next token that the stream will produce.
@@ -135,6 +138,8 @@
 	Backend ident.BackendID
 	// Lost tells that the backend server did not answer for the stream.
 	Lost bool
+	// Dead tells that its process is gone.
+	Dead bool
 	// Rejected tells that the backend server refused the stream.
 	Rejected bool
 }
--- a/internal/continuation/machine.go
+++ b/internal/continuation/machine.go
@@ -317,7 +317,7 @@
 	a.broken = true
 	actions := m.lost(now, a, e.Reason)
 	if e.Rejected || a.reconnects >= maxReconnects {
-		return append(actions, m.remove(a, e.Rejected)...)
+		return append(actions, m.remove(a, Cancel{Lost: !e.Rejected, Rejected: e.Rejected})...)
 	}
 	return append(actions, m.probe(now, a)...)
 }
@@ -364,13 +364,15 @@
 	return actions
 }
 
-// remove gives an attempt up and replaces it unless another one is left.
-func (m *Machine) remove(a *attempt, rejected bool) []Action {
+// remove gives an attempt up and replaces it unless another one is left. The
+// cancellation tells why.
+func (m *Machine) remove(a *attempt, cancel Cancel) []Action {
 	m.candidates = slices.DeleteFunc(m.candidates, func(c *attempt) bool { return c == a })
 	if !slices.Contains(m.excluded, a.backend) {
 		m.excluded = append(m.excluded, a.backend)
 	}
-	actions := []Action{Cancel{Attempt: a.id, Backend: a.backend, Lost: !rejected, Rejected: rejected}}
+	cancel.Attempt, cancel.Backend = a.id, a.backend
+	actions := []Action{cancel}
 	if m.healthy() {
 		return actions
 	}
@@ -387,7 +389,7 @@
 	}
 	a.probing = false
 	if !e.Alive {
-		return m.remove(a, false)
+		return m.remove(a, Cancel{Lost: true, Dead: e.Dead})
 	}
 	a.silentAt = now.Add(e.SilenceLimit)
 	if a.broken || e.Tokens > m.journal.Len() {
@@ -428,7 +430,7 @@
 		}
 		actions = append(actions, m.lost(now, a, "silence")...)
 		if a.reconnects >= maxReconnects {
-			actions = append(actions, m.remove(a, false)...)
+			actions = append(actions, m.remove(a, Cancel{Lost: true})...)
 			continue
 		}
 		actions = append(actions, m.probe(now, a)...)
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -18,6 +18,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/continuation"
 	"github.com/yuccahatch/yuccahatch/internal/cursor"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/quarantine"
 )
 
 // Request is one request for a generation.
@@ -36,7 +37,7 @@
 	MaxTokens     int
 	Priority      int
 	// Fingerprint identifies the content of the request of this customer.
-	Fingerprint [32]byte
+	Fingerprint quarantine.Fingerprint
 }
 
 // Start tells where a generation begins: at the first token, or after tokens
@@ -106,6 +107,8 @@
 	OutcomeFinished
 	OutcomeCancelled
 	OutcomeLost
+	// OutcomeDied tells that the backend server's process is gone.
+	OutcomeDied
 	OutcomeRejected
 )
 
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -289,6 +289,8 @@
 
 func outcomeOf(a continuation.Cancel) Outcome {
 	switch {
+	case a.Dead:
+		return OutcomeDied
 	case a.Rejected:
 		return OutcomeRejected
 	case a.Lost:
@@ -453,6 +455,7 @@
 	r.post(continuation.Probed{
 		Attempt:      a.Attempt,
 		Alive:        err == nil,
+		Dead:         backend.CodeOf(err) == backend.CodeConnect,
 		Queued:       err == nil && status.State == backendapi.StreamQueued,
 		Tokens:       status.Tokens,
 		SilenceLimit: r.detector().Silence(),
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -134,7 +134,7 @@
 // sendCall chooses a server and sends a call to it, once.
 func (n *Node) sendCall(ctx context.Context, service string, call backend.Call, exclude []ident.BackendID) (backend.Answer, ident.BackendID, error) {
 	attempt := ident.NewAttemptID()
-	chosen, err := n.backends.Choose(placement.Request{Service: service, Exclude: exclude}, attempt)
+	chosen, err := n.backends.Choose(placement.Request{Service: service, Exclude: exclude}, attempt, nil)
 	if err != nil {
 		return backend.Answer{}, "", err
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"fmt"
 	"net"
 	"slices"
@@ -16,6 +15,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/generation"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/peer/caller"
+	"github.com/yuccahatch/yuccahatch/internal/quarantine"
 )
 
 // addressLifetime is how long callers may use an answer of addresses. It is
@@ -184,7 +184,7 @@
 		Prompt:        request.Prompt,
 		MaxTokens:     request.MaxTokens,
 		Priority:      enginePriority[priority],
-		Fingerprint:   sha256.Sum256(append([]byte(access.Customer+"\x00"), request.Body...)),
+		Fingerprint:   quarantine.FingerprintOf(access.Customer, request.Body),
 	}
 }
 
@@ -200,6 +200,8 @@
 	run := generation.New(n.generationDeps(), request, start, sink)
 	n.runs.add(request.Generation, run)
 	defer n.runs.remove(request.Generation, run)
+	n.budgetStarted()
+	defer n.budgetEnded()
 	result := run.Execute(ctx)
 	err := resultFailure(result)
 	n.observer.ended(request, result, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,9 @@
 	"github.com/yuccahatch/yuccahatch/internal/peer/objects"
 	"github.com/yuccahatch/yuccahatch/internal/peer/table"
 	"github.com/yuccahatch/yuccahatch/internal/placement"
+	"github.com/yuccahatch/yuccahatch/internal/quarantine"
 	"github.com/yuccahatch/yuccahatch/internal/replica"
+	"github.com/yuccahatch/yuccahatch/internal/retrybudget"
 	"github.com/yuccahatch/yuccahatch/internal/settings"
 	"github.com/yuccahatch/yuccahatch/internal/share"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
@@ -78,6 +80,19 @@
 	freshness *contractset.Freshness
 	listed    []ident.HostID
 
+	// crashesMu guards crashes and told, the crash evidence that each peer has
+	// received.
+	crashesMu sync.Mutex
+	crashes   *quarantine.Tracker
+	told      map[ident.HostID]toldEvidence
+
+	// budgetMu guards budget.
+	budgetMu sync.Mutex
+	budget   *retrybudget.Budget
+
+	// beat asks for heartbeats before the next interval.
+	beat chan struct{}
+
 	// detectorsMu guards detectors, one for each model.
 	detectorsMu sync.Mutex
 	detectors   map[string]*detect.Detector
@@ -94,6 +109,9 @@
 		contracts:   contractset.New(),
 		runs:        newRuns(),
 		detectors:   map[string]*detect.Detector{},
+		crashes:     quarantine.New(ident.HostID(s.Host.ID)),
+		told:        map[ident.HostID]toldEvidence{},
+		beat:        make(chan struct{}, 1),
 	}
 	for _, set := range []func(time.Time) error{n.setUpTelemetry, n.setUpSecurity, n.setUpPlatform, n.setUpPolicy} {
 		if err := set(now); err != nil {
@@ -184,6 +202,13 @@
 	if n.ledger, err = share.New(n.host, n.incarnation, share.Config{}, now); err != nil {
 		return err
 	}
+	n.budget, err = retrybudget.New(retrybudget.Config{
+		Base:          float64(s.Resume.BudgetMinimum),
+		PerGeneration: s.Resume.BudgetRatio,
+	}, now)
+	if err != nil {
+		return err
+	}
 	n.freshness = contractset.NewFreshness(n.host, s.Contracts.StalenessLimit.Duration, now)
 	seed := uint64(n.incarnation)
 	n.gate, err = gate.New(admission.Config{
@@ -194,7 +219,10 @@
 	if err != nil {
 		return err
 	}
-	n.backends, err = backendpool.New(placement.Config{DataCentre: n.dataCentre}, backend.NewClient(), seed, n.backendDied)
+	n.backends, err = backendpool.New(placement.Config{DataCentre: n.dataCentre}, backend.NewClient(), seed, backendpool.Hooks{
+		Died:     n.backendDied,
+		Answered: n.answeredOn,
+	})
 	return err
 }
 
--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -59,13 +59,13 @@
 		Prefixes:     prefixes,
 		Resume:       ask.Resume,
 		Weight:       n.settings.Resume.Weight,
-		Exclude:      n.excludedFor(request, ask.Exclude),
-	}, ask.Attempt)
+		Exclude:      ask.Exclude,
+	}, ask.Attempt, n.forbiddenFor(request))
 	if err != nil {
 		ticket.Finished(0)
 		return generation.Placement{}, err
 	}
-	n.startedOn(request, chosen.Backend, chosen.Incarnation, ask.Attempt)
+	n.startedOn(request, chosen.Backend, ask.Attempt)
 	return generation.Placement{
 		Backend:         chosen.Backend,
 		FirstTokenLimit: n.detector(request.Model).FirstToken(chosen.Prefill),
@@ -83,8 +83,13 @@
 				used = 0
 			}
 			ticket.Finished(used)
+			if outcome == generation.OutcomeDied {
+				// The death is known before the attempt counts as ended and
+				// before its replacement is placed.
+				n.backends.Died(id)
+			}
 			n.backends.Finished(id, attempt, outcome)
-			n.finishedOn(request, id, attempt)
+			n.finishedOn(attempt, outcome)
 		})
 	}
 }
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -88,7 +88,32 @@
 // slots into token slots.
 func (n *Node) meanTokens() float64 { return expectedOutputTokens }
 
+// budgetStarted records a generation that begins or is taken over.
+func (n *Node) budgetStarted() {
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	n.budget.Started(time.Now())
+}
+
+func (n *Node) budgetEnded() {
+	n.budgetMu.Lock()
+	defer n.budgetMu.Unlock()
+	n.budget.Ended(time.Now())
+}
+
 // spendRetry waits until the retry budget permits a resume.
 func (n *Node) spendRetry(ctx context.Context) error {
-	return ctx.Err()
+	for {
+		n.budgetMu.Lock()
+		ok, wait := n.budget.Take(time.Now())
+		n.budgetMu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -71,6 +71,7 @@
 	}
 	periodic(m.HostListInterval.Duration, n.readHostList)
 	periodic(m.HeartbeatInterval.Duration, n.sendHeartbeats)
+	workers.Go(func() { n.sendEarlyHeartbeats(ctx) })
 	periodic(m.HeartbeatInterval.Duration, n.tickMembership)
 	periodic(n.settings.Contracts.PollInterval.Duration, n.followContracts)
 	periodic(admissionInterval, func(context.Context) { n.updateAdmission() })
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -95,6 +95,7 @@
 	n.mu.Lock()
 	peers := n.view.HeartbeatPeers()
 	n.mu.Unlock()
+	n.judgeCrashes(time.Now())
 	demands := n.demandsFor(time.Now(), peers)
 	for i, peer := range peers {
 		heartbeat := n.heartbeat(peer.Host)
@@ -103,6 +104,18 @@
 	}
 }
 
+// sendEarlyHeartbeats passes on news that must not wait for the next interval.
+func (n *Node) sendEarlyHeartbeats(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.beat:
+			n.sendHeartbeats(ctx)
+		}
+	}
+}
+
 func (n *Node) sendHeartbeat(ctx context.Context, peer membership.Node, heartbeat *nodepb.HeartbeatRequest) {
 	client, err := n.peers.Client(peer.Address)
 	if err != nil {
@@ -119,6 +132,7 @@
 	}
 	n.observeHeartbeat(askedAt, answerAsRequest(answer))
 	n.observeLoans(time.Now(), answer)
+	n.evidenceTold(peer.Host, answer.GetSender().GetIncarnation(), heartbeat.GetEvidence().GetSequence())
 	if ident.LogSequence(answer.GetSequence()) > n.contracts.Sequence() {
 		n.fetchContracts(ctx, client)
 	}
@@ -185,5 +199,5 @@
 	n.mu.Unlock()
 	n.observeTransitions(transitions)
 	n.observeUses(now, host, h.GetUses())
-	n.observeEvidence(now, h.GetSender(), h.GetEvidence())
+	n.observeEvidence(now, host, h.GetEvidence())
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -15,7 +15,8 @@
 	Deaths    []DeathReport
 	Cleared   []Finding
 	Confirmed []Finding
-	// Suspects lists all suspects that run by the sender's hand.
+	// Suspects lists the suspects that the sender runs and that need a server
+	// without other suspects until their first token.
 	Suspects []Placement
 }
 
@@ -25,6 +26,8 @@
 	Incarnation ident.Incarnation
 	At          time.Time
 	Running     []Fingerprint
+	// Starting holds those of Running that had delivered no token there.
+	Starting []Fingerprint
 }
 
 // Finding is a fingerprint and when it finished or last crashed a server.
@@ -45,16 +48,14 @@
 	e := Evidence{From: t.self, SentAt: now}
 	for _, d := range t.deaths {
 		if d.sequence > after {
-			e.Deaths = append(e.Deaths, DeathReport{d.server, d.incarnation, d.at, sorted(d.running)})
+			e.Deaths = append(e.Deaths, DeathReport{d.server, d.incarnation, d.at, sorted(d.running), sorted(d.starting)})
 		}
 	}
 	e.Cleared = findings(t.cleared, after)
 	e.Confirmed = findings(t.confirmed, after)
-	for server, running := range t.onServer {
-		for f := range running {
-			if t.isSuspect(f) {
-				e.Suspects = append(e.Suspects, Placement{f, server})
-			}
+	for _, r := range t.runs {
+		if !r.answered && t.keptApart(r.fingerprint) {
+			e.Suspects = append(e.Suspects, Placement{r.fingerprint, r.server})
 		}
 	}
 	sort.Slice(e.Suspects, func(i, j int) bool {
@@ -89,7 +90,7 @@
 func (t *Tracker) Learn(now time.Time, e Evidence) {
 	for _, d := range e.Deaths {
 		if at := earlier(d.At, now); now.Sub(at) <= EvidenceLifetime {
-			t.record(life{d.Server, d.Incarnation}, at, d.Running)
+			t.record(life{d.Server, d.Incarnation}, at, d.Running, d.Starting)
 		}
 	}
 	for _, c := range e.Cleared {
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -28,6 +28,7 @@
 const (
 	tick       = 100 * time.Millisecond
 	crashAfter = 200 * time.Millisecond
+	firstToken = 500 * time.Millisecond
 	fleetNodes = 9
 	servers    = 35
 	innocents  = 300
@@ -45,7 +46,10 @@
 	node    int
 	server  int // -1 while not placed
 	attempt ident.AttemptID
+	begun   time.Time
 	ends    time.Time
+	// answered tells that it has delivered a token.
+	answered bool
 }
 
 func newFleet(seed uint64, delay time.Duration) *fleet {
@@ -111,6 +115,9 @@
 	switch {
 	case j.server < 0:
 		f.place(j)
+	case !j.crashes && !j.answered && f.now.Sub(j.begun) >= firstToken:
+		j.answered = true
+		f.nodes[j.node].Answered(j.attempt)
 	case f.now.Before(j.ends):
 	case j.crashes:
 		f.kill([]int{j.server})
@@ -136,6 +143,7 @@
 		}
 		f.attempts++
 		j.server, j.attempt = s, ident.AttemptID(fmt.Sprint(f.attempts))
+		j.begun, j.answered = f.now, false
 		j.ends = f.now.Add(crashAfter)
 		if !j.crashes {
 			j.ends = f.now.Add(time.Second + time.Duration(f.random.IntN(20_000))*time.Millisecond)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -16,6 +16,10 @@
 	// spread of detection: up to 1.5 s of silence and a probe.
 	BurstWindow  = 2 * time.Second
 	burstServers = 3
+	// strikesWithoutRepetition is how many deaths confirm a request that had
+	// delivered tokens at one of them. Two deaths are not enough: servers die
+	// for other reasons, also twice under one long answer.
+	strikesWithoutRepetition = 3
 	// reportMargin is how much later than a death a peer's evidence must have
 	// been sent to count as its report on it: a peer notices a death by its
 	// connections or by a probe each 500 ms.
@@ -54,8 +58,10 @@
 // death is the end of one life and what ran there, as far as known.
 type death struct {
 	life
-	at       time.Time
-	running  map[Fingerprint]bool
+	at      time.Time
+	running map[Fingerprint]bool
+	// starting holds those of running that had delivered no token there.
+	starting map[Fingerprint]bool
 	sequence uint64
 	// explained: a confirmed request was there, so that the others are no
 	// suspects by this death.
@@ -68,18 +74,24 @@
 type run struct {
 	server      ident.BackendID
 	fingerprint Fingerprint
+	// answered tells that it has delivered a token.
+	answered bool
 }
 
 type peer struct {
 	sentAt, heardAt time.Time
-	// suspects are the suspects that run by this peer's hand.
+	// suspects are the suspects that this peer runs and that are kept apart.
 	suspects []Placement
 }
 
 // Tracker holds what one node knows. It is not safe for concurrent use.
 //
-// A request is confirmed if it was on two lives of servers that died and, the
-// second time, no other suspect was there. A death in a burst makes a suspect
+// A request is confirmed if it was on two lives of servers that died before it
+// delivered a token there, or on three, and the last time no other suspect was
+// there. A suspect by one death that had delivered tokens is not kept apart from
+// others and does not count as another suspect: keeping everything apart that ran
+// on a lost server would leave most of it waiting for a server of its own. A
+// death in a burst makes a suspect
 // only of a request that was on another server of the burst, and confirms it only
 // if it was on every server of the burst: a lost rack takes many requests once
 // each, whereas a crashing request that many nodes place at once is on all the
@@ -134,13 +146,22 @@
 // Started records that an attempt runs on a server.
 func (t *Tracker) Started(attempt ident.AttemptID, f Fingerprint, server ident.BackendID) {
 	t.remove(attempt)
-	t.runs[attempt] = run{server, f}
+	t.runs[attempt] = run{server: server, fingerprint: f}
 	if t.onServer[server] == nil {
 		t.onServer[server] = map[Fingerprint]int{}
 	}
 	t.onServer[server][f]++
 }
 
+// Answered records the first token of an attempt. It no longer needs a server
+// without other suspects.
+func (t *Tracker) Answered(attempt ident.AttemptID) {
+	if r, ok := t.runs[attempt]; ok {
+		r.answered = true
+		t.runs[attempt] = r
+	}
+}
+
 // Finished records that an attempt ended. Only one that ran to its end, completed,
 // clears its fingerprint; one that was cancelled or moved away does not.
 func (t *Tracker) Finished(now time.Time, attempt ident.AttemptID, completed bool) {
@@ -168,27 +189,31 @@
 // Died records the end of a server's life. Everything that ran there counts as
 // ended.
 func (t *Tracker) Died(now time.Time, server ident.BackendID, incarnation ident.Incarnation) {
-	var running []Fingerprint
+	var running, starting []Fingerprint
 	for f := range t.onServer[server] {
 		running = append(running, f)
 	}
 	for attempt, r := range t.runs {
-		if r.server == server {
-			t.remove(attempt)
+		if r.server != server {
+			continue
 		}
+		if !r.answered {
+			starting = append(starting, r.fingerprint)
+		}
+		t.remove(attempt)
 	}
-	t.record(life{server, incarnation}, now, running)
+	t.record(life{server, incarnation}, now, running, starting)
 }
 
 // record merges what is known of a death and tells whether it is news.
-func (t *Tracker) record(l life, at time.Time, running []Fingerprint) {
+func (t *Tracker) record(l life, at time.Time, running, starting []Fingerprint) {
 	d := t.byLife[l]
 	if d == nil {
 		if len(t.deaths) == maxDeaths {
 			t.forget(t.deaths[0])
 			t.deaths = t.deaths[1:]
 		}
-		d = &death{life: l, at: at, running: map[Fingerprint]bool{}, sequence: t.next()}
+		d = &death{life: l, at: at, running: map[Fingerprint]bool{}, starting: map[Fingerprint]bool{}, sequence: t.next()}
 		t.byLife[l] = d
 		t.deaths = append(t.deaths, d)
 	}
@@ -203,6 +228,12 @@
 			t.byRequest[f] = append(t.byRequest[f], d)
 		}
 	}
+	for _, f := range starting {
+		if d.running[f] && !d.starting[f] {
+			changed = true
+			d.starting[f] = true
+		}
+	}
 	if changed {
 		d.sequence = t.next()
 	}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -128,3 +128,57 @@
 		t.Fatal(n.Verdict("f"))
 	}
 }
+
+// Guards interrupted answers against waiting for a server of their own: only
+// what had delivered no token on a lost server is kept apart.
+func TestAnsweringSuspectsShareServers(t *testing.T) {
+	now, n := time.Unix(1e6, 0), New("a")
+	for i := range 20 {
+		attempt := ident.AttemptID(fmt.Sprint(i))
+		n.Started(attempt, Fingerprint(attempt), "s1")
+		n.Answered(attempt)
+	}
+	n.Started("starting", "starting", "s1")
+	n.Died(now, "s1", 1)
+	for i := range 20 {
+		f := Fingerprint(fmt.Sprint(i))
+		if n.Verdict(f) != Suspect || !n.MayPlace(f, "s2") {
+			t.Fatalf("request %d: %s, may be placed: %t", i, n.Verdict(f), n.MayPlace(f, "s2"))
+		}
+		n.Started(ident.AttemptID(fmt.Sprint("again-", i)), f, "s2")
+	}
+	if !n.MayPlace("starting", "s2") {
+		t.Fatal("suspects that are not kept apart block a server")
+	}
+	n.Started("starting-again", "starting", "s2")
+	n.Died(now.Add(time.Second), "s2", 1)
+	n.Expire(now.Add(time.Minute))
+	if n.Verdict("starting") != Confirmed || len(n.confirmed) != 1 {
+		t.Errorf("the request is %s, %d confirmed in all", n.Verdict("starting"), len(n.confirmed))
+	}
+}
+
+// Guards a long answer whose servers die twice for other reasons, the second
+// time before its resume delivered a token, against a refusal and a wait; and
+// the bound of three servers for a request that crashes only when resumed.
+func TestTwoDeathsUnderOneAnswer(t *testing.T) {
+	now, n := time.Unix(1e6, 0), New("a")
+	n.Started("1", "f", "s1")
+	n.Answered("1")
+	n.Died(now, "s1", 1)
+	n.Started("2", "f", "s2")
+	n.Died(now.Add(time.Second), "s2", 1)
+	if !n.MayPlace("f", "s3") {
+		t.Fatal("the answer waits")
+	}
+	n.Expire(now.Add(time.Minute))
+	if n.Verdict("f") != Suspect {
+		t.Fatalf("after two deaths: %s", n.Verdict("f"))
+	}
+	n.Started("3", "f", "s3")
+	n.Died(now.Add(time.Minute), "s3", 1)
+	n.Expire(now.Add(2 * time.Minute))
+	if n.Verdict("f") != Confirmed {
+		t.Errorf("after three deaths: %s", n.Verdict("f"))
+	}
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -19,9 +19,9 @@
 	return Clear
 }
 
-// MayPlace tells whether a request may be placed on a server. A suspect does not
-// share a server with another suspect, runs once at a time, and is not placed
-// while its second death is being judged.
+// MayPlace tells whether a request may be placed on a server. A suspect that is
+// kept apart does not share a server with another such suspect, runs once at a
+// time, and is not placed while its second death is being judged.
 func (t *Tracker) MayPlace(f Fingerprint, server ident.BackendID) bool {
 	switch t.Verdict(f) {
 	case Clear:
@@ -29,14 +29,17 @@
 	case Confirmed:
 		return false
 	}
+	if !t.keptApart(f) {
+		return true
+	}
 	if t.pending(f) {
 		return false
 	}
-	for s, running := range t.onServer {
-		if running[f] > 0 {
-			return false
+	for _, r := range t.runs {
+		if r.answered {
+			continue
 		}
-		if s == server && t.anySuspect(running) {
+		if r.fingerprint == f || r.server == server && t.keptApart(r.fingerprint) {
 			return false
 		}
 	}
@@ -50,13 +53,40 @@
 	return true
 }
 
-func (t *Tracker) anySuspect(running map[Fingerprint]int) bool {
-	for f := range running {
-		if t.isSuspect(f) {
-			return true
+// keptApart tells whether a suspect needs a server without others: it had
+// delivered no token on a server that died, or was on two.
+func (t *Tracker) keptApart(f Fingerprint) bool { return apart(f, t.strikes(f)) }
+
+// keptApartBefore tells whether that was so before a death.
+func (t *Tracker) keptApartBefore(f Fingerprint, d *death) bool {
+	var earlier []*death
+	for _, strike := range t.strikes(f) {
+		if strike.before(d) {
+			earlier = append(earlier, strike)
 		}
 	}
-	return false
+	return apart(f, earlier)
+}
+
+func apart(f Fingerprint, strikes []*death) bool {
+	if len(strikes) >= 2 {
+		return true
+	}
+	return len(strikes) == 1 && strikes[0].starting[f]
+}
+
+// enough tells whether the deaths up to this one can confirm a request: it had
+// delivered no token at this one and at an earlier one, or there are several.
+func (t *Tracker) enough(f Fingerprint, d *death) bool {
+	strikes, repeated := 0, false
+	for _, strike := range t.strikes(f) {
+		if d.before(strike) {
+			continue
+		}
+		strikes++
+		repeated = repeated || strike != d && strike.starting[f] && d.starting[f]
+	}
+	return repeated || strikes >= strikesWithoutRepetition
 }
 
 func (t *Tracker) isSuspect(f Fingerprint) bool {
@@ -125,7 +155,7 @@
 func (t *Tracker) pending(f Fingerprint) bool {
 	strikes := t.strikes(f)
 	for i, d := range strikes {
-		if i > 0 && !d.judged && !t.explained(f, d) {
+		if i > 0 && !d.judged && t.enough(f, d) && !t.explained(f, d) {
 			return true
 		}
 	}
@@ -137,9 +167,11 @@
 // this fingerprint shares, with more of its own, does not count: its suspicion
 // is explained. Without this exception a request that is placed quickly while
 // news is late hides among those that it displaced.
+//
+// Nor does a suspect that was not kept apart: it was free to be placed there.
 func (t *Tracker) onlySuspect(f Fingerprint, d *death) bool {
 	for other := range d.running {
-		if other != f && t.hasStrikeBefore(other, d) && !t.explains(f, other) {
+		if other != f && t.keptApartBefore(other, d) && !t.explains(f, other) {
 			return false
 		}
 	}
@@ -201,11 +233,10 @@
 	}
 }
 
-// guilty tells whether a death is the second of a fingerprint, or a later one,
-// that it alone explains.
+// guilty tells whether a death is the last of enough and explained by the
+// fingerprint alone.
 func (t *Tracker) guilty(f Fingerprint, d *death) bool {
-	strikes := t.strikes(f)
-	return len(strikes) >= 2 && strikes[0].before(d) && t.convicts(f, d) && t.onlySuspect(f, d)
+	return t.enough(f, d) && t.convicts(f, d) && t.onlySuspect(f, d)
 }
 
 func (t *Tracker) confirm(f Fingerprint, strikes []*death) {
