--- /dev/null
+++ b/internal/orders/lease_test.go
@@ -0,0 +1,316 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/api/platformapi"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/table"
+	"github.com/yuccahatch/yuccahatch/internal/peer/table/tabletest"
+)
+
+// TestMain fixes rapid's seed unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "300", "rapid.steps": "80", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// fleet is a fleet of engines under several planners in virtual time.
+type fleet struct {
+	t       *rapid.T
+	now     time.Duration
+	table   *tabletest.Table
+	late    []platformapi.TxnRequest
+	engines []*engine
+	nodes   []*planner
+	newest  int64
+	sent    int
+	// paused: a planner is paused in a call; the others are not.
+	paused bool
+}
+
+// engine keeps the models of the last order. One that does not check ignores the
+// fencing token.
+type engine struct {
+	id      ident.BackendID
+	checks  bool
+	state   backendapi.State
+	pending []arrival
+}
+
+type arrival struct {
+	at    time.Duration
+	order backendapi.Order
+}
+
+// planner is one node. Its monotonic clock lags by the time it was suspended.
+type planner struct {
+	*Executor
+	fleet     *fleet
+	suspended time.Duration
+}
+
+var epoch = time.Unix(1e9, 0)
+
+func (p *planner) clock() Now {
+	return Now{Wall: epoch.Add(p.fleet.now), Monotonic: p.fleet.now - p.suspended}
+}
+
+// pause lets time pass during a call, as a slow call or a paused process does.
+// The other planners go on meanwhile.
+func (p *planner) pause() {
+	f := p.fleet
+	if f.paused || rapid.IntRange(0, 14).Draw(f.t, "pauses") > 0 {
+		return
+	}
+	f.paused = true
+	defer func() { f.paused = false }()
+	seconds := rapid.SampledFrom([]int{1, 4, 8, 9, 10, 16, 25}).Draw(f.t, "pause")
+	if rapid.IntRange(0, 2).Draw(f.t, "suspend") == 0 {
+		p.suspended += time.Duration(seconds) * time.Second
+	}
+	for range seconds {
+		p.othersStep(time.Second)
+	}
+}
+
+// othersStep lets time pass and then the other planners step.
+func (p *planner) othersStep(d time.Duration) {
+	p.fleet.advance(d)
+	for _, other := range p.fleet.nodes {
+		if other != p {
+			other.Step(context.Background())
+		}
+	}
+}
+
+func (f *fleet) advance(d time.Duration) {
+	f.now += d
+	for _, e := range f.engines {
+		slices.SortStableFunc(e.pending, func(a, b arrival) int { return int(a.at - b.at) })
+		for len(e.pending) > 0 && e.pending[0].at <= f.now {
+			f.apply(e, e.pending[0].order)
+			e.pending = e.pending[1:]
+		}
+	}
+}
+
+func (f *fleet) apply(e *engine, o backendapi.Order) {
+	if e.checks && o.FencingToken < e.state.FencingToken {
+		return
+	}
+	if o.FencingToken < f.newest {
+		f.t.Fatalf("order %s of token %d took effect at %s after one of token %d", o.OrderID, o.FencingToken, e.id, f.newest)
+	}
+	f.newest = max(f.newest, o.FencingToken)
+	e.state.Models, e.state.LastOrderID = o.Models, o.OrderID
+	if e.checks {
+		e.state.FencingToken = o.FencingToken
+	}
+}
+
+func (p *planner) find(id ident.BackendID) *engine {
+	for _, e := range p.fleet.engines {
+		if e.id == id {
+			return e
+		}
+	}
+	return nil
+}
+
+func (p *planner) State(_ context.Context, id ident.BackendID) (backendapi.State, error) {
+	p.pause()
+	return p.find(id).state, nil
+}
+
+// Order takes effect within MaxOrderTime.
+func (p *planner) Order(_ context.Context, id ident.BackendID, o backendapi.Order) error {
+	d := time.Duration(rapid.Int64Range(0, int64(MaxOrderTime)-1).Draw(p.fleet.t, "order time"))
+	e := p.find(id)
+	e.pending = append(e.pending, arrival{p.fleet.now + d, o})
+	p.fleet.sent++
+	if !p.fleet.paused && rapid.Bool().Draw(p.fleet.t, "answer lost") {
+		p.fleet.paused = true
+		defer func() { p.fleet.paused = false }()
+		for range 8 {
+			p.othersStep(MaxOrderTime / 8)
+		}
+		return errors.New("no answer")
+	}
+	p.fleet.advance(d)
+	return nil
+}
+
+func (p *planner) Fetch(context.Context, platformapi.WeightFetch) (time.Duration, error) {
+	p.pause()
+	if rapid.IntRange(0, 4).Draw(p.fleet.t, "limited") == 0 {
+		return 3 * time.Second, errors.New("rate limited")
+	}
+	return 0, nil
+}
+
+func (p *planner) Read(ctx context.Context, keys ...string) ([]platformapi.Row, error) {
+	p.pause()
+	rows, err := p.fleet.table.Read(ctx, keys...)
+	p.pause()
+	return rows, err
+}
+
+func (p *planner) Scan(ctx context.Context, prefix, after string, limit int) ([]platformapi.Row, bool, error) {
+	return p.fleet.table.Scan(ctx, prefix, after, limit)
+}
+
+// Txn may lose the answer, or the call, which then may arrive late.
+func (p *planner) Txn(ctx context.Context, txn platformapi.TxnRequest) (platformapi.TxnResponse, error) {
+	p.pause()
+	if rapid.IntRange(0, 5).Draw(p.fleet.t, "lost call") == 0 {
+		p.fleet.late = append(p.fleet.late, txn)
+		return platformapi.TxnResponse{}, errors.New("no answer")
+	}
+	answer, err := p.fleet.table.Txn(ctx, txn)
+	p.pause()
+	return answer, err
+}
+
+// demand changes all the time, so that there is always something to order.
+func (p *planner) demand() ([]Model, []Engine) {
+	var engines []Engine
+	for _, e := range p.fleet.engines {
+		model := ""
+		if len(e.state.Models) > 0 {
+			model = e.state.Models[0].Model
+		}
+		engines = append(engines, Engine{ID: e.id, Model: model, TokensPerSecond: 100})
+	}
+	a := rapid.Float64Range(0, 300).Draw(p.fleet.t, "demand")
+	return []Model{
+		{Spec: backendapi.LoadedModel{Model: "a"}, Demand: a},
+		{Spec: backendapi.LoadedModel{Model: "b"}, Demand: 300 - a},
+	}, engines
+}
+
+func newFleet(t *rapid.T, planners int) *fleet {
+	f := &fleet{t: t, table: tabletest.New(), now: time.Second}
+	f.table.SetFaults(func(string) tabletest.Fault {
+		return rapid.SampledFrom([]tabletest.Fault{0, 0, 0, 0, 0, tabletest.FaultUnavailable, tabletest.FaultLostAnswer}).Draw(t, "fault")
+	})
+	for i, id := range []ident.BackendID{"e1", "e2", "e3", "e4"} {
+		f.engines = append(f.engines, &engine{id: id, checks: i%2 == 0})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range planners {
+		p := &planner{fleet: f}
+		var _ table.Table = p
+		p.Executor = NewExecutor(Config{
+			Self: ident.HostID(rune('a' + i)), Incarnation: 1, Table: p, Engines: p, Weights: p,
+			Demand: p.demand, Log: log, Metrics: tally.NoopScope, Now: p.clock,
+		})
+		f.nodes = append(f.nodes, p)
+	}
+	return f
+}
+
+// Guards against an order of an old holder that undoes one of a newer holder, on
+// engines that check the token and on engines that ignore it, with two planners
+// at once, leases that lapse while the holder is paused or suspended, and lost
+// and late writes of the lease.
+func TestNoOldOrderUndoesANewerOne(t *testing.T) {
+	sent, tokens := 0, int64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 2)
+		t.Repeat(map[string]func(*rapid.T){
+			"step a": func(*rapid.T) { f.nodes[0].Step(context.Background()) },
+			"step b": func(*rapid.T) { f.nodes[1].Step(context.Background()) },
+			"time": func(t *rapid.T) {
+				f.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"late write": func(t *rapid.T) {
+				if len(f.late) > 0 {
+					_, _ = f.table.Txn(context.Background(), f.late[0])
+					f.late = f.late[1:]
+				}
+			},
+		})
+		sent, tokens = sent+f.sent, max(tokens, f.newest)
+	})
+	t.Logf("%d orders, up to token %d", sent, tokens)
+	if sent < 500 || tokens < 3 {
+		t.Error("the test does not reach enough orders and holders")
+	}
+}
+
+// Guards against a lease that counts from a later write than the one in the
+// table: a renewal whose answer was lost takes effect late, and the next one,
+// which fails on it, began much later.
+func TestLateWriteDoesNotExtendTheLease(t *testing.T) {
+	at := func(s int) Now {
+		d := time.Duration(s) * time.Second
+		return Now{Wall: epoch.Add(d), Monotonic: d}
+	}
+	l := NewLease("a", 1)
+	l.Observe(at(0), LeaseRow{}, 0)
+	row, _, _ := l.Write(at(0))
+	l.Committed(at(0), row, 1)
+	lost, _, ok := l.Write(at(3))
+	if !ok {
+		t.Fatal("no renewal after 3 s")
+	}
+	if _, _, ok = l.Write(at(6)); !ok {
+		t.Fatal("no second try after 6 s")
+	}
+	l.Observe(at(6), lost, 2)
+	if _, ok := l.MayOrder(at(7)); !ok {
+		t.Error("no order 7 s after the write that is known")
+	}
+	if _, ok := l.MayOrder(at(8)); ok {
+		t.Error("order 8 s after the write that is known, since a later one counts")
+	}
+}
+
+// Guards against a new holder that orders while the last order of the old one
+// may still be under way.
+func TestNewHolderWaits(t *testing.T) {
+	at := func(ms int) Now {
+		d := time.Duration(ms) * time.Millisecond
+		return Now{Wall: epoch.Add(d), Monotonic: d}
+	}
+	l := NewLease("b", 1)
+	old := LeaseRow{Holder: "a", Incarnation: 1, Token: 7, DurationMS: LeaseDuration.Milliseconds()}
+	l.Observe(at(0), old, 3)
+	if _, _, ok := l.Write(at(9999)); ok {
+		t.Error("takeover before the row was unchanged for its duration")
+	}
+	row, version, ok := l.Write(at(10_000))
+	if !ok || row.Token != 8 || version != 3 {
+		t.Fatalf("takeover = %+v, %d, %v", row, version, ok)
+	}
+	l.Committed(at(10_100), row, 4)
+	if _, ok := l.MayOrder(at(12_099)); ok {
+		t.Error("order before the old holder's last order has ended")
+	}
+	if token, ok := l.MayOrder(at(12_100)); !ok || token != 8 {
+		t.Errorf("no order after the wait: %d, %v", token, ok)
+	}
+}
