Write a claim without reading its row first

A read before each claim cost one more call to the table and one more group delay, although most keys are new. A conflict brings the row. Refused calls still read first.

--- a/internal/claim/machine.go
+++ b/internal/claim/machine.go
@@ -36,7 +36,7 @@
 
 const (
 	phaseNew phase = iota
-	// phaseReading: the first read is under way.
+	// phaseReading: the first read of a refused call is under way.
 	phaseReading
 	// phaseWaiting: another attempt holds the claim; the row is polled.
 	phaseWaiting
@@ -72,7 +72,7 @@
 // not_run rests on a void row with VoidedAt at or after A's start, or on A's own
 // claim, which only A's node will turn into such a void. An attempt does not
 // claim a void row with VoidedAt at or after its own start, and a claim is
-// conditional on the version that was read, so an attempt that started earlier
+// conditional on a version of the row, so that an attempt that started earlier
 // and was delayed cannot run afterwards. "Before" is judged by the wall clocks
 // of the hosts: two attempts closer together than the clocks' difference count
 // as concurrent.
@@ -141,6 +141,11 @@
 	}
 	m.phase, m.started = phaseReading, now.Wall
 	m.refusal, m.retryAfter = e.Refusal, e.RetryAfter
+	if e.Refusal == "" {
+		// Most keys are new, so that the claim is written without a read; a
+		// conflict brings the row.
+		return m.claim(now)
+	}
 	return []Action{{Kind: ActionRead}}
 }
 
