Test the executor of orders, and ask for weights only with a current token

A planner whose token was older than the engine's asked the weight store in every tick for a load that it then did not order: 18 of 20 ticks in the new test, now none.

--- a/internal/orders/executor.go
+++ b/internal/orders/executor.go
@@ -162,12 +162,12 @@
 	if shows(state, spec) || !matches(state, move.From) {
 		return nil
 	}
-	if !e.mayLoad(ctx, move, spec) {
+	token, ok := e.lease.MayOrder(e.config.Now())
+	if !ok || state.FencingToken > int64(token) || !e.mayLoad(ctx, move, spec) {
 		return nil
 	}
-	// Reading and asking took time, so that the lease is checked last.
-	token, ok := e.lease.MayOrder(e.config.Now())
-	if !ok || state.FencingToken > int64(token) {
+	// Asking the weight store took time, so that the lease is checked last.
+	if token, ok = e.lease.MayOrder(e.config.Now()); !ok {
 		return nil
 	}
 	e.orders++
--- /dev/null
+++ b/internal/orders/executor_test.go
@@ -0,0 +1,84 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/api/platformapi"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/table/tabletest"
+)
+
+// stub is an engine and a weight store.
+type stub struct {
+	state   backendapi.State
+	orders  []backendapi.Order
+	fetches int
+	limited bool
+}
+
+func (s *stub) State(context.Context, ident.BackendID) (backendapi.State, error) { return s.state, nil }
+
+func (s *stub) Order(_ context.Context, _ ident.BackendID, o backendapi.Order) error {
+	s.orders = append(s.orders, o)
+	s.state.Loading = o.Models
+	return nil
+}
+
+func (s *stub) Fetch(context.Context, platformapi.WeightFetch) (time.Duration, error) {
+	s.fetches++
+	if s.limited {
+		return 5 * time.Second, errors.New("rate limited")
+	}
+	return 0, nil
+}
+
+// runFor steps an executor each Tick. The plan always wants model a on the engine.
+func runFor(t *testing.T, s *stub, ticks int) {
+	now := time.Duration(0)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e := NewExecutor(Config{
+		Self: "n", Incarnation: 1, Table: tabletest.New(), Engines: s, Weights: s, Log: log, Metrics: tally.NoopScope,
+		Demand: func() ([]Model, []Engine) {
+			spec := backendapi.LoadedModel{Model: "a", Version: "1", Adapters: []string{}}
+			return []Model{{Spec: spec, Demand: 10}}, []Engine{{ID: "e", TokensPerSecond: 100}}
+		},
+		Now: func() Now { return Now{Wall: epoch.Add(now), Monotonic: now} },
+	})
+	for range ticks {
+		now += Tick
+		e.Step(t.Context())
+	}
+}
+
+// Guards against loads beyond the weight store's limit, orders that an engine
+// already follows, and orders that a newer planner or another plan overrides.
+func TestExecutorChecksBeforeAnOrder(t *testing.T) {
+	for _, tc := range []struct {
+		name            string
+		stub            stub
+		orders, fetches int
+	}{
+		{"ordered once", stub{}, 1, 1},
+		{"weight store refuses", stub{limited: true}, 0, 4},
+		{"already loading", stub{state: backendapi.State{Loading: []backendapi.LoadedModel{{Model: "a", Version: "1"}}}}, 0, 0},
+		{"runs another model than planned", stub{state: backendapi.State{Models: []backendapi.LoadedModel{{Model: "b"}}}}, 0, 0},
+		{"newer planner", stub{state: backendapi.State{FencingToken: 9}}, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			// The lease is taken at the first tick; orders begin 2 s later.
+			runFor(t, &tc.stub, 20)
+			if len(tc.stub.orders) != tc.orders || tc.stub.fetches != tc.fetches {
+				t.Errorf("%d orders, %d fetches, want %d and %d", len(tc.stub.orders), tc.stub.fetches, tc.orders, tc.fetches)
+			}
+		})
+	}
+}
