--- a/internal/e2e/client_test.go
+++ b/internal/e2e/client_test.go
@@ -38,7 +38,7 @@
 		t.Fatal(a.err)
 	}
 	if err := json.Unmarshal(a.body, value); err != nil {
-		t.Fatalf("status %d with body %q: %v", a.status, a.body, err)
+		t.Fatalf("status %d with body %.300q: %v", a.status, a.body, err)
 	}
 }
 
