--- /dev/null
+++ b/internal/e2e/bookings_test.go
@@ -0,0 +1,199 @@
+//go:build linux
+
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/lab/caller"
+	"github.com/yuccahatch/yuccahatch/lab/ledger"
+)
+
+// bookingSilence is above the 2 s for which a node holds a repeated call.
+const bookingSilence = 5 * time.Second
+
+// book makes one booking, first through the i-th node.
+func (d *deployment) book(i int, key string, change ...func(*caller.Config)) caller.CallResult {
+	ctx, cancel := context.WithTimeout(context.Background(), answerLimit)
+	defer cancel()
+	patient := func(c *caller.Config) { c.SilenceTimeout = bookingSilence }
+	node := d.nodes[i%len(d.nodes)]
+	return d.caller(i, append([]func(*caller.Config){patient}, change...)...).Call(ctx, caller.Call{
+		Service: "booking", Path: "/bookings", Body: []byte(`{"seat":1}`), Key: key, First: node.callers,
+	})
+}
+
+// Callers that give up after one or two attempts: an outcome that stays unknown
+// would otherwise be asked for until the caller's limit of attempts.
+func once(c *caller.Config)  { c.MaxAttempts = 1 }
+func twice(c *caller.Config) { c.MaxAttempts = 2 }
+
+func requireOutcome(t *testing.T, what string, got caller.CallResult, want string, replayed bool) {
+	t.Helper()
+	if got.Outcome != want || got.Replayed != replayed {
+		t.Errorf("%s: outcome %q, replayed %t, errors %+v; want %q, replayed %t", what, got.Outcome, got.Replayed, got.Errors, want, replayed)
+	}
+}
+
+func (d *deployment) requireRuns(key string, want int) {
+	d.t.Helper()
+	if ran := d.runs().Keys[key]; ran != want {
+		d.t.Errorf("booking %s ran %d times, want %d", key, ran, want)
+	}
+}
+
+// Guards against a second run, or a different answer, when a booking is
+// repeated through another node.
+func TestBookingRepeatedElsewhere(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 1})
+	first := d.book(0, "k1")
+	requireOutcome(t, "first", first, caller.OutcomeDone, false)
+	for i := 1; i < 3; i++ {
+		again := d.book(i, "k1")
+		requireOutcome(t, "repeat", again, caller.OutcomeDone, true)
+		if again.Body != first.Body || again.Status != first.Status {
+			t.Errorf("repeat got %d %q, first got %d %q", again.Status, again.Body, first.Status, first.Body)
+		}
+	}
+	a := do(http.MethodPost, "http://"+d.nodes[1].callers+callerapi.RouteServices+"booking/bookings", callerKey,
+		map[string]string{callerapi.HeaderIdempotencyKey: "k1"}, []byte(`{"seat":2}`))
+	if f := a.failure(t); a.status != http.StatusUnprocessableEntity || f.Code != callerapi.CodeKeyReused || f.Outcome != callerapi.OutcomeAttemptNotRun {
+		t.Errorf("same key with another body: status %d, %+v", a.status, f)
+	}
+	d.requireRuns("k1", 1)
+}
+
+// Guards against a second run when the node dies after the service got the call.
+func TestNodeKilledBeforeAnswer(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 1, serviceArgs: []string{"--latency", "1500ms"}})
+	results := make(chan caller.CallResult, 1)
+	go func() { results <- d.book(0, "k1", twice) }()
+	d.await(startLimit, "the booking has run", func() bool { return d.runs().Keys["k1"] > 0 })
+	d.nodes[0].kill(t)
+	requireOutcome(t, "booking", <-results, string(callerapi.OutcomeUnknown), false)
+	requireOutcome(t, "later repeat", d.book(1, "k1", once), string(callerapi.OutcomeUnknown), false)
+	d.requireRuns("k1", 1)
+}
+
+// Guards against a call that is sent although its node was paused for longer
+// than the send window between the claim and the send.
+func TestPausedNodeDoesNotSend(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 1})
+	d.setFaults(map[string]any{"txn": map[string]any{"answer_latency_ms": 800}})
+	results := make(chan caller.CallResult, 1)
+	go func() { results <- d.book(0, "k1", once) }()
+	pause(300 * time.Millisecond)
+	d.nodes[0].freeze(t)
+	<-results // the caller has given up
+	requireOutcome(t, "repeat while the holder is paused", d.book(1, "k1", once), string(callerapi.OutcomeUnknown), false)
+	d.setFaults(nil)
+	d.nodes[0].thaw(t)
+	// The holder voids its claim; then the booking may run.
+	var last caller.CallResult
+	d.await(startLimit, "the booking is made", func() bool {
+		last = d.book(2, "k1", once)
+		return last.Outcome == caller.OutcomeDone
+	})
+	requireOutcome(t, "repeat after the pause", last, caller.OutcomeDone, false)
+	d.requireRuns("k1", 1)
+}
+
+// Guards against generations that stop, and bookings that hang or run, while
+// the platform is down.
+func TestPlatformOutage(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 2})
+	running := d.startAnswers(6, 280)
+	running.awaitTokens(d, 10)
+	d.setFaults(outage())
+	begun := time.Now()
+	a := do(http.MethodPost, "http://"+d.nodes[0].callers+callerapi.RouteServices+"booking/bookings", callerKey,
+		map[string]string{callerapi.HeaderIdempotencyKey: "k1"}, []byte(`{"seat":1}`))
+	t.Logf("refusal of a booking after %d ms", time.Since(begun).Milliseconds())
+	f := a.failure(t)
+	if a.status != http.StatusServiceUnavailable || f.Code != callerapi.CodeStoreUnavailable || f.Outcome != callerapi.OutcomeAttemptNotRun || a.header.Get("Retry-After") == "" {
+		t.Errorf("booking during the outage: status %d, Retry-After %q, %+v", a.status, a.header.Get("Retry-After"), f)
+	}
+	pause(6 * time.Second) // beyond contracts.staleness_limit
+	d.startAnswers(6, 40).whole(t)
+	running.whole(t)
+	d.requireRuns("k1", 0)
+	d.setFaults(nil)
+	requireOutcome(t, "booking after the outage", d.book(1, "k1"), caller.OutcomeDone, false)
+	d.requireRuns("k1", 1)
+}
+
+// bookAll makes n bookings at once and repeats each through another node.
+func (d *deployment) bookAll(n int, between func(), change ...func(*caller.Config)) []ledger.Booking {
+	bookings := make([]ledger.Booking, n)
+	each := func(f func(i int, b *ledger.Booking)) {
+		var wg sync.WaitGroup
+		for i := range bookings {
+			wg.Go(func() { f(i, &bookings[i]) })
+		}
+		wg.Wait()
+	}
+	each(func(i int, b *ledger.Booking) {
+		b.Key = fmt.Sprintf("k%d", i)
+		b.First = d.book(i, b.Key, change...)
+	})
+	between()
+	each(func(i int, b *ledger.Booking) { b.Second = d.book(i+1, b.Key, change...) })
+	return bookings
+}
+
+func (d *deployment) checkBookings(bookings []ledger.Booking) ledger.Summary {
+	d.t.Helper()
+	summary := ledger.Check(bookings, d.runs())
+	for _, problem := range summary.Problems {
+		d.t.Error(problem)
+	}
+	d.t.Logf("%d bookings: %d ran once, %d more than once, %d replays, %d unanswered", summary.Sent, summary.RanOnce, summary.RanMore, summary.Replays, summary.Unanswered)
+	return summary
+}
+
+// Guards against second runs and false reports when answers of the table are
+// lost after their change took effect.
+func TestTableLosesAnswers(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 1})
+	lost := map[string]any{"lost_answer_rate": 0.3}
+	d.setFaults(map[string]any{"txn": lost, "read": lost})
+	bookings := d.bookAll(60, func() { d.setFaults(nil) })
+	if s := d.checkBookings(bookings); s.Unanswered > 0 {
+		t.Errorf("%d of %d bookings have no answer although the service answered all", s.Unanswered, s.Sent)
+	}
+}
+
+// Guards against a second run of a booking whose service ran it and lost the
+// answer.
+func TestServiceLosesAnswers(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 1, serviceArgs: []string{"--lost-answer-rate", "0.5"}})
+	summary := d.checkBookings(d.bookAll(24, func() {}, once))
+	if summary.Unanswered == 0 || summary.RanOnce != summary.Sent {
+		t.Errorf("%+v: want some lost answers and one run of each booking", summary)
+	}
+}
+
+// bookingOf names a booking by its id.
+func bookingOf(t *testing.T, body string) string {
+	t.Helper()
+	var b struct {
+		BookingID string `json:"booking_id"`
+	}
+	if err := json.Unmarshal([]byte(body), &b); err != nil || b.BookingID == "" {
+		t.Errorf("answer %q has no booking: %v", body, err)
+	}
+	return b.BookingID
+}
