Record sessions of generations and replay them

A decision of the state machine could be checked only in its simulation.

Encoding each step as JSON at once was ruled out: too large for a token and its acknowledgement in every generation in flight. A recording takes a binary log for the usual steps and keeps the others as values, within 256 KiB.

--- a/internal/continuation/machine.go
+++ b/internal/continuation/machine.go
@@ -19,14 +19,14 @@
 // Config holds the policy of a Machine.
 type Config struct {
 	// Weight trades resume latency (1) against extra resources (0).
-	Weight float64
+	Weight float64 `json:"weight"`
 	// MaxAttempts bounds the streams opened for one generation.
-	MaxAttempts int
+	MaxAttempts int `json:"max_attempts"`
 	// ReleaseAfterAck holds tokens back until a replica acknowledged them.
-	ReleaseAfterAck bool
+	ReleaseAfterAck bool `json:"release_after_ack"`
 	// Linger is how long a generation goes on after its caller is gone, so that
 	// the caller can come back to the same stream.
-	Linger time.Duration
+	Linger time.Duration `json:"linger_ns"`
 }
 
 // DefaultConfig is the policy for callers that wait at most a few seconds.
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -166,6 +166,22 @@
 	Unprotected(request *Request)
 }
 
+// Tracer records sessions, so that they can be replayed.
+type Tracer interface {
+	// Open returns the recorder of a session, or nil if it is not recorded.
+	Open(request *Request, start *Start, config continuation.Config) Recorder
+}
+
+// Recorder records one session. Its methods are called by the generation's
+// goroutine only.
+type Recorder interface {
+	// Step records an event and the actions that the machine returned, which
+	// the recorder may keep but not change.
+	Step(now time.Time, event continuation.Event, actions []continuation.Action)
+	// Close ends the recording.
+	Close()
+}
+
 // Deps are the collaborators of a Runner.
 type Deps struct {
 	Host     ident.HostID
@@ -175,6 +191,7 @@
 	Cursors  *cursor.Codec
 	Detector func(model string) Detector
 	Observer Observer
+	Trace    Tracer // nil: sessions are not recorded
 	Config   continuation.Config
 }
 
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -49,6 +49,7 @@
 	cursorBase cursor.Cursor
 	released   *releasedText
 	replica    Replica
+	recorder   Recorder // nil: the session is not recorded
 	placements map[ident.AttemptID]Placement
 	streams    map[ident.AttemptID]context.CancelFunc
 	started    time.Time
@@ -103,6 +104,9 @@
 			Available:    r.copied.setAvailable,
 		})
 	}
+	if deps.Trace != nil {
+		r.recorder = deps.Trace.Open(request, &start, config)
+	}
 	return r
 }
 
@@ -189,6 +193,9 @@
 	if r.replica != nil {
 		r.replica.Close()
 	}
+	if r.recorder != nil {
+		r.recorder.Close()
+	}
 }
 
 func (r *Run) callerGone() {
@@ -225,7 +232,11 @@
 	if token, ok := event.(continuation.Token); ok {
 		r.observeGap(now, token)
 	}
-	for _, action := range r.machine.Step(now, event) {
+	actions := r.machine.Step(now, event)
+	if r.recorder != nil {
+		r.recorder.Step(now, event, actions)
+	}
+	for _, action := range actions {
 		r.execute(now, action)
 	}
 }
--- /dev/null
+++ b/internal/trace/errors.go
@@ -0,0 +1,37 @@
+package trace
+
+import (
+	"errors"
+
+	"github.com/samber/oops"
+)
+
+// Code classifies a trace that cannot be read.
+type Code string
+
+// Codes of trace errors.
+const (
+	// CodeMalformed: a line is not in the form that this package writes.
+	CodeMalformed Code = "trace_malformed"
+	// CodeVersion: the format version is not known.
+	CodeVersion Code = "trace_version"
+	// CodeTooLarge: the trace exceeds a limit of size.
+	CodeTooLarge Code = "trace_too_large"
+	// CodeUnreadable: the source of the trace failed.
+	CodeUnreadable Code = "trace_unreadable"
+)
+
+// CodeOf returns the code of an error that this package returned, and the empty
+// code for any other error.
+func CodeOf(err error) Code {
+	var e oops.OopsError
+	if !errors.As(err, &e) {
+		return ""
+	}
+	code, _ := e.Code().(Code)
+	return code
+}
+
+func newError(code Code) oops.OopsErrorBuilder {
+	return oops.Code(code).In("trace")
+}
--- /dev/null
+++ b/internal/trace/reader.go
@@ -0,0 +1,178 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/continuation"
+)
+
+// Limits of a trace that is read.
+const (
+	// maxLineBytes holds a header with the journal of a long answer.
+	maxLineBytes = 4 << 20
+	maxBytes     = 64 << 20
+	// maxSessions is well above the nodes that serve one request in turn.
+	maxSessions = 64
+)
+
+// headerPrefix begins a header line and no other line.
+var headerPrefix = []byte(`{"trace_version":`)
+
+// reader reads the lines of a trace.
+type reader struct {
+	lines *bufio.Scanner
+	// number is that of the current line, from 1.
+	number   int
+	bytes    int
+	sessions int
+	at       time.Duration
+}
+
+func newReader(r io.Reader) *reader {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLineBytes)
+	lines.Split(splitLine)
+	return &reader{lines: lines}
+}
+
+// splitLine is bufio.ScanLines without the removal of a carriage return, which
+// the format does not allow.
+func splitLine(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if i := bytes.IndexByte(data, '\n'); i >= 0 {
+		return i + 1, data[:i], nil
+	}
+	if atEOF && len(data) > 0 {
+		return len(data), data, nil
+	}
+	return 0, nil, nil
+}
+
+// next returns the header or the step of the next line, or io.EOF.
+func (r *reader) next() (*Header, *Step, error) {
+	if !r.lines.Scan() {
+		return nil, nil, r.end()
+	}
+	r.number++
+	text := r.lines.Bytes()
+	if r.bytes += len(text) + 1; r.bytes > maxBytes {
+		return nil, nil, newError(CodeTooLarge).Errorf("line %d: the trace has more than %d bytes", r.number, maxBytes)
+	}
+	if bytes.HasPrefix(text, headerPrefix) {
+		header, err := r.header(text)
+		return header, nil, err
+	}
+	if r.sessions == 0 {
+		return nil, nil, r.malformed(errors.New("an event precedes the first header"))
+	}
+	step, err := r.step(text)
+	return nil, step, err
+}
+
+func (r *reader) end() error {
+	err := r.lines.Err()
+	switch {
+	case err == nil && r.sessions == 0:
+		return newError(CodeMalformed).Errorf("the trace is empty")
+	case err == nil:
+		return io.EOF
+	case errors.Is(err, bufio.ErrTooLong):
+		return newError(CodeTooLarge).Errorf("line %d has more than %d bytes", r.number+1, maxLineBytes)
+	}
+	return newError(CodeUnreadable).Wrapf(err, "read line %d", r.number+1)
+}
+
+func (r *reader) malformed(err error) error {
+	return newError(CodeMalformed).Wrapf(err, "line %d", r.number)
+}
+
+func (r *reader) header(text []byte) (*Header, error) {
+	var version struct {
+		Version int `json:"trace_version"`
+	}
+	if err := json.Unmarshal(text, &version); err != nil {
+		return nil, r.malformed(err)
+	}
+	if version.Version != Version {
+		return nil, newError(CodeVersion).Errorf("line %d: trace version %d is not supported; supported: %d", r.number, version.Version, Version)
+	}
+	if r.sessions++; r.sessions > maxSessions {
+		return nil, newError(CodeTooLarge).Errorf("line %d: the trace has more than %d sessions", r.number, maxSessions)
+	}
+	r.at = 0
+	var header Header
+	if err := decodeStrictly(text, &header); err != nil {
+		return nil, r.malformed(err)
+	}
+	if header.Start.Released < 0 || header.Start.Released > len(header.Start.Tokens) {
+		return nil, r.malformed(fmt.Errorf("%d tokens are released of a journal of %d", header.Start.Released, len(header.Start.Tokens)))
+	}
+	again, err := json.Marshal(header)
+	return &header, r.sameForm(text, again, err)
+}
+
+func (r *reader) step(text []byte) (*Step, error) {
+	var l line
+	if err := decodeStrictly(text, &l); err != nil {
+		return nil, r.malformed(err)
+	}
+	step := Step{At: time.Duration(l.AtNS), Actions: make([]continuation.Action, 0, len(l.Actions))}
+	if step.At < r.at {
+		return nil, r.malformed(fmt.Errorf("time %d ns is before the time of the previous event", l.AtNS))
+	}
+	r.at = step.At
+	var err error
+	if step.Event, err = eventKinds.decode(l.Event); err != nil {
+		return nil, r.malformed(fmt.Errorf("event: %w", err))
+	}
+	for i, a := range l.Actions {
+		action, err := actionKinds.decode(a)
+		if err != nil {
+			return nil, r.malformed(fmt.Errorf("action %d: %w", i, err))
+		}
+		step.Actions = append(step.Actions, action)
+	}
+	again, err := encodeStep(step)
+	return &step, r.sameForm(text, again, err)
+}
+
+// sameForm refuses a line that says the same as another form of it. It finds
+// missing and repeated fields, which encoding/json accepts.
+func (r *reader) sameForm(text, again []byte, err error) error {
+	if err == nil && bytes.Equal(text, again) {
+		return nil
+	}
+	if err == nil {
+		at := 0
+		for at < len(text) && at < len(again) && text[at] == again[at] {
+			at++
+		}
+		err = fmt.Errorf("column %d: a field is missing, repeated or not in the form of the format", at+1)
+	}
+	return r.malformed(err)
+}
+
+// Read returns the sessions of a trace.
+func Read(source io.Reader) ([]Session, error) {
+	r := newReader(source)
+	var sessions []Session
+	for {
+		header, step, err := r.next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return sessions, nil
+		case err != nil:
+			return nil, err
+		case header != nil:
+			sessions = append(sessions, Session{Header: *header})
+		default:
+			last := &sessions[len(sessions)-1]
+			last.Steps = append(last.Steps, *step)
+		}
+	}
+}
