--- a/lab/scrape/scrape.go
+++ b/lab/scrape/scrape.go
@@ -21,6 +21,7 @@
 	TokensDiscarded  = "yuccahatch_tokens_discarded_total"
 	TokensRecomputed = "yuccahatch_tokens_recomputed_total"
 	Resumes          = "yuccahatch_resumes_total"
+	ResumeSeconds    = "yuccahatch_resume_seconds" // _sum and _count
 	CopyTokens       = "yuccahatch_copy_tokens_total"
 	CopyBytes        = "yuccahatch_copy_bytes_total"
 )
@@ -62,14 +63,18 @@
 	return true
 }
 
-// Read fetches the page of the process at an address IP:port.
-func Read(ctx context.Context, client *http.Client, address string) (Page, error) {
+// Read fetches the page of the node with the operators' address IP:port. key is
+// the bearer key of an operator.
+func Read(ctx context.Context, client *http.Client, address, key string) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+Route, nil)
 	if err != nil {
 		return nil, err
 	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
