Refuse an empty line in a trace

FuzzRead found that an empty line ended the replay without an error, because the io.EOF of its JSON decoder was taken for the end of the file. The decoder of values now returns io.ErrUnexpectedEOF. Recordings can be copied.

--- a/internal/trace/format.go
+++ b/internal/trace/format.go
@@ -13,6 +13,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"reflect"
@@ -162,10 +163,15 @@
 	return value.Elem().Interface().(T), nil
 }
 
+// decodeStrictly never returns io.EOF, which means the end of the trace.
 func decodeStrictly(text []byte, into any) error {
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
-	return decoder.Decode(into)
+	err := decoder.Decode(into)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // encodeActions returns the actions as they stand on a line.
--- a/internal/trace/recording.go
+++ b/internal/trace/recording.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -97,10 +98,7 @@
 
 // NewRecording returns an empty recording, or nil if the budget is used up.
 func NewRecording(header Header, budget *Budget) *Recording {
-	size := firstLogBytes
-	for _, token := range header.Start.Tokens {
-		size += len(token) + 16
-	}
+	size := firstLogBytes + startBytes(header.Start)
 	if size > MaxRecordingBytes || !budget.reserve(size) {
 		return nil
 	}
@@ -232,6 +230,25 @@
 	r.size, r.log, r.others = 0, nil, nil
 }
 
+// Copy returns a copy for reading that holds nothing of the budget.
+func (r *Recording) Copy() *Recording {
+	return &Recording{
+		header: r.header,
+		size:   len(r.log) + otherStepBytes*len(r.others) + startBytes(r.header.Start),
+		log:    slices.Clone(r.log),
+		others: slices.Clone(r.others),
+	}
+}
+
+// startBytes returns the memory of a start, the slice headers included.
+func startBytes(s Start) int {
+	bytes := 0
+	for _, token := range s.Tokens {
+		bytes += len(token) + 16
+	}
+	return bytes
+}
+
 // Session returns what was recorded.
 func (r *Recording) Session() Session {
 	d := decoder{log: r.log, others: r.others}
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -170,6 +170,8 @@
 		{`"released":0`, `"released":1`, CodeMalformed, "line 1: 1 tokens are released of a journal of 0"},
 		{"]}\n", "]}\r\n", CodeMalformed, "line 2: column"},
 		{goodTrace, "", CodeMalformed, "empty"},
+		// An empty line once counted as the end, so that the rest was not replayed.
+		{"]}\n", "]}\n\n", CodeMalformed, "line 3: "},
 		{goodTrace[:strings.Index(goodTrace, "\n")+1], "", CodeMalformed, "line 1: an event precedes"},
 		{`"x"`, `"` + strings.Repeat("x", maxLineBytes) + `"`, CodeTooLarge, "line 4 has more than"},
 		{goodTrace, strings.Repeat(goodTrace, maxSessions+1), CodeTooLarge, "more than 64 sessions"},
