--- /dev/null
+++ b/internal/capacity/backends_test.go
@@ -0,0 +1,122 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/backend"
+	"github.com/yuccahatch/yuccahatch/internal/placement"
+)
+
+var load = backendapi.Load{
+	MeasuredAt: start, Incarnation: start.UnixNano(), Running: 12, Waiting: 3, MaxRunning: 32, WaitingTokens: 900,
+	TokensPerSecond: 17.25, PrefillTokensPerSecond: 8000, Models: []string{"airing-plan-1"},
+}
+
+func cacheEvents(n int) backendapi.CacheEvents {
+	events := backendapi.CacheEvents{Incarnation: 1}
+	for i := range n {
+		events.Events = append(events.Events, backendapi.CacheEvent{
+			Sequence: int64(i + 1), Kind: backendapi.CacheStored, PrefixHash: fmt.Sprintf("%016x", rand.Uint64()), Tokens: 16 * i, Model: "airing-plan-1",
+		})
+	}
+	return events
+}
+
+// countedListener counts the bytes of the connections that it accepts; what
+// the server reads is what the client sent.
+type countedListener struct {
+	net.Listener
+	wire *wire
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countedConn{conn, l.wire}, err
+}
+
+// BenchmarkPoll measures one poll of a backend server as the pool makes it:
+// load report and cache events. CPU covers both ends; "sent" is by the server.
+func BenchmarkPoll(b *testing.B) {
+	for _, events := range []int{0, 16, 64, 256} {
+		b.Run(fmt.Sprintf("events=%d", events), func(b *testing.B) {
+			loadBody, _ := json.Marshal(load)
+			eventBody, _ := json.Marshal(cacheEvents(events))
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Type", "application/json")
+				if strings.HasPrefix(r.URL.Path, backendapi.RouteLoad) {
+					_, _ = w.Write(loadBody)
+					return
+				}
+				_, _ = w.Write(eventBody)
+			}))
+			w := &wire{}
+			server.Listener = countedListener{server.Listener, w}
+			server.Start()
+			defer server.Close()
+			client := backend.NewClient()
+			w.measure(b, func() {
+				if _, err := client.Load(b.Context(), server.URL); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := client.CacheEvents(b.Context(), server.URL, 0); err != nil {
+					b.Fatal(err)
+				}
+			})
+		})
+	}
+}
+
+func newFleet(b *testing.B, servers, cached int) *placement.Fleet {
+	f, err := placement.NewFleet(placement.Config{DataCentre: "dc-00"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.ObserveList(hostList(9, servers).Backends)
+	for _, s := range f.Servers() {
+		f.ObserveLoad(start, s.ID, load)
+		f.ObserveCache(s.ID, cacheEvents(cached))
+	}
+	return f
+}
+
+// BenchmarkChoose measures the hashing of a prompt and the choice of a server.
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []struct{ servers, tokens int }{{38, 1_000}, {500, 1_000}, {10_000, 1_000}, {64, 100}, {64, 1_000}, {64, 10_000}} {
+		b.Run(fmt.Sprintf("servers=%d/tokens=%d", size.servers, size.tokens), func(b *testing.B) {
+			f, rng := newFleet(b, size.servers, 16), rand.New(rand.NewPCG(1, 2))
+			prompt := strings.Repeat("token ", size.tokens)
+			for b.Loop() {
+				prefixes, tokens := placement.PrefixHashes(prompt)
+				if _, _, err := f.Choose(placement.Request{Model: "airing-plan-1", PromptTokens: tokens, Prefixes: prefixes}, start, rng); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkFleetMemory measures what a followed server holds, by the number
+// of its cached prefixes, and one report of uses by a peer.
+func BenchmarkFleetMemory(b *testing.B) {
+	for _, size := range []struct{ servers, cached int }{{1_000, 0}, {100, 100}, {100, 1_000}, {100, placement.DefaultCacheEntries}} {
+		b.Run(fmt.Sprintf("servers=%d/cached=%d", size.servers, size.cached), func(b *testing.B) {
+			f := newFleet(b, size.servers, 0)
+			for b.Loop() {
+				for _, s := range f.Servers() {
+					f.ObservePeer(start, ident.HostID("host-0001"), s.ID, 3, 100)
+				}
+			}
+			b.ReportMetric(heapOf(func() any { return newFleet(b, size.servers, size.cached) })/float64(size.servers), "heap-B/server")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*size.servers), "ns/server")
+		})
+	}
+}
--- /dev/null
+++ b/internal/capacity/requests_test.go
@@ -0,0 +1,161 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/admission"
+	"github.com/yuccahatch/yuccahatch/internal/cursor"
+	"github.com/yuccahatch/yuccahatch/internal/explain"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/share"
+)
+
+// BenchmarkAdmission measures one dispatch, finish and offer by customers and
+// queue, and the update of all customers' limits that a node makes each 100 ms.
+func BenchmarkAdmission(b *testing.B) {
+	for _, size := range []struct{ customers, queued int }{{10, 1_000}, {110, 1_000}, {220, 1_000}, {220, 100}, {220, 10_000}} {
+		c := newController(b, size.customers)
+		for i := range size.queued {
+			item := admission.Item{ID: uint64(i), Customer: customerID(i % size.customers), Tokens: 500}
+			if refusal, err := c.Offer(start, item); refusal != nil || err != nil {
+				b.Fatal(refusal, err)
+			}
+		}
+		name := fmt.Sprintf("customers=%d/queued=%d", size.customers, size.queued)
+		b.Run("request/"+name, func(b *testing.B) {
+			for b.Loop() {
+				out := c.Dispatch(start)
+				c.Finished(start, out[0].Item, 100)
+				if refusal, err := c.Offer(start, out[0].Item); refusal != nil || err != nil {
+					b.Fatal(refusal, err)
+				}
+			}
+		})
+		b.Run("limits/"+name, func(b *testing.B) {
+			for b.Loop() {
+				setCustomers(b, c, size.customers)
+			}
+		})
+	}
+}
+
+func newController(b *testing.B, customers int) *admission.Controller {
+	config := admission.Config{MaxWait: time.Hour, GiveUpAfter: time.Hour, QueueLimit: 10_000}
+	c, err := admission.New(config, nil, rand.New(rand.NewPCG(1, 2)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	c.SetCapacity(admission.Capacity{Slots: 600, Rate: 1e9})
+	setCustomers(b, c, customers)
+	return c
+}
+
+func setCustomers(b *testing.B, c *admission.Controller, customers int) {
+	for i := range customers {
+		limits := admission.Limits{Priority: admission.Priority(i % 3), Weight: float64(1 + i%7), Rate: math.Inf(1)}
+		if err := c.SetCustomer(start, customerID(i), limits); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkShare measures one round of demands of a node to its peers, with
+// some customers over their part, and the answer of one peer.
+func BenchmarkShare(b *testing.B) {
+	for _, size := range []struct{ customers, peers int }{{10, 8}, {110, 8}, {220, 8}, {220, 32}, {220, 128}} {
+		b.Run(fmt.Sprintf("customers=%d/peers=%d", size.customers, size.peers), func(b *testing.B) {
+			now := start
+			borrower, peers := newLedger(b, 0, size.customers, size.peers+1)
+			lender, _ := newLedger(b, 1, size.customers, size.peers+1)
+			for i := range size.customers {
+				borrower.SetDemand(now, customerID(i), 0.9)
+			}
+			messages, n := 0, 0
+			for b.Loop() {
+				now = now.Add(500 * time.Millisecond)
+				demands := borrower.Demands(now, peers)
+				loans := lender.ObserveDemands(now, hostID(0), 1, demands[0])
+				borrower.ObserveLoans(now, hostID(1), 1, loans)
+				messages += len(demands[0])
+				n++
+			}
+			b.ReportMetric(float64(messages)/float64(n), "demands/message")
+		})
+	}
+}
+
+func newLedger(b *testing.B, self, customers, hosts int) (*share.Ledger, []ident.HostID) {
+	l, err := share.New(hostID(self), 1, share.Config{}, start)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var all, peers []ident.HostID
+	for i := range hosts {
+		all = append(all, hostID(i))
+		if i != self {
+			peers = append(peers, hostID(i))
+		}
+	}
+	l.SetHosts(start, all)
+	for _, peer := range peers {
+		l.ObserveIncarnation(start, peer, 1)
+		l.Acknowledged(start, peer)
+	}
+	for i := range customers {
+		l.SetDemand(start, customerID(i), 0)
+	}
+	return l, peers
+}
+
+// BenchmarkCursor measures the cursor of one token, by the number of replicas.
+func BenchmarkCursor(b *testing.B) {
+	codec, err := cursor.NewCodec(bytes.Repeat([]byte("k"), cursor.MinKeyBytes))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, replicas := range []int{0, 1, 2} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			c := cursor.Cursor{
+				Generation: "gen-6ba7b810-9dad-11d1-80b4-00c04fd430c8", Request: "req-6ba7b810-9dad-11d1-80b4-00c04fd430c8",
+				Customer: customerID(1), Backend: "engine-00001", Attempt: "att-6ba7b810-9dad-11d1-80b4-00c04fd430c8", Owner: hostID(1),
+			}
+			for i := range replicas {
+				c.Replicas = append(c.Replicas, hostID(i))
+			}
+			e, tokens := codec.NewEncoder(c), 0
+			for b.Loop() {
+				tokens++
+				e.Encode(tokens, cursor.Digest{1})
+			}
+			b.ReportMetric(float64(len(e.Encode(1_000, cursor.Digest{1}))), "cursor-B")
+			b.ReportMetric(heapOf(func() any { return codec.NewEncoder(c) }), "heap-B")
+		})
+	}
+}
+
+// BenchmarkExplain measures the records of requests with 8 decisions each.
+func BenchmarkExplain(b *testing.B) {
+	for _, requests := range []int{100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("requests=%d", requests), func(b *testing.B) {
+			fill := func() *explain.Store {
+				s := explain.NewStore(hostID(1))
+				for i := range requests {
+					for j := range 8 {
+						s.Add(start, customerID(i%220), ident.RequestID(fmt.Sprintf("req-%036d", i)), "admitted", fmt.Sprintf("%d estimated tokens after 12 ms", 500+j))
+					}
+				}
+				return s
+			}
+			for b.Loop() {
+				fill()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*requests*8), "ns/decision")
+			b.ReportMetric(heapOf(func() any { return fill() })/float64(requests), "heap-B/request")
+		})
+	}
+}
