Keep the nodes of a membership view in order

Every heartbeat, tick and choice of peers sorted all nodes. A cache of the sorted slice was ruled out: entries come and go in two places only, so the order is kept at insertion.

--- a/internal/membership/answers.go
+++ b/internal/membership/answers.go
@@ -19,7 +19,7 @@
 // callers spread. Staleness: at most one Tick beyond the given time.
 func (v *View) Addresses(now time.Time, caller ident.DataCentre, seed uint64) []Node {
 	var near, far []Node
-	for _, e := range v.sorted() {
+	for _, e := range v.order {
 		if e.State != Alive || e.CallerAddress == "" || (e != v.self && e.stateAt(now, v.config) != Alive) {
 			continue
 		}
@@ -49,7 +49,7 @@
 // Listed; the sequences of the nodes tell what has to be fetched first.
 func (v *View) Heard(now time.Time, limit time.Duration) []Node {
 	var out []Node
-	for _, e := range v.sorted() {
+	for _, e := range v.order {
 		recent := !e.ProvedAt.IsZero() && !e.ProvedAt.After(now) && now.Sub(e.ProvedAt) <= limit
 		if e.Listed && (e == v.self || recent) {
 			out = append(out, e.Node)
@@ -72,9 +72,8 @@
 
 // Nodes returns all known nodes in the order of their ids.
 func (v *View) Nodes() []Node {
-	all := v.sorted()
-	out := make([]Node, len(all))
-	for i, e := range all {
+	out := make([]Node, len(v.order))
+	for i, e := range v.order {
 		out[i] = e.Node
 	}
 	return out
@@ -104,7 +103,7 @@
 // proof, its own life excepted, since its heartbeat shows that.
 func (v *View) Summary(now time.Time) []SummaryHost {
 	var out []SummaryHost
-	for _, e := range v.sorted() {
+	for _, e := range v.order {
 		if e == v.self || e.ProvedAt.IsZero() || e.ProvedAt.After(now) {
 			continue
 		}
@@ -155,7 +154,7 @@
 
 func (v *View) listedPeers() []Node {
 	var out []Node
-	for _, e := range v.sorted() {
+	for _, e := range v.order {
 		if e.Listed && e != v.self {
 			out = append(out, e.Node)
 		}
@@ -191,7 +190,7 @@
 // different views may choose different relays; that costs messages only.
 func (v *View) Relays(dc ident.DataCentre) []Node {
 	var usable []Node
-	for _, e := range v.sorted() {
+	for _, e := range v.order {
 		if e.Listed && (e.State == Alive || e.State == Suspected) {
 			usable = append(usable, e.Node)
 		}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -14,6 +14,7 @@
 	config       Config
 	self         *entry
 	nodes        map[ident.HostID]*entry
+	order        []*entry  // the entries of nodes, sorted by host
 	last         time.Time // time of the last input
 	jumpedAt     time.Time // time of the last clock jump, or the start
 	leavingSince time.Time // zero if this node does not leave
@@ -30,10 +31,18 @@
 		Host: self.Host, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
 		Address: self.Address, CallerAddress: self.CallerAddress, State: Alive,
 	}}
-	return &View{
-		config: config, self: own, last: now, jumpedAt: now,
-		nodes: map[ident.HostID]*entry{self.Host: own},
-	}, nil
+	v := &View{config: config, self: own, last: now, jumpedAt: now, nodes: map[ident.HostID]*entry{}}
+	v.add(own)
+	return v, nil
+}
+
+// add puts a new entry into nodes and order.
+func (v *View) add(e *entry) {
+	v.nodes[e.Host] = e
+	i, _ := slices.BinarySearchFunc(v.order, e.Host, func(e *entry, host ident.HostID) int {
+		return strings.Compare(string(e.Host), string(host))
+	})
+	v.order = slices.Insert(v.order, i, e)
 }
 
 // ObserveList takes a snapshot of the host list. An empty snapshot is ignored:
@@ -50,7 +59,7 @@
 		listed[ident.HostID(h.HostID)] = true
 		out = v.list(now, h, out)
 	}
-	for _, e := range v.sorted() {
+	for _, e := range v.order {
 		if e.Listed && !listed[e.Host] {
 			e.Listed = false
 			e.removed = e != v.self
@@ -67,7 +76,7 @@
 	e := v.nodes[id]
 	if e == nil {
 		e = &entry{silentSince: now, Node: Node{Host: id}}
-		v.nodes[id] = e
+		v.add(e)
 	}
 	if e.removed {
 		// Listed again: it has to be heard before it is handed out.
@@ -100,7 +109,7 @@
 	e := v.nodes[h.Host]
 	if e == nil {
 		e = &entry{Node: Node{Host: h.Host, DataCentre: h.DataCentre}}
-		v.nodes[h.Host] = e
+		v.add(e)
 	}
 	if h.Incarnation < e.Incarnation {
 		return out
@@ -215,12 +224,17 @@
 	}
 	v.last = now
 	var out []Transition
-	for _, e := range v.sorted() {
+	forgotten := false
+	for _, e := range v.order {
 		out = v.settle(now, e, ReasonSilence, out)
 		if !e.Listed && e != v.self && now.Sub(e.silentSince) >= v.config.ForgetAfter {
 			delete(v.nodes, e.Host)
+			forgotten = true
 		}
 	}
+	if forgotten {
+		v.order = slices.DeleteFunc(v.order, func(e *entry) bool { return v.nodes[e.Host] != e })
+	}
 	return out
 }
 
@@ -230,7 +244,7 @@
 func (v *View) ClockJumped(now time.Time) []Transition {
 	v.last, v.jumpedAt = now, now
 	var out []Transition
-	for _, e := range v.sorted() {
+	for _, e := range v.order {
 		if e == v.self {
 			continue
 		}
@@ -266,19 +280,6 @@
 	return append(out, t)
 }
 
-// sorted returns the nodes in the order of their ids, so that no result
-// depends on map order.
-func (v *View) sorted() []*entry {
-	all := make([]*entry, 0, len(v.nodes))
-	for _, e := range v.nodes {
-		all = append(all, e)
-	}
-	slices.SortFunc(all, func(a, b *entry) int {
-		return strings.Compare(string(a.Host), string(b.Host))
-	})
-	return all
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
