Exchange heartbeats with every node up to 128 hosts

At 33 to 1,100 hosts a node exchanged heartbeats with 8 peers and the relays of its data centre. The summaries that would tell it about the others exist in the decision package only; no message carries them. All other nodes were dead to it after 10 s: callers were not sent to them and they held no copies. The new test failed with 'n19 sees n00 as dead'. Presuming listed nodes alive was ruled out: the majority of section 5.4 would still be unheard. The cost of a full mesh is in docs/CAPACITY.md; summaries have to come before 128 hosts.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -4,12 +4,15 @@
 
 // Defaults of Config. Section 6 of docs/design.md gives the reasons.
 const (
-	DefaultSuspectAfter        = 2 * time.Second
-	DefaultDeadAfter           = 10 * time.Second
-	DefaultForgetAfter         = time.Minute
-	DefaultJumpLimit           = 2 * time.Second
-	DefaultLeaveGrace          = 2 * time.Second
-	DefaultFullMeshHosts       = 32
+	DefaultSuspectAfter = 2 * time.Second
+	DefaultDeadAfter    = 10 * time.Second
+	DefaultForgetAfter  = time.Minute
+	DefaultJumpLimit    = 2 * time.Second
+	DefaultLeaveGrace   = 2 * time.Second
+	// DefaultFullMeshHosts is high because no message carries the summaries of
+	// relays yet: above it, nodes that are not heartbeat peers are unheard and
+	// count as dead. docs/CAPACITY.md gives the cost of a full mesh.
+	DefaultFullMeshHosts       = 128
 	DefaultPeers               = 8
 	DefaultRelaysPerDataCentre = 2
 	DefaultMaxAddresses        = 16
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -257,3 +257,39 @@
 		})
 	})
 }
+
+// TestNoLiveNodeIsDeadInALargeDeployment guards against a choice of heartbeat
+// peers that leaves live nodes unheard: they would be dead to all others, so
+// callers would not be sent to them and they would hold no copies.
+func TestNoLiveNodeIsDeadInALargeDeployment(t *testing.T) {
+	const nodes = 40
+	var listed []platformapi.Host
+	for i := range nodes {
+		listed = append(listed, platformapi.Host{HostID: fmt.Sprintf("n%02d", i), DataCentre: fmt.Sprint("d", i%3), State: platformapi.HostLive})
+	}
+	views := map[ident.HostID]*View{}
+	for _, h := range listed {
+		v, err := New(Self{Host: ident.HostID(h.HostID), Incarnation: 1, DataCentre: ident.DataCentre(h.DataCentre)}, Config{}, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v.ObserveList(start, listed)
+		views[ident.HostID(h.HostID)] = v
+	}
+	for ms := 0; ms < 15_000; ms += 500 {
+		for host, v := range views {
+			v.Tick(at(ms))
+			for _, peer := range v.HeartbeatPeers() {
+				views[peer.Host].ObserveHeartbeat(at(ms), Heartbeat{Host: host, Incarnation: 1, FreshAge: -1})
+				v.ObserveHeartbeat(at(ms), Heartbeat{Host: peer.Host, Incarnation: 1, FreshAge: -1, AskedAt: at(ms)})
+			}
+		}
+	}
+	for host, v := range views {
+		for _, n := range v.Nodes() {
+			if n.State != Alive {
+				t.Fatalf("%s sees %s as %v", host, n.Host, n.State)
+			}
+		}
+	}
+}
