Refuse a crashing request that is confirmed while it waits

End-to-end test with real processes: one request crashes each engine that runs it and is sent 12 times under new ids through three nodes beside 12 answers. Two of six engines die, the answers beside it are complete (longest gap 107 ms), 11 of the 12 tries are refused (go test ./internal/e2e -run TestCrashingRequest -v). The first try still ends with generation_failed: the 4 s after which an answer is given up pass before the second death is judged. A request that waits longer, behind a later loss, now gets the refusal itself.

--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -72,6 +72,13 @@
 	Close()
 }
 
+// FinalError is the error of a placement that may tell that asking again is no
+// use.
+type FinalError interface {
+	error
+	Final() bool
+}
+
 // Placer chooses backend servers.
 type Placer interface {
 	// Place waits for admission and capacity.
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -334,10 +334,11 @@
 const resumeRetry = 50 * time.Millisecond
 
 func retryAfterOf(err error, resume bool) time.Duration {
-	if resume && !errors.Is(err, context.Canceled) {
-		return resumeRetry
+	var final FinalError
+	if !resume || errors.Is(err, context.Canceled) || errors.As(err, &final) && final.Final() {
+		return 0
 	}
-	return 0
+	return resumeRetry
 }
 
 func (r *Run) open(a continuation.Open) {
--- a/internal/node/failures.go
+++ b/internal/node/failures.go
@@ -65,6 +65,11 @@
 	if result.Tokens > 0 {
 		outcome = callerapi.OutcomePartial
 	}
+	var failure *caller.Failure
+	if errors.As(result.PlaceError, &failure) && failure.Final() {
+		// The request ran before the reason to refuse it was known.
+		return &caller.Failure{Code: failure.Code, Message: failure.Message, Outcome: outcome}
+	}
 	return &caller.Failure{
 		Code:       callerapi.CodeGenerationFailed,
 		Message:    fmt.Sprintf("the answer stopped after %d tokens: %s", result.Tokens, result.Failed),
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -165,10 +165,6 @@
 	}
 	run := n.newRequest(access, request, inForce.Contract.Priority)
 	run.Generation = ident.NewGenerationID()
-	if err := n.checkCrashes(run); err != nil {
-		n.refused(access, request.Request, err)
-		return generation.Result{}, err
-	}
 	return n.execute(ctx, run, generation.Start{}, sink)
 }
 
--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -37,6 +37,9 @@
 // Place implements generation.Placer.
 func (p placer) Place(ctx context.Context, request *generation.Request, ask generation.Ask) (generation.Placement, error) {
 	n := p.node
+	if err := n.checkCrashes(request); err != nil {
+		return generation.Placement{}, err
+	}
 	prefixes, promptTokens := placement.PrefixHashes(request.Prompt + ask.AcceptedText)
 	if ask.Resume {
 		if err := n.spendRetry(ctx); err != nil {
--- a/internal/peer/caller/errors.go
+++ b/internal/peer/caller/errors.go
@@ -28,6 +28,9 @@
 // Error implements error.
 func (f *Failure) Error() string { return string(f.Code) + ": " + f.Message }
 
+// Final tells that repeating the request is no use.
+func (f *Failure) Final() bool { return f.RetryAfter <= 0 }
+
 // invalid returns the failure of a request with a fault in a field.
 func invalid(param, message string) *Failure {
 	return &Failure{Code: callerapi.CodeInvalidRequest, Message: message, Param: param}
