node: do not call a key invalid while isolated

A node that starts without the platform, or restarts and has not read the contracts yet, answered 401 invalid_api_key without a time to come back, so callers with a valid key gave up. Cause: the key was looked up before the check of isolation. Ruled out: the check itself, which refuses known keys.

An unknown key on a node that cannot prove its contracts current is now answered with 503 node_isolated. Before: TestNodeWithoutPlatform fails with status 401. After: it passes, and TestNodeFrozenDuringChange still does.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -32,6 +32,11 @@
 	}
 	inForce, ok := n.contracts.ByKeyHash(contract.HashKey(key))
 	if !ok {
+		// The key may be in a contract that this node has not read yet. A caller
+		// that is told that its key is invalid does not come back.
+		if err := n.isolationFailure(time.Now()); err != nil {
+			return caller.Access{}, err
+		}
 		return caller.Access{}, &caller.Failure{Code: callerapi.CodeInvalidAPIKey, Message: "the bearer key is not in any contract"}
 	}
 	return caller.Access{Customer: inForce.Entry.Customer}, nil
@@ -91,25 +96,33 @@
 	now := time.Now()
 	n.mu.Lock()
 	accepts := n.view.AcceptsNewWork(now)
-	admitting, reason := n.freshness.Admission(now, n.listed)
 	n.mu.Unlock()
-	switch {
-	case !accepts:
+	if !accepts {
 		return &caller.Failure{
 			Code:       callerapi.CodeNodeLeaving,
 			Message:    "this node is shutting down",
 			RetryAfter: time.Millisecond,
 			Addresses:  n.otherAddresses(),
 		}
-	case !admitting:
-		return &caller.Failure{
-			Code:       callerapi.CodeNodeIsolated,
-			Message:    "this node cannot prove that its contracts are current: " + reason,
-			RetryAfter: comeBack,
-			Addresses:  n.otherAddresses(),
-		}
 	}
-	return nil
+	return n.isolationFailure(now)
+}
+
+// isolationFailure refuses a request while the node cannot prove that its
+// contracts are current.
+func (n *Node) isolationFailure(now time.Time) error {
+	n.mu.Lock()
+	admitting, reason := n.freshness.Admission(now, n.listed)
+	n.mu.Unlock()
+	if admitting {
+		return nil
+	}
+	return &caller.Failure{
+		Code:       callerapi.CodeNodeIsolated,
+		Message:    "this node cannot prove that its contracts are current: " + reason,
+		RetryAfter: comeBack,
+		Addresses:  n.otherAddresses(),
+	}
 }
 
 // contractOf returns the customer's contract in force.
