--- a/internal/e2e/engines_test.go
+++ b/internal/e2e/engines_test.go
@@ -3,7 +3,6 @@
 package e2e
 
 import (
-	"fmt"
 	"net/http"
 	"testing"
 
@@ -96,5 +95,5 @@
 		e.signal(t, 9)
 	}
 	longest := a.whole(t)
-	t.Log(fmt.Sprintf("longest time without tokens %s, resumes %v", longest, d.metric(scrape.Resumes)))
+	t.Logf("longest time without tokens %s, resumes %v", longest, d.metric(scrape.Resumes))
 }
--- a/internal/e2e/raw_test.go
+++ b/internal/e2e/raw_test.go
@@ -22,6 +22,7 @@
 // serves the cases that lab/caller does not produce, such as GET with a cursor.
 type rawAnswer struct {
 	t      *testing.T
+	key    string
 	prompt string
 	verify *caller.Verifier
 	cursor string
@@ -32,7 +33,7 @@
 
 func newRawAnswer(t *testing.T, length int) *rawAnswer {
 	prompt := fmt.Sprintf("raw programme length=%d", length)
-	return &rawAnswer{t: t, prompt: prompt, verify: caller.NewVerifier(prompt, 0)}
+	return &rawAnswer{t: t, key: callerKey, prompt: prompt, verify: caller.NewVerifier(prompt, 0)}
 }
 
 func (r *rawAnswer) body() []byte {
@@ -59,7 +60,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Authorization", "Bearer "+r.key)
 	if r.cursor != "" {
 		req.Header.Set(callerapi.HeaderLastEventID, r.cursor)
 	}
