peer/caller: do not promise not_run for a call whose key was not looked up

A booking that ran was answered with outcome not_run when it was repeated at a node that was full, or with a body or bearer key that was refused before the row of its idempotency key was read. A caller that believes this books again under a new key. Cause: a Failure without an outcome means not_run, and these refusals come before package idempotent sets one. Ruled out: quiet hours and leaving, which read the row first.

Such refusals of calls with an Idempotency-Key now have attempt_not_run. Before: TestFullNode and three cases of TestBadInput fail. After: both pass.

--- a/internal/peer/caller/errors.go
+++ b/internal/peer/caller/errors.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/api/callerapi"
@@ -123,6 +124,17 @@
 	writeJSON(w, f.status(), f.body())
 }
 
+// refuse answers a request that was not passed on. An earlier attempt with its
+// idempotency key may have run, and the row that would tell was not read, so
+// that OutcomeNotRun would promise too much.
+func refuse(w http.ResponseWriter, r *http.Request, err error) {
+	f := *failureOf(err)
+	if f.Outcome == "" && r.Header.Get(callerapi.HeaderIdempotencyKey) != "" && strings.HasPrefix(r.URL.Path, callerapi.RouteServices) {
+		f.Outcome = callerapi.OutcomeAttemptNotRun
+	}
+	writeFailure(w, &f)
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
--- a/internal/peer/caller/limit.go
+++ b/internal/peer/caller/limit.go
@@ -18,7 +18,7 @@
 		select {
 		case slots <- struct{}{}:
 		default:
-			writeFailure(w, &Failure{
+			refuse(w, r, &Failure{
 				Code:       callerapi.CodeOverloaded,
 				Message:    "the node serves as many requests as it may",
 				RetryAfter: overloadedRetry,
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -129,7 +129,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		access, err := s.gateway.Authenticate(bearerKey(r))
 		if err != nil {
-			writeFailure(w, err)
+			refuse(w, r, err)
 			return
 		}
 		next(w, r, access)
--- a/internal/peer/caller/service.go
+++ b/internal/peer/caller/service.go
@@ -15,13 +15,13 @@
 func (s *Server) service(w http.ResponseWriter, r *http.Request, access Access) {
 	call, err := s.decodeCall(r)
 	if err != nil {
-		writeFailure(w, err)
+		refuse(w, r, err)
 		return
 	}
 	w.Header().Set(callerapi.HeaderRequestID, string(call.Request))
 	answer, err := s.gateway.Call(r.Context(), access, call)
 	if err != nil {
-		writeFailure(w, err)
+		refuse(w, r, err)
 		return
 	}
 	writeServiceAnswer(w, answer)
