--- a/internal/e2e/client_test.go
+++ b/internal/e2e/client_test.go
@@ -113,6 +113,15 @@
 	return result
 }
 
+// putOther makes the contract of the second customer.
+func (d *deployment) putOther(document string) {
+	d.t.Helper()
+	a := do(http.MethodPut, "http://"+d.nodes[0].operators+operatorapi.RouteContracts+"/arejo-porto", operatorKey, nil, []byte(document))
+	if a.status != http.StatusOK && a.status != http.StatusAccepted {
+		d.t.Fatalf("contract of the second customer: status %d, %s, %v", a.status, a.body, a.err)
+	}
+}
+
 // setFaults makes the platform misbehave; nil ends all faults.
 func (d *deployment) setFaults(faults map[string]any) {
 	d.t.Helper()
