Replay recorded sessions against stated outcomes

Sessions of a three-node cluster on loopback: an engine killed, an engine stopped with SIGSTOP, a silent connection, a node killed, and a caller that went to another node while the first one still served it. expected.json states the outcome of each.

Sessions of one generation are compared with each other as well: a node must continue the text that another one released. Comparing all accepted tokens was ruled out, since tokens that were not released may be lost with their node.

--- a/internal/trace/check.go
+++ b/internal/trace/check.go
@@ -26,6 +26,8 @@
 	RuleRelease = "release"
 	// RuleEnd: an answer finishes once, and only when the caller has all of it.
 	RuleEnd = "end"
+	// RuleSameText: a node continues the text that another one released.
+	RuleSameText = "same_text"
 )
 
 // checker judges the recorded actions by the rules alone. It must not use the
--- a/internal/trace/replay.go
+++ b/internal/trace/replay.go
@@ -90,6 +90,7 @@
 	outcome Outcome
 	machine *continuation.Machine
 	checker *checker
+	text    releasedText
 	base    time.Time
 }
 
@@ -107,6 +108,7 @@
 		},
 		machine: header.Start.newMachine(header.Config),
 		checker: newChecker(header),
+		text:    releasedText{tokens: header.Start.Tokens, known: len(header.Start.Tokens)},
 		base:    replayBase,
 	}
 }
@@ -118,11 +120,13 @@
 func Replay(source io.Reader) (Report, error) {
 	r := newReader(source)
 	report := Report{Sessions: []Outcome{}}
+	seen := texts{}
 	var current *replay
 	for {
 		header, step, err := r.next()
 		if (err != nil || header != nil) && current != nil {
 			report.Sessions = append(report.Sessions, current.end())
+			seen.add(current.outcome.Generation, current.text)
 			current = nil
 		}
 		switch {
@@ -132,6 +136,7 @@
 			return report, err
 		case header != nil:
 			current = newReplay(r.number, header)
+			seen.check(current.checker, r.number, header)
 		default:
 			if err := current.step(r.number, step); err != nil {
 				return report, r.malformed(err)
@@ -143,6 +148,9 @@
 func (p *replay) step(line int, step *Step) error {
 	p.outcome.Events++
 	p.checker.step(line, step)
+	if text, ok := acceptedText(step); ok {
+		p.text.tokens = append(p.text.tokens, text)
+	}
 	p.count(line, step)
 	if p.outcome.Difference != nil {
 		return nil
@@ -200,6 +208,7 @@
 }
 
 func (p *replay) end() Outcome {
+	p.text.released = p.checker.released
 	o := p.outcome
 	o.Tokens, o.Released = p.checker.tokens, p.checker.released
 	o.Missing, o.Repeated = p.checker.missing, p.checker.repeated
--- /dev/null
+++ b/internal/trace/sessions_test.go
@@ -0,0 +1,120 @@
+package trace
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+)
+
+// expected is a stated outcome in testdata/sessions/expected.json.
+type expected struct {
+	About    string            `json:"about"`
+	Sessions []expectedSession `json:"sessions"`
+	// Rule, Line and Difference are of a wrong session: the rule that is broken
+	// first, and the line at which the decisions differ (0: nowhere).
+	Rule       string `json:"rule"`
+	Line       int    `json:"line"`
+	Difference int    `json:"difference"`
+}
+
+type expectedSession struct {
+	End        string `json:"end"`
+	From       int    `json:"from"`
+	To         int    `json:"to"`
+	Attempts   int    `json:"attempts"`
+	Losses     int    `json:"losses"`
+	SameStream []bool `json:"same_stream"`
+}
+
+// resumeBound is the longest time that an answer may pause after a loss.
+const resumeBound = 4 * time.Second
+
+// Guards against decisions that differ from those of recorded real sessions,
+// and against a replay that accepts a wrong session. The wrong sessions must be
+// refused by the rules alone, even if the machine decided as recorded.
+func TestRecordedTraces(t *testing.T) {
+	stated := map[string]expected{}
+	content, err := os.ReadFile("testdata/sessions/expected.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&stated); err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("testdata/sessions/*.jsonl")
+	if err != nil || len(files) != len(stated) {
+		t.Fatalf("%d files, %d stated outcomes, %v", len(files), len(stated), err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			source, err := os.Open(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer source.Close()
+			report, err := Replay(source)
+			if err != nil {
+				t.Fatal(err)
+			}
+			want, ok := stated[filepath.Base(file)]
+			switch {
+			case !ok:
+				t.Fatal("no outcome is stated")
+			case want.Rule != "":
+				checkRefused(t, report, want)
+			default:
+				checkOutcome(t, report, want)
+			}
+		})
+	}
+}
+
+func checkRefused(t *testing.T, report Report, want expected) {
+	t.Helper()
+	last := report.Sessions[len(report.Sessions)-1]
+	if report.OK() || len(last.Violations) == 0 || last.Violations[0].Rule != want.Rule || last.Violations[0].Line != want.Line {
+		t.Errorf("violations %+v, want rule %q at line %d", last.Violations, want.Rule, want.Line)
+	}
+	difference := 0
+	if last.Difference != nil {
+		difference = last.Difference.Line
+	}
+	if difference != want.Difference {
+		t.Errorf("the decisions differ at line %d, want %d: %+v", difference, want.Difference, last.Difference)
+	}
+}
+
+func checkOutcome(t *testing.T, report Report, want expected) {
+	t.Helper()
+	if !report.OK() || len(report.Sessions) != len(want.Sessions) {
+		t.Fatalf("report %+v", report)
+	}
+	for i, got := range report.Sessions {
+		same := []bool{}
+		for _, r := range got.Resumes {
+			same = append(same, r.SameStream)
+			if limit := float64(resumeBound / time.Millisecond); r.LatencyMS > limit {
+				t.Errorf("resume took %.1f ms, limit %.1f", r.LatencyMS, limit)
+			}
+		}
+		outcome := expectedSession{End: got.End, From: got.StartReleased, To: got.Released, Attempts: got.Attempts, Losses: got.Losses, SameStream: same}
+		w := want.Sessions[i]
+		if !slices.Equal(outcome.SameStream, w.SameStream) {
+			t.Errorf("session %d: resumes on the same stream %v, want %v", i, outcome.SameStream, w.SameStream)
+		}
+		outcome.SameStream, w.SameStream = nil, nil
+		if !equal(outcome, w) {
+			t.Errorf("session %d: %+v, want %+v", i, outcome, w)
+		}
+	}
+}
+
+func equal(a, b expectedSession) bool {
+	return a.End == b.End && a.From == b.From && a.To == b.To && a.Attempts == b.Attempts && a.Losses == b.Losses
+}
