Keep traces of disturbed requests and store explanations beyond their node

Decisions lived in the memory of the node that took them and were lost with it, and sessions could not be looked at afterwards. A node now records every session, keeps the newest 64 disturbed ones within 8 MiB, and serves them on /operator/v1/trace/{request} and by 'yuccahatch trace get'; 'trace replay' compares a file with the decisions of the program.

Decisions and traces of disturbed requests go to the object store, at most 5 objects/s per node and 50 for the deployment. explain and trace get always ask the store as well, since a living node may know only the second half.

Ruled out: one object per host with an index object, which needs a second write and loses entries in the same races; a name from customer and request, since the operator knows only the request. The name is the hash of the request id and one of eight slots chosen by customer and host, which needs no listing.

--- a/api/operatorapi/operatorapi.go
+++ b/api/operatorapi/operatorapi.go
@@ -10,6 +10,7 @@
 	RouteStatus    = "/operator/v1/status"
 	RouteAudit     = "/operator/v1/audit"
 	RouteExplain   = "/operator/v1/explain/" // followed by the request id
+	RouteTrace     = "/operator/v1/trace/"   // followed by the request id; answers JSON lines
 	RouteMetrics   = "/metrics"
 	RouteHealth    = "/healthz"
 	RouteReady     = "/readyz"
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -138,6 +138,13 @@
 	return operatorapi.Explanation{RequestID: string(request), Decisions: []operatorapi.Decision{{At: instant, HostID: "h1", Event: "placed", Detail: "e1\x1b[2J"}}}, nil
 }
 
+func (d *deployment) Trace(_ context.Context, request ident.RequestID) ([]byte, error) {
+	if request != "r1" {
+		return nil, operator.NewError(operator.CodeNotFound, "nothing is known about request %q", request)
+	}
+	return os.ReadFile(filepath.Join(packageDir, "testdata", "trace.jsonl"))
+}
+
 // run executes one command line and returns its exit status and output.
 func (d *deployment) run(ctx context.Context, line string, extra ...*cobra.Command) (int, string) {
 	ids := 0
@@ -158,12 +165,18 @@
 // command line of it starts with a node that does not answer.
 func TestSession(t *testing.T) {
 	dir := t.TempDir()
+	recorded, err := os.ReadFile(filepath.Join(packageDir, "testdata", "trace.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
 	for name, text := range map[string]string{
-		"good.toml":  "customer = \"arejo\"\nshare_percent = 25\n",
-		"next.toml":  "customer = \"arejo\"\nshare_percent = 30\n",
-		"bad.toml":   "customer = \"arejo\"\nshare_percent = 130\n",
-		"blank.toml": "",
-		"key":        "wrong",
+		"good.jsonl":     string(recorded),
+		"repeated.jsonl": strings.Replace(string(recorded), `"from":1,"to":2`, `"from":0,"to":2`, 1),
+		"good.toml":      "customer = \"arejo\"\nshare_percent = 25\n",
+		"next.toml":      "customer = \"arejo\"\nshare_percent = 30\n",
+		"bad.toml":       "customer = \"arejo\"\nshare_percent = 130\n",
+		"blank.toml":     "",
+		"key":            "wrong",
 	} {
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
 			t.Fatal(err)
@@ -175,7 +188,8 @@
 		"contract put good.toml --base 0 --change-id c1", "contract put good.toml --base 0 --change-id c1", "contract put good.toml --base 0",
 		"contract put next.toml --base 1 --change-id c2 --wait", "contract put next.toml --change-id c1", "contract put bad.toml", "contract put blank.toml",
 		"contract get arejo", "contract get nobody", "contract list", "contract history arejo", "contract list --output json",
-		"status", "explain r1", "audit --customer arejo",
+		"status", "explain r1", "audit --customer arejo", "trace get r1", "trace get r2",
+		"trace replay good.jsonl", "trace replay good.jsonl --output json", "trace replay repeated.jsonl", "trace replay good.toml", "trace replay missing.jsonl",
 		"contract nothing", "status --output xml", "contract put", "contract put good.toml --base -2", "audit --after noon", "contract put missing.toml", "status --nothing",
 		"status --node dead:1", "status --key-file key", "status --key-file missing",
 	}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -27,7 +27,7 @@
 
 func newChangeID() string { return uuid.NewString() }
 
-// call sends a request and decodes the answer. The status is 0 if no node
+// call sends a request and decodes the answer; a *[]byte receives it as it is. The status is 0 if no node
 // answered; one of 400 or more comes with an error.
 func (c *client) call(ctx context.Context, method, path string, header map[string]string, body []byte, into any) (int, error) {
 	var last error
@@ -74,6 +74,10 @@
 		_ = json.Unmarshal(answer, &body)
 		return errorOf(status, body)
 	}
+	if raw, ok := into.(*[]byte); ok {
+		*raw = answer
+		return nil
+	}
 	if err := json.Unmarshal(answer, into); err != nil {
 		return NewError(CodeFailed, "the node's answer cannot be read: %v", err)
 	}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -78,7 +78,7 @@
 	flags.StringVar(&a.keyFile, "key-file", "", "file with the operator's key")
 	flags.StringVar(&a.output, "output", outputTable, "output format: table or json")
 	flags.DurationVar(&a.timeout, "timeout", 10*time.Second, "limit of each call of a node")
-	root.AddCommand(a.contractCommand(), a.statusCommand(), a.explainCommand(), a.auditCommand())
+	root.AddCommand(a.contractCommand(), a.statusCommand(), a.explainCommand(), a.traceCommand(), a.auditCommand())
 	root.AddCommand(extra...)
 	markFailures(root)
 	return root
--- /dev/null
+++ b/internal/explain/document.go
@@ -0,0 +1,139 @@
+package explain
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+const (
+	// documentVersion is the version of the objects' format.
+	documentVersion = 1
+	// slots is the number of objects of one request. All are read to explain a
+	// request; hosts that share a slot merge their content.
+	slots = 8
+	// maxDocumentBytes bounds the decoded content of an object; beyond it the
+	// oldest traces are left out.
+	maxDocumentBytes = 16 << 20
+	// maxMergedDecisions bounds the decisions of one customer in an object.
+	maxMergedDecisions = 512
+	// requestDigestBytes is how much of the hash of a request id names its
+	// objects.
+	requestDigestBytes = 16
+)
+
+// Document is the content of an object: what hosts of one slot know about one
+// request id.
+type Document struct {
+	Version int              `json:"version"`
+	Request ident.RequestID  `json:"request"`
+	Records []DocumentRecord `json:"records"`
+}
+
+// DocumentRecord belongs to one customer that used the request id.
+type DocumentRecord struct {
+	Customer  ident.Customer `json:"customer"`
+	Decisions []Decision     `json:"decisions"`
+	Traces    []Trace        `json:"traces"`
+}
+
+// objectName names the object of a slot. The request id is hashed because a
+// caller chooses it and may use any characters.
+func objectName(request ident.RequestID, slot int) string {
+	sum := sha256.Sum256([]byte(request))
+	return fmt.Sprintf("explain/v%d/%s/%d", documentVersion, hex.EncodeToString(sum[:requestDigestBytes]), slot)
+}
+
+// slotOf spreads the hosts and customers of one request id over its objects.
+func slotOf(customer ident.Customer, host ident.HostID) int {
+	return int(xxh3.HashString(string(customer)+"\x00"+string(host)) % slots)
+}
+
+// merge adds the content of another document. It is commutative and may be
+// repeated.
+func (d *Document) merge(other Document) {
+	for _, record := range other.Records {
+		i := slices.IndexFunc(d.Records, func(r DocumentRecord) bool { return r.Customer == record.Customer })
+		if i < 0 {
+			i = len(d.Records)
+			d.Records = append(d.Records, DocumentRecord{Customer: record.Customer})
+		}
+		own := &d.Records[i]
+		own.Decisions = MergeDecisions(own.Decisions, record.Decisions)
+		own.Traces = MergeTraces(own.Traces, record.Traces)
+	}
+}
+
+// MergeDecisions returns the decisions of all sources once each, oldest first.
+// Their times are cut to milliseconds, which is what nodes exchange.
+func MergeDecisions(sources ...[]Decision) []Decision {
+	seen := map[Decision]bool{}
+	var merged []Decision
+	for _, source := range sources {
+		for _, d := range source {
+			d.At = d.At.UTC().Truncate(time.Millisecond)
+			if !seen[d] {
+				seen[d] = true
+				merged = append(merged, d)
+			}
+		}
+	}
+	slices.SortStableFunc(merged, func(a, b Decision) int { return a.At.Compare(b.At) })
+	return merged[:min(len(merged), maxMergedDecisions)]
+}
+
+// encode returns the compressed content of the object.
+func (d *Document) encode() ([]byte, error) {
+	d.limit()
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if err := json.NewEncoder(w).Encode(d); err != nil {
+		return nil, newError(CodeMalformed).Wrapf(err, "encode the explanation of request %q", d.Request)
+	}
+	if err := w.Close(); err != nil {
+		return nil, newError(CodeMalformed).Wrapf(err, "compress the explanation of request %q", d.Request)
+	}
+	return b.Bytes(), nil
+}
+
+// limit leaves out the oldest traces beyond the limit of size.
+func (d *Document) limit() {
+	bytes := 0
+	for i := range d.Records {
+		record := &d.Records[i]
+		first := len(record.Traces)
+		for first > 0 && bytes+len(record.Traces[first-1].Text) <= maxDocumentBytes/2 {
+			first--
+			bytes += len(record.Traces[first].Text)
+		}
+		record.Traces = record.Traces[first:]
+	}
+}
+
+// decodeDocument reads the content of an object.
+func decodeDocument(content []byte, request ident.RequestID) (Document, error) {
+	r, err := gzip.NewReader(bytes.NewReader(content))
+	if err != nil {
+		return Document{}, newError(CodeMalformed).Wrapf(err, "decompress the explanation of request %q", request)
+	}
+	decoder := json.NewDecoder(io.LimitReader(r, maxDocumentBytes))
+	decoder.DisallowUnknownFields()
+	var d Document
+	if err := decoder.Decode(&d); err != nil {
+		return Document{}, newError(CodeMalformed).Wrapf(err, "decode the explanation of request %q", request)
+	}
+	if d.Version != documentVersion || d.Request != request {
+		return Document{}, newError(CodeMalformed).Errorf("the object holds version %d of request %q, want version %d of %q", d.Version, d.Request, documentVersion, request)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/explain/errors.go
@@ -0,0 +1,35 @@
+package explain
+
+import (
+	"errors"
+
+	"github.com/samber/oops"
+)
+
+// Code classifies a failure of stored explanations.
+type Code string
+
+// Codes of explanation errors.
+const (
+	// CodeMalformed: an object is not in the form that this package writes.
+	CodeMalformed Code = "explain_malformed"
+	// CodeUnavailable: the object store did not answer for all objects.
+	CodeUnavailable Code = "explain_unavailable"
+	// CodeOverflow: requests wait for the object store beyond the limit.
+	CodeOverflow Code = "explain_overflow"
+)
+
+// CodeOf returns the code of an error that this package returned, and the empty
+// code for any other error.
+func CodeOf(err error) Code {
+	var e oops.OopsError
+	if !errors.As(err, &e) {
+		return ""
+	}
+	code, _ := e.Code().(Code)
+	return code
+}
+
+func newError(code Code) oops.OopsErrorBuilder {
+	return oops.Code(code).In("explain")
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -23,10 +23,10 @@
 
 // Decision is one step of a request's handling.
 type Decision struct {
-	At     time.Time
-	Host   ident.HostID
-	Event  string
-	Detail string
+	At     time.Time    `json:"at"`
+	Host   ident.HostID `json:"host"`
+	Event  string       `json:"event"`
+	Detail string       `json:"detail"`
 }
 
 // Record holds the decisions for one request of one customer.
@@ -36,6 +36,10 @@
 	Decisions []Decision
 }
 
+// disturbances are the events after which the record of a request is written to
+// the object store.
+var disturbances = map[string]bool{"lost": true, "resumed": true, "taken_over": true, "failed": true}
+
 type key struct {
 	customer ident.Customer
 	request  ident.RequestID
@@ -44,6 +48,8 @@
 // Store holds the newest records of a node.
 type Store struct {
 	host ident.HostID
+	// changed is called, without mu, after a disturbance was recorded.
+	changed func(ident.Customer, ident.RequestID)
 
 	mu sync.Mutex
 	// order, byKey and byRequest are guarded by mu. order holds *Record, oldest
@@ -59,14 +65,26 @@
 func NewStore(host ident.HostID) *Store {
 	return &Store{
 		host:      host,
+		changed:   func(ident.Customer, ident.RequestID) {},
 		order:     list.New(),
 		byKey:     map[key]*list.Element{},
 		byRequest: map[ident.RequestID][]*Record{},
 	}
 }
 
+// OnChange sets what is called after a disturbance was recorded. It is set
+// before the first decision.
+func (s *Store) OnChange(changed func(ident.Customer, ident.RequestID)) { s.changed = changed }
+
 // Add records one decision.
 func (s *Store) Add(now time.Time, customer ident.Customer, request ident.RequestID, event, detail string) {
+	s.add(now, customer, request, event, detail)
+	if disturbances[event] {
+		s.changed(customer, request)
+	}
+}
+
+func (s *Store) add(now time.Time, customer ident.Customer, request ident.RequestID, event, detail string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	record := s.record(key{customer, request})
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,240 @@
+package explain
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+
+	"github.com/yuccahatch/yuccahatch/internal/continuation"
+	"github.com/yuccahatch/yuccahatch/internal/generation"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/objects"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
+	"github.com/yuccahatch/yuccahatch/internal/trace"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeObjects is an object store in memory.
+type fakeObjects struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+	puts    int
+	down    bool
+}
+
+func (f *fakeObjects) Put(_ context.Context, name string, content []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errors.New("connection reset")
+	}
+	f.objects[name] = content
+	f.puts++
+	return nil
+}
+
+func (f *fakeObjects) Get(_ context.Context, name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errors.New("connection reset")
+	}
+	if content, ok := f.objects[name]; ok {
+		return content, nil
+	}
+	return nil, oops.Code(objects.CodeNotFound).Errorf("no object %q", name)
+}
+
+// host is the explanation part of one node.
+type host struct {
+	id      ident.HostID
+	store   *Store
+	traces  *Traces
+	archive *Archive
+	scope   tally.TestScope
+}
+
+func newHost(id ident.HostID, store objects.Store, hosts int) *host {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := &host{id: id, store: NewStore(id), traces: NewTraces(id), scope: tally.NewTestScope("", nil)}
+	h.archive = NewArchive(ArchiveConfig{
+		Host: id, Objects: store, Store: h.store, Traces: h.traces,
+		Hosts:  func() int { return hosts },
+		Events: telemetry.NewEventLog(logrus.NewEntry(log)), Scope: h.scope,
+	})
+	return h
+}
+
+// serve records a session of a request with or without a loss.
+func (h *host) serve(customer ident.Customer, id ident.RequestID, disturbed bool) {
+	request := &generation.Request{Customer: customer, Request: id, Generation: ident.GenerationID(id)}
+	start := &generation.Start{Journal: &continuation.Journal{}}
+	config := continuation.DefaultConfig
+	recorder := h.traces.Open(request, start, config)
+	machine := continuation.NewMachine(config, start.Journal, 0)
+	step := func(event continuation.Event) {
+		now := time.Now()
+		recorder.Step(now, event, machine.Step(now, event))
+	}
+	step(continuation.Started{})
+	step(continuation.Placed{Attempt: "a1", Backend: "e1", FirstTokenLimit: time.Second})
+	step(continuation.Token{Attempt: "a1", Text: "x", Finish: "stop"})
+	h.store.Add(time.Now(), customer, id, "placed", "backend server e1")
+	if disturbed {
+		step(continuation.Token{Attempt: "a0", Text: "y"})
+		h.store.Add(time.Now(), customer, id, "lost", "silence")
+	}
+	step(continuation.Acknowledged{Tokens: 1})
+	recorder.Close()
+}
+
+// running runs the archives of hosts for a time.
+func running(t *testing.T, d time.Duration, hosts ...*host) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var workers sync.WaitGroup
+	for _, h := range hosts {
+		workers.Go(func() { h.archive.Run(ctx) })
+	}
+	time.Sleep(d)
+	cancel()
+	workers.Wait()
+}
+
+// Guards against an explanation or a trace that is lost with the node that
+// served the request, or overwritten by a node that continued it, even if both
+// share an object or another customer used the same request id.
+func TestExplanationsOutliveTheirNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeObjects{objects: map[string][]byte{}}
+		first := newHost("h1", store, 3)
+		same := ident.HostID("")
+		for i := 2; same == ""; i++ {
+			if id := ident.HostID(fmt.Sprintf("h%d", i)); slotOf("c", id) == slotOf("c", "h1") {
+				same = id
+			}
+		}
+		second, third := newHost(same, store, 3), newHost("other", store, 3)
+		first.serve("c", "r/1", true)
+		running(t, 3*time.Second, first)
+		second.serve("c", "r/1", true)
+		third.serve("d", "r/1", true)
+		third.serve("d", "quiet", false)
+		running(t, 3*time.Second, second, third)
+
+		found, err := newHost("new", store, 3).archive.Load(t.Context(), "r/1")
+		if err != nil || len(found.Records) != 2 {
+			t.Fatalf("found %+v, %v", found, err)
+		}
+		for _, record := range found.Records {
+			hosts := map[ident.Customer][]ident.HostID{"c": {"h1", same}, "d": {"other"}}[record.Customer]
+			if len(record.Decisions) != 2*len(hosts) || len(record.Traces) != len(hosts) {
+				t.Fatalf("customer %s: %d decisions, %d traces", record.Customer, len(record.Decisions), len(record.Traces))
+			}
+			for i, h := range hosts {
+				report, err := trace.Replay(strings.NewReader(record.Traces[i].Text))
+				if err != nil || !report.OK() || report.Sessions[0].Host != h || report.Sessions[0].Discarded != 1 {
+					t.Errorf("customer %s, trace %d: %+v, %v", record.Customer, i, report, err)
+				}
+			}
+		}
+		if quiet, err := first.archive.Load(t.Context(), "quiet"); err != nil || len(quiet.Records) != 0 {
+			t.Errorf("an undisturbed request was stored: %+v, %v", quiet, err)
+		}
+	})
+}
+
+// Guards against writes beyond the node's part of the object store, and against
+// a queue that grows without a bound or hides what it drops.
+func TestWritesAreBounded(t *testing.T) {
+	for _, test := range []struct {
+		hosts int
+		limit int // objects in 60 s, the burst included
+	}{{3, 305}, {1100, 8}} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &fakeObjects{objects: map[string][]byte{}}
+			h := newHost("h1", store, test.hosts)
+			const requests = maxPending + 10
+			for i := range requests {
+				h.store.Add(time.Now(), "c", ident.RequestID(fmt.Sprint(i)), "lost", "")
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+			defer cancel()
+			go h.archive.Run(ctx)
+			time.Sleep(59*time.Second + 500*time.Millisecond)
+			store.mu.Lock()
+			n := store.puts
+			store.mu.Unlock()
+			if n > test.limit || n < test.limit/2 {
+				t.Errorf("%d hosts: %d objects were written, limit %d", test.hosts, n, test.limit)
+			}
+			<-ctx.Done()
+			synctest.Wait()
+			dropped := int64(0)
+			for _, c := range h.scope.Snapshot().Counters() {
+				if strings.Contains(c.Name(), "dropped") {
+					dropped += c.Value()
+				}
+			}
+			if dropped != requests-maxPending {
+				t.Errorf("%d hosts: %d drops were counted", test.hosts, dropped)
+			}
+		})
+	}
+}
+
+// Guards against an explanation that is given up in an outage of the store, and
+// against an outage that reads as "nothing is known".
+func TestOutageDelaysWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeObjects{objects: map[string][]byte{}, down: true}
+		h := newHost("h1", store, 3)
+		h.serve("c", "r1", true)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { h.archive.Run(ctx); close(done) }()
+		time.Sleep(10 * time.Second)
+		if _, err := h.archive.Load(t.Context(), "r1"); CodeOf(err) != CodeUnavailable {
+			t.Errorf("load during the outage: %v", err)
+		}
+		store.mu.Lock()
+		store.down = false
+		store.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-done
+		if found, err := h.archive.Load(t.Context(), "r1"); err != nil || len(found.Records) != 1 {
+			t.Errorf("after the outage: %+v, %v", found, err)
+		}
+	})
+}
+
+// Guards against traces that grow without a bound and against memory that a
+// dropped session keeps.
+func TestTracesAreBounded(t *testing.T) {
+	h := newHost("h1", &fakeObjects{objects: map[string][]byte{}}, 3)
+	for i := range 2 * maxTraces {
+		h.serve("c", ident.RequestID(fmt.Sprint(i)), i%2 == 0)
+	}
+	for i := range 2 * maxTraces {
+		h.serve("c", ident.RequestID(fmt.Sprint("late", i)), true)
+	}
+	if len(h.traces.Get("late0")) != 0 || len(h.traces.Get(ident.RequestID(fmt.Sprint("late", 2*maxTraces-1)))) != 1 {
+		t.Error("the newest traces are not those that were kept")
+	}
+	if h.traces.kept.Len() != maxTraces || h.traces.bytes > maxTraceBytes || h.traces.budget.Used() != 0 {
+		t.Errorf("%d traces of %d bytes, %d bytes in recordings", h.traces.kept.Len(), h.traces.bytes, h.traces.budget.Used())
+	}
+}
--- /dev/null
+++ b/internal/explain/traces.go
@@ -0,0 +1,240 @@
+package explain
+
+import (
+	"bytes"
+	"container/list"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/continuation"
+	"github.com/yuccahatch/yuccahatch/internal/generation"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/trace"
+)
+
+const (
+	// maxTraces and maxTraceBytes bound the traces that are kept.
+	maxTraces     = 64
+	maxTraceBytes = 8 << 20
+	// maxRecordingBytes bounds the sessions under way.
+	maxRecordingBytes = 32 << 20
+)
+
+// Traces records the sessions of a node and keeps those of the newest disturbed
+// generations: with a loss, a resume, a takeover, a failure or a discarded
+// token. Those of undisturbed generations are dropped at their end. It may be
+// used by any number of goroutines.
+type Traces struct {
+	host   ident.HostID
+	budget *trace.Budget
+	// changed is called, without mu, after a trace was kept.
+	changed func(ident.Customer, ident.RequestID)
+
+	mu sync.Mutex
+	// kept and bytes are guarded by mu. kept holds *keptTrace, oldest first.
+	kept  *list.List
+	bytes int
+}
+
+var _ generation.Tracer = (*Traces)(nil)
+
+// keptTrace is a copy of a recording that does not change any more.
+type keptTrace struct {
+	customer  ident.Customer
+	request   ident.RequestID
+	recording *trace.Recording
+	// source is the session; a newer copy of it replaces an older one.
+	source *sessionRecorder
+}
+
+// NewTraces returns a recorder that keeps no trace yet.
+func NewTraces(host ident.HostID) *Traces {
+	return &Traces{
+		host:    host,
+		budget:  trace.NewBudget(maxRecordingBytes),
+		changed: func(ident.Customer, ident.RequestID) {},
+		kept:    list.New(),
+	}
+}
+
+// OnChange sets what is called after a trace was kept. It is set before the
+// first session.
+func (t *Traces) OnChange(changed func(ident.Customer, ident.RequestID)) { t.changed = changed }
+
+// Open implements generation.Tracer. It returns nil if the memory for sessions
+// under way is used up.
+func (t *Traces) Open(request *generation.Request, start *generation.Start, config continuation.Config) generation.Recorder {
+	recording := trace.NewRecording(trace.Header{
+		Host:       t.host,
+		Customer:   request.Customer,
+		Request:    request.Request,
+		Generation: request.Generation,
+		Config:     config,
+		Start: trace.Start{
+			Tokens:   start.Journal.Tokens(0, start.Journal.Len()),
+			Released: start.Released,
+			Finished: start.Finished,
+			Attempt:  start.Attempt,
+			Backend:  start.Backend,
+		},
+	}, t.budget)
+	if recording == nil {
+		return nil
+	}
+	return &sessionRecorder{
+		traces: t, customer: request.Customer, request: request.Request, recording: recording,
+		disturbed: start.Journal.Len() > 0 || start.Attempt != "",
+	}
+}
+
+// sessionRecorder records one session. It belongs to the goroutine of its
+// generation.
+type sessionRecorder struct {
+	traces    *Traces
+	customer  ident.Customer
+	request   ident.RequestID
+	recording *trace.Recording
+	disturbed bool
+}
+
+// Step implements generation.Recorder. A repaired loss is kept at once, so that
+// it can outlive this node.
+func (s *sessionRecorder) Step(now time.Time, event continuation.Event, actions []continuation.Action) {
+	s.recording.Add(now, event, actions)
+	if _, ok := event.(continuation.TakenOver); ok {
+		s.disturbed = true
+	}
+	for _, action := range actions {
+		switch action.(type) {
+		case continuation.Resumed:
+			s.disturbed = true
+			s.traces.keep(s)
+		case continuation.Lost, continuation.Discarded, continuation.Fail:
+			s.disturbed = true
+		}
+	}
+}
+
+// Close implements generation.Recorder.
+func (s *sessionRecorder) Close() {
+	if s.disturbed {
+		s.traces.keep(s)
+	}
+	s.recording.Free()
+}
+
+// keep keeps a copy of the recording and drops the oldest ones beyond the
+// limits.
+func (t *Traces) keep(s *sessionRecorder) {
+	kept := &keptTrace{customer: s.customer, request: s.request, recording: s.recording.Copy(), source: s}
+	t.mu.Lock()
+	for e := t.kept.Back(); e != nil; e = e.Prev() {
+		if e.Value.(*keptTrace).source == s {
+			t.drop(e)
+			break
+		}
+	}
+	t.kept.PushBack(kept)
+	t.bytes += kept.recording.Bytes()
+	for t.kept.Len() > maxTraces || t.bytes > maxTraceBytes {
+		t.drop(t.kept.Front())
+	}
+	t.mu.Unlock()
+	t.changed(s.customer, s.request)
+}
+
+// drop requires mu.
+func (t *Traces) drop(e *list.Element) {
+	t.bytes -= t.kept.Remove(e).(*keptTrace).recording.Bytes()
+}
+
+// Trace is one session of a request in the form of package trace.
+type Trace struct {
+	Host       ident.HostID       `json:"host"`
+	Customer   ident.Customer     `json:"customer"`
+	Generation ident.GenerationID `json:"generation"`
+	StartedAt  time.Time          `json:"started_at"`
+	Events     int                `json:"events"`
+	Text       string             `json:"text"`
+}
+
+// Get returns the kept sessions of a request id, oldest first.
+func (t *Traces) Get(request ident.RequestID) []Trace {
+	var recordings []*trace.Recording
+	t.mu.Lock()
+	for e := t.kept.Front(); e != nil; e = e.Next() {
+		if kept := e.Value.(*keptTrace); kept.request == request {
+			recordings = append(recordings, kept.recording)
+		}
+	}
+	t.mu.Unlock()
+	var traces []Trace
+	for _, recording := range recordings {
+		if found, err := traceOf(recording.Session()); err == nil {
+			traces = append(traces, found)
+		}
+	}
+	sortTraces(traces)
+	return traces
+}
+
+func traceOf(session trace.Session) (Trace, error) {
+	var b bytes.Buffer
+	if err := trace.Write(&b, session); err != nil {
+		return Trace{}, err
+	}
+	h := session.Header
+	return Trace{
+		Host: h.Host, Customer: h.Customer, Generation: h.Generation,
+		StartedAt: h.StartedAt.UTC().Round(0), Events: len(session.Steps), Text: b.String(),
+	}, nil
+}
+
+func sortTraces(traces []Trace) {
+	slices.SortStableFunc(traces, func(a, b Trace) int { return a.StartedAt.Compare(b.StartedAt) })
+}
+
+// ParseTraces returns the sessions of a text in the form of package trace.
+func ParseTraces(text string) ([]Trace, error) {
+	sessions, err := trace.Read(bytes.NewReader([]byte(text)))
+	if err != nil {
+		return nil, err
+	}
+	var traces []Trace
+	for _, session := range sessions {
+		found, err := traceOf(session)
+		if err != nil {
+			return nil, err
+		}
+		traces = append(traces, found)
+	}
+	return traces, nil
+}
+
+// MergeTraces returns the sessions of all sources once each, oldest first. Of
+// two copies of one session the longer one is taken.
+func MergeTraces(sources ...[]Trace) []Trace {
+	type session struct {
+		host       ident.HostID
+		generation ident.GenerationID
+		started    int64
+	}
+	at := map[session]int{}
+	var merged []Trace
+	for _, source := range sources {
+		for _, found := range source {
+			key := session{found.Host, found.Generation, found.StartedAt.UnixNano()}
+			i, ok := at[key]
+			switch {
+			case !ok:
+				at[key] = len(merged)
+				merged = append(merged, found)
+			case found.Events > merged[i].Events:
+				merged[i] = found
+			}
+		}
+	}
+	sortTraces(merged)
+	return merged
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,8 @@
 	metricsPage http.Handler
 	observer    *observer
 	explain     *explain.Store
+	traces      *explain.Traces
+	archive     *explain.Archive
 
 	logger       *logrus.Entry
 	table        table.Table
@@ -114,6 +116,7 @@
 	n.scope = scope
 	n.metricsPage = page
 	n.explain = explain.NewStore(n.host)
+	n.traces = explain.NewTraces(n.host)
 	n.observer = newObserver(n.events, n.explain, scope)
 	return nil
 }
@@ -161,6 +164,15 @@
 		Log:         n.logger,
 		Metrics:     n.scope,
 	})
+	n.archive = explain.NewArchive(explain.ArchiveConfig{
+		Host:    n.host,
+		Objects: n.objects,
+		Store:   n.explain,
+		Traces:  n.traces,
+		Hosts:   n.hostCount,
+		Events:  n.events,
+		Scope:   n.scope,
+	})
 	return nil
 }
 
@@ -243,6 +255,7 @@
 		Cursors:  n.cursors,
 		Detector: func(model string) generation.Detector { return n.detector(model) },
 		Observer: n.observer,
+		Trace:    n.traces,
 		Config:   n.continuationConfig(),
 	}
 }
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -12,8 +12,6 @@
 	"github.com/yuccahatch/yuccahatch/internal/audit"
 	"github.com/yuccahatch/yuccahatch/internal/contractset"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
-	"github.com/yuccahatch/yuccahatch/internal/membership"
-	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
 	"github.com/yuccahatch/yuccahatch/internal/peer/operator"
 )
 
@@ -21,8 +19,6 @@
 	// historyLimit and auditPageLimit bound answers to operators.
 	historyLimit   = 100
 	auditPageLimit = 200
-	// explainTimeout bounds the question to other nodes.
-	explainTimeout = 2 * time.Second
 	// keyNameDigits is how much of a key's hash names it in the audit trail.
 	keyNameDigits = 8
 )
@@ -152,65 +148,3 @@
 func (b operatorBackend) Audit(ctx context.Context, customer ident.Customer, after time.Time) (operatorapi.AuditPage, error) {
 	return audit.Page(ctx, b.node.table, string(customer), after, auditPageLimit)
 }
-
-// Explain implements operator.Backend. It asks all nodes, since a request may
-// have been continued by another one.
-func (b operatorBackend) Explain(ctx context.Context, request ident.RequestID) (operatorapi.Explanation, error) {
-	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
-	defer cancel()
-	explanation := operatorapi.Explanation{RequestID: string(request)}
-	for _, answer := range b.node.askExplain(ctx, request) {
-		if answer.GetCustomer() != "" {
-			explanation.Customer = answer.GetCustomer()
-		}
-		for _, d := range answer.GetDecisions() {
-			explanation.Decisions = append(explanation.Decisions, operatorapi.Decision{
-				At:     time.UnixMilli(d.GetAtMs()).UTC(),
-				HostID: d.GetHostId(),
-				Event:  d.GetEvent(),
-				Detail: d.GetDetail(),
-			})
-		}
-	}
-	if len(explanation.Decisions) == 0 {
-		return explanation, operator.NewError(operator.CodeNotFound, "no node remembers request %q", request)
-	}
-	slices.SortStableFunc(explanation.Decisions, func(a, c operatorapi.Decision) int { return a.At.Compare(c.At) })
-	return explanation, nil
-}
-
-// askExplain asks all usable nodes at once.
-func (n *Node) askExplain(ctx context.Context, request ident.RequestID) []*nodepb.ExplainResponse {
-	n.mu.Lock()
-	nodes := n.view.Nodes()
-	n.mu.Unlock()
-	question := &nodepb.ExplainRequest{Sender: n.sender(), RequestId: string(request)}
-	own, _ := (*peerHandler)(n).Explain(ctx, question)
-	answers := make(chan *nodepb.ExplainResponse, len(nodes))
-	asked := 0
-	for _, peer := range nodes {
-		if peer.Host == n.host || peer.State == membership.Dead || peer.State == membership.Left {
-			continue
-		}
-		asked++
-		go func() { answers <- n.explainFrom(ctx, peer.Address, question) }()
-	}
-	all := []*nodepb.ExplainResponse{own}
-	for range asked {
-		all = append(all, <-answers)
-	}
-	return all
-}
-
-// explainFrom returns nil if the node does not answer.
-func (n *Node) explainFrom(ctx context.Context, address string, question *nodepb.ExplainRequest) *nodepb.ExplainResponse {
-	client, err := n.peers.Client(address)
-	if err != nil {
-		return nil
-	}
-	answer, err := client.Explain(ctx, question)
-	if err != nil {
-		return nil
-	}
-	return answer
-}
--- a/internal/node/peerhandler.go
+++ b/internal/node/peerhandler.go
@@ -74,23 +74,6 @@
 	}, nil
 }
 
-// Explain implements peernode.Handler.
-func (h *peerHandler) Explain(_ context.Context, r *nodepb.ExplainRequest) (*nodepb.ExplainResponse, error) {
-	answer := &nodepb.ExplainResponse{}
-	for _, record := range h.explain.Get(ident.RequestID(r.GetRequestId())) {
-		answer.Customer = string(record.Customer)
-		for _, d := range record.Decisions {
-			answer.Decisions = append(answer.Decisions, &nodepb.Decision{
-				AtMs:   d.At.UnixMilli(),
-				HostId: string(d.Host),
-				Event:  d.Event,
-				Detail: d.Detail,
-			})
-		}
-	}
-	return answer, nil
-}
-
 // ApplyJournals implements peernode.Handler.
 func (h *peerHandler) ApplyJournals(batch *nodepb.JournalBatch) *nodepb.JournalAck {
 	return h.copies.Apply(batch)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -82,6 +82,7 @@
 	workers.Go(func() { n.gate.Run(ctx) })
 	workers.Go(func() { n.trail.Run(ctx) })
 	workers.Go(func() { n.claims.Run(ctx) })
+	workers.Go(func() { n.archive.Run(ctx) })
 	periodic(time.Second, n.retainPeers)
 }
 
--- a/internal/peer/operator/server.go
+++ b/internal/peer/operator/server.go
@@ -48,6 +48,9 @@
 	Audit(ctx context.Context, customer ident.Customer, after time.Time) (operatorapi.AuditPage, error)
 	// Explain returns the decisions on a request, or CodeNotFound.
 	Explain(ctx context.Context, request ident.RequestID) (operatorapi.Explanation, error)
+	// Trace returns the recorded sessions of a request in the form of package
+	// trace, or CodeNotFound.
+	Trace(ctx context.Context, request ident.RequestID) ([]byte, error)
 }
 
 // Key is the bearer key of an operator; the name appears in the audit trail.
@@ -90,6 +93,7 @@
 	guarded(operatorapi.RouteStatus, http.MethodGet, s.status)
 	guarded(operatorapi.RouteAudit, http.MethodGet, s.auditPage)
 	guarded(operatorapi.RouteExplain+"{request}", http.MethodGet, s.explain)
+	guarded(operatorapi.RouteTrace+"{request}", http.MethodGet, s.trace)
 	if config.Metrics != nil {
 		guarded(operatorapi.RouteMetrics, http.MethodGet, func(w http.ResponseWriter, r *http.Request, _ string) {
 			config.Metrics.ServeHTTP(w, r)
@@ -229,6 +233,18 @@
 	s.reply(w, r, explanation, err)
 }
 
+func (s *server) trace(w http.ResponseWriter, r *http.Request, _ string) {
+	lines, err := s.Backend.Trace(r.Context(), ident.RequestID(mux.Vars(r)["request"]))
+	if err != nil {
+		s.fail(w, r, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/jsonl")
+	if _, err := w.Write(lines); err != nil {
+		s.Log.WithField("event", "operator_answer_lost").WithError(err).Info("answer to an operator was not sent")
+	}
+}
+
 func (s *server) reply(w http.ResponseWriter, r *http.Request, body any, err error) {
 	if err != nil {
 		s.fail(w, r, err)
--- a/internal/peer/operator/server_test.go
+++ b/internal/peer/operator/server_test.go
@@ -66,6 +66,10 @@
 	return operatorapi.Explanation{}, b.err
 }
 
+func (b *backend) Trace(context.Context, ident.RequestID) ([]byte, error) {
+	return []byte("{}\n"), b.err
+}
+
 type noRecords struct{}
 
 func (noRecords) Record(operatorapi.AuditRecord) bool { return true }
@@ -104,7 +108,7 @@
 	_, handler := newServer()
 	for path, open := range map[string]bool{
 		operatorapi.RouteContracts: false, operatorapi.RouteContracts + "/a": false, operatorapi.RouteContracts + "/a/history": false,
-		operatorapi.RouteStatus: false, operatorapi.RouteAudit: false, operatorapi.RouteExplain + "r1": false, operatorapi.RouteMetrics: false,
+		operatorapi.RouteStatus: false, operatorapi.RouteAudit: false, operatorapi.RouteExplain + "r1": false, operatorapi.RouteTrace + "r1": false, operatorapi.RouteMetrics: false,
 		operatorapi.RouteHealth: true, operatorapi.RouteReady: true,
 	} {
 		for key, want := range map[string]int{"": 401, "wrong": 401, "secret": 200} {
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -34,6 +34,7 @@
 	Claims                 = Metric{"claims_total", Counter, "calls", []string{"outcome"}, "Non-idempotent calls by outcome."}
 	Backends               = Metric{"backends", Gauge, "servers", []string{"kind", "state"}, "Backend servers by state."}
 	Quarantined            = Metric{"quarantined_total", Counter, "requests", []string{"stage"}, "Requests suspected or confirmed to crash backend servers."}
+	ExplainObjects         = Metric{"explain_objects_total", Counter, "objects", []string{"outcome"}, "Writes of explanations to the object store by outcome."}
 	OrdersTotal            = Metric{"orders_total", Counter, "orders", []string{"outcome"}, "Orders sent to backend servers."}
 )
 
@@ -47,6 +48,6 @@
 		&CopyAcknowledgeSeconds, &CopiesHeldBytes, &CopiesEvicted,
 		&RingDropped, &Refused, &QueueLength,
 		&ContractSequence, &ContractFreshSeconds, &Isolated,
-		&Peers, &PeerCalls, &PlatformCalls, &Claims, &Backends, &Quarantined, &OrdersTotal,
+		&Peers, &PeerCalls, &PlatformCalls, &Claims, &Backends, &Quarantined, &ExplainObjects, &OrdersTotal,
 	}
 }
