--- a/internal/continuation/events.go
+++ b/internal/continuation/events.go
@@ -61,6 +61,9 @@
 	Attempt ident.AttemptID `json:"attempt"`
 	// Alive tells that the backend server knows the stream.
 	Alive bool `json:"alive"`
+	// Dead tells that the backend server refused the connection: its process is
+	// gone.
+	Dead bool `json:"dead"`
 	// Queued tells that the stream waits for its prefill.
 	Queued bool `json:"queued"`
 	// Tokens is the index of the next token that the stream will produce.
@@ -140,6 +143,8 @@
 	Backend ident.BackendID `json:"backend"`
 	// Lost tells that the backend server did not answer for the stream.
 	Lost bool `json:"lost"`
+	// Dead tells that its process is gone.
+	Dead bool `json:"dead"`
 	// Rejected tells that the backend server refused the stream.
 	Rejected bool `json:"rejected"`
 }
