--- a/lab/load/file.go
+++ b/lab/load/file.go
@@ -119,6 +119,9 @@
 	Silence Duration `toml:"silence"` // a connection without data for this long is broken
 	// MaxAttempts bounds the connections for one request.
 	MaxAttempts int `toml:"max_attempts"`
+	// SendText sends the received text when a node asks for it. An unmodified
+	// client does not.
+	SendText bool `toml:"send_text"`
 }
 
 // Direct names the engines of the baseline.
@@ -157,7 +160,7 @@
 	return File{
 		Seed: 1, Drain: Duration(30 * time.Second), Interruption: Duration(100 * time.Millisecond),
 		Arrivals: Arrivals{MaxInFlight: 5000},
-		Nodes:    Nodes{Choose: "given", Silence: Duration(5 * time.Second), MaxAttempts: 20},
+		Nodes:    Nodes{Choose: "given", Silence: Duration(5 * time.Second), MaxAttempts: 20, SendText: true},
 		Bookings: Bookings{Service: "booking", Path: "/bookings"},
 	}
 }
--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -124,6 +124,7 @@
 	cfg := caller.DefaultConfig()
 	cfg.Key, cfg.Nodes, cfg.Client = key, nodes, r.options.Client
 	cfg.SilenceTimeout, cfg.MaxAttempts = time.Duration(r.file.Nodes.Silence), r.file.Nodes.MaxAttempts
+	cfg.SendText = r.file.Nodes.SendText
 	cfg.RetryRefused = r.file.Requests.RetryRefused
 	return cfg
 }
