--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -18,6 +18,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/continuation"
 	"github.com/yuccahatch/yuccahatch/internal/cursor"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/quarantine"
 )
 
 // Request is one request for a generation.
@@ -36,7 +37,7 @@
 	MaxTokens     int
 	Priority      int
 	// Fingerprint identifies the content of the request of this customer.
-	Fingerprint [32]byte
+	Fingerprint quarantine.Fingerprint
 }
 
 // Start tells where a generation begins: at the first token, or after tokens
@@ -65,7 +66,8 @@
 
 // Stream is one connection to a stream.
 type Stream interface {
-	// Next returns io.EOF after the end of the answer.
+	// Next returns io.EOF itself, not wrapped, after the end of the answer, and
+	// any other error if the connection ended before.
 	Next() (backendapi.StreamEvent, error)
 	Close()
 }
@@ -105,6 +107,8 @@
 	OutcomeFinished
 	OutcomeCancelled
 	OutcomeLost
+	// OutcomeDied tells that the backend server's process is gone.
+	OutcomeDied
 	OutcomeRejected
 )
 
@@ -166,6 +170,22 @@
 	Unprotected(request *Request)
 }
 
+// Tracer records sessions, so that they can be replayed.
+type Tracer interface {
+	// Open returns the recorder of a session, or nil if it is not recorded.
+	Open(request *Request, start *Start, config continuation.Config) Recorder
+}
+
+// Recorder records one session. Its methods are called by the generation's
+// goroutine only.
+type Recorder interface {
+	// Step records an event and the actions that the machine returned, which
+	// the recorder may keep but not change.
+	Step(now time.Time, event continuation.Event, actions []continuation.Action)
+	// Close ends the recording.
+	Close()
+}
+
 // Deps are the collaborators of a Runner.
 type Deps struct {
 	Host     ident.HostID
@@ -175,6 +195,7 @@
 	Cursors  *cursor.Codec
 	Detector func(model string) Detector
 	Observer Observer
+	Trace    Tracer // nil: sessions are not recorded
 	Config   continuation.Config
 }
 
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -49,6 +49,7 @@
 	cursorBase cursor.Cursor
 	released   *releasedText
 	replica    Replica
+	recorder   Recorder // nil: the session is not recorded
 	placements map[ident.AttemptID]Placement
 	streams    map[ident.AttemptID]context.CancelFunc
 	started    time.Time
@@ -103,6 +104,9 @@
 			Available:    r.copied.setAvailable,
 		})
 	}
+	if deps.Trace != nil {
+		r.recorder = deps.Trace.Open(request, &start, config)
+	}
 	return r
 }
 
@@ -189,6 +193,9 @@
 	if r.replica != nil {
 		r.replica.Close()
 	}
+	if r.recorder != nil {
+		r.recorder.Close()
+	}
 }
 
 func (r *Run) callerGone() {
@@ -225,7 +232,11 @@
 	if token, ok := event.(continuation.Token); ok {
 		r.observeGap(now, token)
 	}
-	for _, action := range r.machine.Step(now, event) {
+	actions := r.machine.Step(now, event)
+	if r.recorder != nil {
+		r.recorder.Step(now, event, actions)
+	}
+	for _, action := range actions {
 		r.execute(now, action)
 	}
 }
@@ -289,6 +300,8 @@
 
 func outcomeOf(a continuation.Cancel) Outcome {
 	switch {
+	case a.Dead:
+		return OutcomeDied
 	case a.Rejected:
 		return OutcomeRejected
 	case a.Lost:
@@ -435,7 +448,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if errors.Is(err, io.EOF) {
+	// Only the bare io.EOF of Stream.Next is the end of an answer. Connection
+	// errors may wrap io.EOF.
+	if err == io.EOF {
 		r.post(continuation.Ended{Attempt: id})
 		return
 	}
@@ -451,6 +466,7 @@
 	r.post(continuation.Probed{
 		Attempt:      a.Attempt,
 		Alive:        err == nil,
+		Dead:         backend.CodeOf(err) == backend.CodeConnect,
 		Queued:       err == nil && status.State == backendapi.StreamQueued,
 		Tokens:       status.Tokens,
 		SilenceLimit: r.detector().Silence(),
