Make verdicts independent of the order of evidence

Two nodes with the same evidence in different orders came to different verdicts: a confirmation that arrived before a death did not explain it, so that the innocent requests there stayed suspects, and deaths were judged in the order of arrival. Deaths are now judged in the order of their times, and a death with a confirmed request is explained whenever either is learned. A full list of findings also refused updates of the ones in it.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -98,9 +98,8 @@
 		}
 	}
 	for _, c := range e.Confirmed {
-		at := earlier(c.At, now)
-		if _, known := t.confirmed[c.Fingerprint]; !known && now.Sub(at) <= EvidenceLifetime {
-			t.confirm(c.Fingerprint, append(t.strikes(c.Fingerprint), &death{at: at}))
+		if at := earlier(c.At, now); now.Sub(at) <= EvidenceLifetime {
+			t.addConfirmed(c.Fingerprint, at)
 		}
 	}
 	if last := t.peers[e.From]; e.From != t.self && !e.SentAt.Before(last.sentAt) {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -94,7 +94,8 @@
 	self     ident.HostID
 	runs     map[ident.AttemptID]run
 	onServer map[ident.BackendID]map[Fingerprint]int
-	// deaths is in the order of arrival; byRequest and byLife index it.
+	// deaths is in the order of time as of the last judgement, with later arrivals
+	// at the end; byRequest and byLife index it.
 	deaths    []*death
 	byLife    map[life]*death
 	byRequest map[Fingerprint][]*death
@@ -210,10 +211,12 @@
 }
 
 func (t *Tracker) clear(f Fingerprint, at time.Time) {
-	if !at.After(t.cleared[f].at) || len(t.cleared) >= maxFingerprintNews {
+	n, known := t.cleared[f]
+	if !at.After(n.at) || (!known && len(t.cleared) >= maxFingerprintNews) {
 		return
 	}
 	t.cleared[f] = news{at, t.next()}
+	t.open = true
 }
 
 // forget drops a death from the indexes.
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -128,3 +129,48 @@
 		t.Fatal(n.Verdict("f"))
 	}
 }
+
+// Guards against verdicts that depend on the order or number of times in which
+// evidence arrives, which differs from node to node.
+func TestEvidenceInAnyOrder(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		start := time.Unix(1e6, 0)
+		var all []Evidence
+		for i := range 12 {
+			at := start.Add(time.Duration(random.IntN(60_000)) * time.Millisecond)
+			report := DeathReport{Server: ident.BackendID(fmt.Sprint(random.IntN(8))), Incarnation: ident.Incarnation(random.IntN(2)), At: at}
+			for range 3 {
+				report.Running = append(report.Running, Fingerprint(fmt.Sprint(random.IntN(10))))
+			}
+			e := Evidence{From: ident.HostID(fmt.Sprint(i % 3)), SentAt: start.Add(2 * time.Minute), Deaths: []DeathReport{report}}
+			finding := []Finding{{Fingerprint(fmt.Sprint(random.IntN(10))), at}}
+			switch random.IntN(8) {
+			case 0:
+				e.Cleared = finding
+			case 1:
+				e.Confirmed = finding
+			}
+			all = append(all, e)
+		}
+		now := start.Add(3 * time.Minute)
+		var want string
+		for range 4 {
+			n := New("n")
+			for _, i := range append(random.Perm(len(all)), random.Perm(len(all))...) {
+				n.Learn(now, all[i])
+			}
+			n.Expire(now)
+			got := ""
+			for f := range 10 {
+				got += n.Verdict(Fingerprint(fmt.Sprint(f))).String() + " "
+			}
+			if want == "" {
+				want = got
+			}
+			if got != want {
+				t.Fatalf("seed %d: verdicts\n%s\n%s", seed, want, got)
+			}
+		}
+	}
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -1,7 +1,8 @@
 package quarantine
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/ident"
@@ -108,17 +109,17 @@
 			out = append(out, d)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
+	slices.SortFunc(out, (*death).compare)
 	return out
 }
 
-func (d *death) before(o *death) bool {
-	if !d.at.Equal(o.at) {
-		return d.at.Before(o.at)
-	}
-	return d.server < o.server
+// compare orders deaths by time and, for equal times, by server.
+func (d *death) compare(o *death) int {
+	return cmp.Or(d.at.Compare(o.at), cmp.Compare(d.server, o.server), cmp.Compare(d.incarnation, o.incarnation))
 }
 
+func (d *death) before(o *death) bool { return d.compare(o) < 0 }
+
 // pending tells whether a death after the first still waits for its judgement. It
 // includes a request that shared two deaths with the crashing one, since the two
 // cannot be told apart yet, but not one whose suspicion is explained.
@@ -176,12 +177,18 @@
 	return len(t.strikes(f)) > len(strikes)
 }
 
-// judge confirms the fingerprints whose second death is settled.
+// judge confirms the fingerprints whose second death is settled. It goes through
+// the deaths in the order of their times, so that nodes that learned of them in
+// different orders come to the same verdicts.
 func (t *Tracker) judge(now time.Time) {
 	if !t.open {
 		return
 	}
 	t.open = false
+	slices.SortFunc(t.deaths, (*death).compare)
+	for _, d := range t.deaths {
+		t.explain(d)
+	}
 	for _, d := range t.deaths {
 		if d.explained {
 			continue
@@ -194,13 +201,23 @@
 		for f := range d.running {
 			// At most one fingerprint passes: two would be suspects of each other.
 			if len(t.byRequest[f]) >= 2 && t.guilty(f, d) {
-				t.confirm(f, t.strikes(f))
+				t.confirm(f)
 				break
 			}
 		}
 	}
 }
 
+// explain marks a death where a confirmed request was.
+func (t *Tracker) explain(d *death) {
+	for f := range d.running {
+		if _, ok := t.confirmed[f]; ok {
+			d.explained = true
+			return
+		}
+	}
+}
+
 // guilty tells whether a death is the second of a fingerprint, or a later one,
 // that it alone explains.
 func (t *Tracker) guilty(f Fingerprint, d *death) bool {
@@ -208,15 +225,23 @@
 	return len(strikes) >= 2 && strikes[0].before(d) && t.convicts(f, d) && t.onlySuspect(f, d)
 }
 
-func (t *Tracker) confirm(f Fingerprint, strikes []*death) {
-	if len(t.confirmed) < maxFingerprintNews {
-		t.confirmed[f] = news{strikes[len(strikes)-1].at, t.next()}
-	}
-	for _, d := range strikes {
+func (t *Tracker) confirm(f Fingerprint) {
+	strikes := t.strikes(f)
+	t.addConfirmed(f, strikes[len(strikes)-1].at)
+	for _, d := range t.byRequest[f] {
 		d.explained = true
 	}
 }
 
+func (t *Tracker) addConfirmed(f Fingerprint, at time.Time) {
+	n, known := t.confirmed[f]
+	if (known && !at.After(n.at)) || (!known && len(t.confirmed) >= maxFingerprintNews) {
+		return
+	}
+	t.confirmed[f] = news{at, t.next()}
+	t.open = true
+}
+
 // settled tells whether a burst around a death and every peer's report on it
 // would be known by now.
 func (t *Tracker) settled(now time.Time, d *death) bool {
