--- a/internal/backendpool/streams.go
+++ b/internal/backendpool/streams.go
@@ -56,6 +56,24 @@
 	}()
 }
 
+// State reads an engine's placement.
+func (p *Pool) State(ctx context.Context, id ident.BackendID) (backendapi.State, error) {
+	url, err := p.url(id)
+	if err != nil {
+		return backendapi.State{}, err
+	}
+	return p.client.State(ctx, url)
+}
+
+// Order states the desired placement of an engine.
+func (p *Pool) Order(ctx context.Context, id ident.BackendID, order backendapi.Order) error {
+	url, err := p.url(id)
+	if err != nil {
+		return err
+	}
+	return p.client.Order(ctx, url, order)
+}
+
 // Call sends a call to a plain service chosen before.
 func (p *Pool) Call(ctx context.Context, id ident.BackendID, call backend.Call) (backend.Answer, error) {
 	url, err := p.url(id)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,8 @@
 	budgetMu sync.Mutex
 	budget   *retrybudget.Budget
 
+	unmet *unmetDemand
+
 	// beat asks for heartbeats before the next interval.
 	beat chan struct{}
 
@@ -115,6 +117,7 @@
 		told:        map[ident.HostID]toldEvidence{},
 		beat:        make(chan struct{}, 1),
 	}
+	n.unmet = &unmetDemand{node: n, tokens: map[string]float64{}, at: now}
 	for _, set := range []func(time.Time) error{n.setUpTelemetry, n.setUpSecurity, n.setUpPlatform, n.setUpPolicy} {
 		if err := set(now); err != nil {
 			return nil, err
--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -66,6 +66,9 @@
 	}, ask.Attempt, n.forbiddenFor(request))
 	if err != nil {
 		ticket.Finished(0)
+		if placement.CodeOf(err) == placement.CodeUnknownModel {
+			n.unmet.add(request.Model, estimate)
+		}
 		return generation.Placement{}, err
 	}
 	n.startedOn(request, chosen.Backend, ask.Attempt)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccahatch/yuccahatch/internal/orders"
 	"github.com/yuccahatch/yuccahatch/internal/peer/caller"
 	peernode "github.com/yuccahatch/yuccahatch/internal/peer/node"
 	"github.com/yuccahatch/yuccahatch/internal/peer/operator"
@@ -81,6 +82,10 @@
 	}
 	workers.Go(func() { n.backends.Run(ctx) })
 	workers.Go(func() { n.gate.Run(ctx) })
+	if n.settings.Orders.Enabled {
+		planner := n.newPlanner()
+		periodic(orders.Tick, func(ctx context.Context) { n.planPlacement(ctx, planner) })
+	}
 	workers.Go(func() { n.trail.Run(ctx) })
 	workers.Go(func() { n.claims.Run(ctx) })
 	workers.Go(func() { n.archive.Run(ctx) })
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,7 @@
 	Detection   Detection    `toml:"detection"`
 	Admission   Admission    `toml:"admission"`
 	Limits      Limits       `toml:"limits"`
+	Orders      Orders       `toml:"orders"`
 	Leave       Leave        `toml:"leave"`
 	Log         Log          `toml:"log"`
 }
@@ -119,6 +120,11 @@
 	MaxOutputTokens int   `toml:"max_output_tokens" default:"32768" min:"1" max:"10000000" unit:"tokens" doc:"Upper limit of the tokens of one answer."`
 }
 
+// Orders sets the placement of models on engines.
+type Orders struct {
+	Enabled bool `toml:"enabled" default:"true" doc:"Whether this node may plan which engine runs which model. Engines with several models are left as they are."`
+}
+
 // Leave sets the graceful shutdown.
 type Leave struct {
 	Grace Duration `toml:"grace" default:"2s" min:"0s" max:"60s" doc:"Time between the announcement and the refusal of new work."`
