Walk with an attempt and three retries in the claim model

The walks had two retries; the design names several. Lost writes of one attempt get six slots, one for the claim and one for each time a void can carry.

--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -134,9 +134,9 @@
 	}
 }
 
-// Guards the same promises for three attempts, where the search is too large.
-func TestRandomWalksOfThreeAttempts(t *testing.T) {
-	const walks, steps = 5_000, 120
+// Guards the same promises for an attempt and three retries, where the search is too large.
+func TestRandomWalksOfFourAttempts(t *testing.T) {
+	const walks, steps = 2_000, 160
 	for seed := range uint64(walks) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		c := &model{attempts: maxAttempts}
--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -8,7 +8,7 @@
 )
 
 // maxAttempts is the number of attempts with one key, each on a node of its own.
-const maxAttempts = 3
+const maxAttempts = 4
 
 type opKind int8
 
@@ -50,7 +50,7 @@
 	started int64
 	op      op
 	// late holds lost writes that may still arrive.
-	late [4]op
+	late [6]op
 	// lateSend: the request is in the network although the send failed.
 	lateSend         bool
 	killed           bool
@@ -79,7 +79,7 @@
 	mutation mutation
 }
 
-var results = [maxAttempts]*Result{{Status: 1}, {Status: 2}, {Status: 3}}
+var results = [maxAttempts]*Result{{Status: 1}, {Status: 2}, {Status: 3}, {Status: 4}}
 
 // next is one transition: the attempt, a label for the report and the state
 // after it.
@@ -220,7 +220,7 @@
 			return
 		}
 	}
-	panic("more than four different writes on one version are lost")
+	panic("more than six different writes on one version are lost")
 }
 
 // apply judges a write at the table and leaves the answer in o.
