--- /dev/null
+++ b/internal/generation/attempts.go
@@ -0,0 +1,126 @@
+package generation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/internal/continuation"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/backend"
+)
+
+func outcomeOf(a continuation.Cancel) Outcome {
+	switch {
+	case a.Dead:
+		return OutcomeDied
+	case a.Rejected:
+		return OutcomeRejected
+	case a.Lost:
+		return OutcomeLost
+	}
+	return OutcomeCancelled
+}
+
+// place asks for a backend server and posts the result.
+func (r *Run) place(ask Ask) {
+	placement, err := r.deps.Placer.Place(r.ctx, r.request, ask)
+	if err != nil {
+		r.send(message{
+			event:   continuation.PlacementFailed{RetryAfter: retryAfterOf(err, ask.Resume), Reason: err.Error()},
+			prepare: func() { r.result.PlaceError = err },
+		})
+		return
+	}
+	delivered := r.send(message{
+		event:   continuation.Placed{Attempt: ask.Attempt, Backend: placement.Backend, FirstTokenLimit: placement.FirstTokenLimit},
+		prepare: func() { r.placements[ask.Attempt] = placement },
+	})
+	if !delivered {
+		placement.Release(OutcomeUnused)
+	}
+}
+
+// resumeRetry is how soon a resume asks again after no backend server was
+// available.
+const resumeRetry = 50 * time.Millisecond
+
+func retryAfterOf(err error, resume bool) time.Duration {
+	var final FinalError
+	if !resume || errors.Is(err, context.Canceled) || errors.As(err, &final) && final.Final() {
+		return 0
+	}
+	return resumeRetry
+}
+
+func (r *Run) open(a continuation.Open) {
+	placement := r.placements[a.Attempt]
+	r.result.Opened = true
+	journal := r.machine.Journal()
+	request := backendapi.CompletionRequest{
+		Model:     r.request.Model,
+		Prompt:    r.request.Prompt,
+		MaxTokens: r.request.MaxTokens,
+		Stream:    true,
+		Priority:  r.request.Priority,
+		RequestID: string(r.request.Request),
+		AttemptID: string(a.Attempt),
+	}
+	if a.Tokens > 0 {
+		request.Priority = resumePriority
+		request.ContinueFrom = &backendapi.ContinueFrom{Tokens: a.Tokens, Text: journal.TextOf(a.Tokens)}
+	}
+	r.deps.Observer.Decision(r.request, "placed", fmt.Sprintf("backend server %s from token %d", placement.Backend, a.Tokens))
+	r.read(a.Attempt, func(ctx context.Context) (Stream, error) {
+		return r.deps.Backends.Open(ctx, a.Backend, request)
+	})
+}
+
+// resumePriority is above every contract's priority, so that a broken answer
+// goes before new work inside an engine.
+const resumePriority = 100
+
+func (r *Run) reconnect(a continuation.Reconnect) {
+	r.closeStream(a.Attempt)
+	r.read(a.Attempt, func(ctx context.Context) (Stream, error) {
+		return r.deps.Backends.Resume(ctx, a.Backend, a.Attempt, a.From)
+	})
+}
+
+func (r *Run) probe(a continuation.Probe) {
+	ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
+	defer cancel()
+	status, err := r.deps.Backends.Status(ctx, a.Backend, a.Attempt)
+	r.post(continuation.Probed{
+		Attempt:      a.Attempt,
+		Alive:        err == nil,
+		Dead:         backend.CodeOf(err) == backend.CodeConnect,
+		Queued:       err == nil && status.State == backendapi.StreamQueued,
+		Tokens:       status.Tokens,
+		SilenceLimit: r.detector().Silence(),
+	})
+}
+
+// stop closes an attempt's connection and returns its placement.
+func (r *Run) stop(id ident.AttemptID, outcome Outcome) {
+	r.closeStream(id)
+	r.settle(id, outcome)
+}
+
+func (r *Run) closeStream(id ident.AttemptID) {
+	if cancel, ok := r.streams[id]; ok {
+		cancel()
+		delete(r.streams, id)
+	}
+}
+
+func (r *Run) settle(id ident.AttemptID, outcome Outcome) {
+	placement, ok := r.placements[id]
+	if !ok {
+		return
+	}
+	delete(r.placements, id)
+	placement.Release(outcome)
+}
