labcmd: let a signal start a graceful shutdown of a stand-in only

An engine that got SIGTERM stopped generating at once. Cause: the context of the command ends at SIGTERM too, which ended the engine's run loop, and, depending on which of the two was seen first, the process. Ruled out: Engine.Leave and Drained, which keep streams until they are read.

serve does not take that context any more. Before: TestEngineLeaves fails, "silence" on all streams of the engine.

--- a/lab/labcmd/labcmd.go
+++ b/lab/labcmd/labcmd.go
@@ -52,8 +52,10 @@
 	drained <-chan struct{}
 }
 
-// serve runs a stand-in until a signal or ctx ends it.
-func serve(ctx context.Context, s backgroundServer) error {
+// serve runs a stand-in until a signal ends it. It does not take the context of
+// the command, which ends at the first signal and would stop the engine's work
+// in the middle of a graceful shutdown.
+func serve(s backgroundServer) error {
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{})
 	log.SetOutput(os.Stderr)
@@ -65,7 +67,7 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
 
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if s.run != nil {
 		go s.run(ctx)
@@ -79,8 +81,6 @@
 	select {
 	case err := <-failed:
 		return fmt.Errorf("lab %s: %w", s.name, err)
-	case <-ctx.Done():
-		return server.Close()
 	case <-signals:
 	}
 	if s.leave != nil {
--- a/lab/labcmd/servers.go
+++ b/lab/labcmd/servers.go
@@ -36,7 +36,7 @@
   yuccahatch lab engine --listen 127.0.0.1:8102 --model base@2+law+tax --max-running 64 --token-rate 40
   yuccahatch lab engine --listen 127.0.0.1:8103 --model m --crash-on poison --load-lag 2s --cache-event-delay 3s --cache-event-loss 0.1`,
 		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+		RunE: func(*cobra.Command, []string) error {
 			if tokenRate <= 0 {
 				return fmt.Errorf("--token-rate must be positive, is %g", tokenRate)
 			}
@@ -55,7 +55,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), backgroundServer{
+			return serve(backgroundServer{
 				name: "engine", listen: listen, handler: e.Handler(), run: e.Run, leave: e.Leave, drained: e.Drained(),
 			})
 		},
@@ -111,12 +111,12 @@
   curl -X PUT 127.0.0.1:7000/admin/faults -d '{"txn":{"lost_answer_rate":0.2},"*":{"latency_ms":50}}'
   curl -X POST 127.0.0.1:7000/admin/hosts -d '{"host_id":"h1","state":"leaving"}'`,
 		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+		RunE: func(*cobra.Command, []string) error {
 			p, err := platform.New(cfg)
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), backgroundServer{name: "platform", listen: listen, handler: p.Handler(), run: p.Run})
+			return serve(backgroundServer{name: "platform", listen: listen, handler: p.Handler(), run: p.Run})
 		},
 	}
 	f := cmd.Flags()
@@ -143,14 +143,14 @@
   yuccahatch lab service --listen 127.0.0.1:8201 --lost-answer-rate 0.1
   curl 127.0.0.1:8201/admin/runs`,
 		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+		RunE: func(*cobra.Command, []string) error {
 			cfg.Incarnation = incarnation()
 			cfg.Faults.LatencyMillis = int(latency.Milliseconds())
 			s, err := service.New(cfg)
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), backgroundServer{
+			return serve(backgroundServer{
 				name: "service", listen: listen, handler: s.Handler(), leave: s.Leave, drained: s.Drained(),
 			})
 		},
