Add the placement experiment; take a peer's whole use in one call

ObservePeer takes all that a peer has running: with one call for each server, a server that the peer no longer uses kept the peer's last count for 3 s. TestUsage covers it.

--- /dev/null
+++ b/internal/placement/experiment/load.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/placement"
+)
+
+// Shape of the recorded load. A session is a conversation whose prompts grow;
+// sessions of one customer share a first part.
+const (
+	customers      = 20
+	sharedBlocks   = 32 // blocks of placement's 16 tokens: 512 tokens
+	firstBlocks    = 12 // further blocks of the first prompt
+	turnBlocks     = 20 // blocks that each turn adds
+	turnsMean      = 6
+	thinkMean      = 15 * time.Second
+	maxOutput      = 400 // tokens that a request asks for
+	minOutput      = 100
+	blockTokens    = 16
+	runLength      = 5 * time.Minute
+	overloadLength = 4 * time.Minute
+	warmUp         = time.Minute // not measured
+	abandonAfter   = 4 * time.Second
+	requestsAtOne  = 22.0 // requests/s at load factor 1, 70% of the batch places
+)
+
+// request is one entry of the recorded load, the same for every policy.
+type request struct {
+	at       time.Duration
+	customer int
+	node     float64 // picks the node: 0 to 1 of their number
+	place    placement.Request
+	output   int // tokens that the answer will have
+}
+
+// record draws the load of one seed.
+func record(seed uint64, factor float64, length time.Duration) []request {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	var out []request
+	rate := requestsAtOne * factor / turnsMean
+	for t := 0.0; t < length.Seconds(); t += rng.ExpFloat64() / rate {
+		out = append(out, session(rng, time.Duration(t*float64(time.Second)))...)
+	}
+	slices.SortStableFunc(out, func(a, b request) int { return cmp.Compare(a.at, b.at) })
+	return slices.DeleteFunc(out, func(r request) bool { return r.at >= length })
+}
+
+func session(rng *rand.Rand, at time.Duration) []request {
+	// A square root of a uniform number would be too even: the cube gives the
+	// first customers most sessions.
+	customer := int(math.Pow(rng.Float64(), 3) * customers)
+	var prefixes []uint64
+	for b := range sharedBlocks {
+		prefixes = append(prefixes, uint64(customer)<<32|uint64(b))
+	}
+	grow := func(blocks int) {
+		for range blocks {
+			prefixes = append(prefixes, rng.Uint64())
+		}
+	}
+	grow(1 + rng.IntN(2*firstBlocks))
+	var out []request
+	for {
+		out = append(out, request{
+			at: at, customer: customer, node: rng.Float64(),
+			place: placement.Request{
+				Model: model, PromptTokens: len(prefixes)*blockTokens + rng.IntN(blockTokens),
+				Prefixes: slices.Clone(prefixes),
+			},
+			output: minOutput + rng.IntN(maxOutput-minOutput+1),
+		})
+		if rng.Float64() < 1.0/turnsMean {
+			return out
+		}
+		grow(1 + rng.IntN(2*turnBlocks))
+		at += 5*time.Second + time.Duration(rng.ExpFloat64()*float64(thinkMean))
+	}
+}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -114,11 +114,16 @@
 	return 0
 }
 
-// ObservePeer takes what a peer has running on a server, as it was at a
-// moment of this node's clock.
-func (f *Fleet) ObservePeer(at time.Time, peer ident.HostID, id ident.BackendID, running int, waitingTokens int64) {
-	if s := f.byID[id]; s != nil {
-		s.observePeer(peer, peerUse{at: at, running: running, waitingTokens: waitingTokens})
+// ObservePeer takes all that a peer has running, as it was at a moment of this
+// node's clock. A server that is not named has nothing of the peer.
+func (f *Fleet) ObservePeer(at time.Time, peer ident.HostID, uses []Use) {
+	for _, s := range f.servers {
+		i := slices.IndexFunc(uses, func(u Use) bool { return u.Backend == s.ID })
+		if i >= 0 {
+			s.observePeer(peer, peerUse{at: at, running: uses[i].Running, waitingTokens: uses[i].WaitingTokens})
+		} else if s.peers[peer] != nil {
+			s.observePeer(peer, peerUse{at: at})
+		}
 	}
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -141,8 +141,8 @@
 	}
 	check(0, 2, 0)
 	f.Sent(at(10), "e00", "a", Request{PromptTokens: 100})
-	f.ObservePeer(at(0), "p", "e00", 3, 50)
-	f.ObservePeer(at(20), "p", "e00", 5, 150)
+	f.ObservePeer(at(0), "p", []Use{{"e00", 3, 50}})
+	f.ObservePeer(at(20), "p", []Use{{"e00", 5, 150}})
 	check(20, 5, 200)
 	f.Answered("e00", "a")
 	check(30, 5, 100)
@@ -153,7 +153,8 @@
 	check(35, 6, 20) // 10 ms at 1,000 tokens/s
 	f.Finished(at(50), "e00", "a")
 	check(55, 5, 0)
-	f.ObservePeer(at(60), "p", "e00", 1, 0)
+	f.ObservePeer(at(60), "p", nil) // its 5 requests ended since the report
+	check(60, 0, 0)
 	f.ForgetPeer("p")
 	check(60, 5, 0)
 	if uses := f.Uses(); len(uses) != 0 {
@@ -249,7 +250,7 @@
 				t.Fatal(err)
 			}
 			f.Sent(at(i), id, ident.AttemptID(fmt.Sprint(i)), r)
-			f.ObservePeer(at(i), ident.HostID(fmt.Sprint(i%9)), id, i%5, int64(i%11))
+			f.ObservePeer(at(i), ident.HostID(fmt.Sprint(i%9)), []Use{{id, i % 5, int64(i % 11)}})
 			out = append(out, id)
 		}
 		return out
