node: store the results of calls before a graceful shutdown ends

A booking that was answered while the table was down was forgotten when the node left: a repeat got outcome_unknown for good. Cause: the node counts a call as in flight until its caller has the answer, and ended with the result still to be stored. idempotent.Executor.Wait exists for this and had no caller. Ruled out: the claim writer, which keeps trying while it runs.

The shutdown now waits for it after the servers are closed, within leave.limit. Before: TestNodeLeavesDuringBooking fails, the repeat has outcome unknown. After: it passes.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -28,8 +28,8 @@
 	closeTimeout = 2 * time.Second
 )
 
-// Run serves until leave is closed and no request is in flight, or until ctx
-// ends, which cuts off what is in flight.
+// Run serves until leave is closed and nothing is in flight, or until ctx ends,
+// which cuts off what is in flight.
 func (n *Node) Run(ctx context.Context, leave <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -52,7 +52,7 @@
 	case err = <-failed:
 	case <-ctx.Done():
 	case <-leave:
-		n.drain(ctx)
+		n.leave(ctx, servers)
 	}
 	servers.close()
 	cancel()
@@ -98,6 +98,23 @@
 	}
 }
 
+// leave is a graceful shutdown. It ends early when ctx ends or after the limit
+// of the settings.
+func (n *Node) leave(ctx context.Context, servers *servers) {
+	if limit := n.settings.Leave.Limit.Duration; limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	n.drain(ctx)
+	servers.close()
+	// Results that the table has not taken yet are known to this process only.
+	// No call begins any more, as Wait requires.
+	if err := n.calls.Wait(ctx); err != nil {
+		n.events.LogError(logrus.ErrorLevel, telemetry.EventNodeLeaving, err, nil, "results of calls are not stored; their outcome stays unknown")
+	}
+}
+
 // drain announces that the node leaves and waits until nothing is in flight.
 func (n *Node) drain(ctx context.Context) {
 	n.mu.Lock()
@@ -106,11 +123,6 @@
 	n.observeTransitions(transitions)
 	n.events.Log(logrus.InfoLevel, telemetry.EventNodeLeaving, logrus.Fields{"in_flight": n.runs.inFlight()}, "node is leaving")
 	n.sendHeartbeats(ctx)
-	if limit := n.settings.Leave.Limit.Duration; limit > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
-		defer cancel()
-	}
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for {
