node: leave when the host list marks this host

A node that the host list marked as leaving refused new work but never ended. Cause: Run started a graceful shutdown on a signal only. Ruled out: membership, which sets the state and announces it.

Run now also watches for the transition that the mark causes; a node leaves once. Before: TestHostListMarksNode fails, the process still runs after 30 s. After: it passes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,8 @@
 	peers        *peernode.Pool
 	certificates *peernode.Certificates
 	runs         *runs
+	// listedLeaving is closed when the host list marks this host as leaving.
+	listedLeaving chan struct{}
 
 	// mu guards view, freshness, ledger and listed: what this node knows about
 	// others.
@@ -104,16 +106,17 @@
 func New(s *settings.Settings) (*Node, error) {
 	now := time.Now()
 	n := &Node{
-		settings:    s,
-		host:        ident.HostID(s.Host.ID),
-		dataCentre:  ident.DataCentre(s.Host.DataCentre),
-		incarnation: ident.Incarnation(now.UnixNano()),
-		contracts:   contractset.New(),
-		runs:        newRuns(),
-		detectors:   map[string]*detect.Detector{},
-		crashes:     quarantine.New(ident.HostID(s.Host.ID)),
-		told:        map[ident.HostID]toldEvidence{},
-		beat:        make(chan struct{}, 1),
+		settings:      s,
+		host:          ident.HostID(s.Host.ID),
+		dataCentre:    ident.DataCentre(s.Host.DataCentre),
+		incarnation:   ident.Incarnation(now.UnixNano()),
+		contracts:     contractset.New(),
+		runs:          newRuns(),
+		listedLeaving: make(chan struct{}),
+		detectors:     map[string]*detect.Detector{},
+		crashes:       quarantine.New(ident.HostID(s.Host.ID)),
+		told:          map[ident.HostID]toldEvidence{},
+		beat:          make(chan struct{}, 1),
 	}
 	for _, set := range []func(time.Time) error{n.setUpTelemetry, n.setUpSecurity, n.setUpPlatform, n.setUpPolicy} {
 		if err := set(now); err != nil {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -28,8 +28,9 @@
 	closeTimeout = 2 * time.Second
 )
 
-// Run serves until leave is closed and nothing is in flight, or until ctx ends,
-// which cuts off what is in flight.
+// Run serves until leave is closed, or the host list marks this host as
+// leaving, and nothing is in flight, or until ctx ends, which cuts off what is
+// in flight.
 func (n *Node) Run(ctx context.Context, leave <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -53,6 +54,8 @@
 	case <-ctx.Done():
 	case <-leave:
 		n.leave(ctx, servers)
+	case <-n.listedLeaving:
+		n.leave(ctx, servers)
 	}
 	servers.close()
 	cancel()
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -81,6 +81,9 @@
 
 func (n *Node) observeTransitions(transitions []membership.Transition) {
 	for _, t := range transitions {
+		if t.Host == n.host && t.To == membership.Leaving && t.Reason == membership.ReasonListMark {
+			close(n.listedLeaving) // a node leaves once
+		}
 		n.events.Log(logrus.InfoLevel, telemetry.EventPeerState, logrus.Fields{
 			telemetry.FieldPeer: t.Host,
 			"from":              t.From.String(),
