--- /dev/null
+++ b/internal/e2e/leaving_test.go
@@ -0,0 +1,208 @@
+//go:build linux
+
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/lab/caller"
+	"github.com/yuccahatch/yuccahatch/lab/ledger"
+	"github.com/yuccahatch/yuccahatch/lab/scrape"
+)
+
+// leaveBound is the product's bound on new work for a host that leaves.
+const leaveBound = 3 * time.Second
+
+// requireUnlisted requires that the other nodes stop naming a node within the
+// bound and returns when they did.
+func (d *deployment) requireUnlisted(n *nodeProcess) {
+	d.t.Helper()
+	begun := time.Now()
+	for _, other := range d.others(n) {
+		d.await(startLimit, other.id+" no longer lists "+n.id, func() bool {
+			return !slices.Contains(d.addresses(other), n.callers)
+		})
+	}
+	unlisted := time.Since(begun)
+	d.t.Logf("%s is unlisted after %d ms", n.id, unlisted.Milliseconds())
+	if unlisted > leaveBound {
+		d.t.Errorf("%s was listed for %s, the bound is %s", n.id, unlisted, leaveBound)
+	}
+}
+
+// requireRefusal requires that a leaving node refuses new work and names others.
+func (d *deployment) requireRefusal(n *nodeProcess) {
+	d.t.Helper()
+	var a answered
+	d.await(startLimit, n.id+" refuses new work", func() bool {
+		a = generate(n, callerKey)
+		return a.status != http.StatusOK
+	})
+	f := a.failure(d.t)
+	if a.status != http.StatusServiceUnavailable || f.Code != callerapi.CodeNodeLeaving || f.Outcome != callerapi.OutcomeNotRun || f.RetryAfterMillis == 0 {
+		d.t.Errorf("leaving %s: status %d, %+v", n.id, a.status, f)
+	}
+	if len(f.Addresses) != len(d.nodes)-1 {
+		d.t.Errorf("leaving %s names %+v, want the %d other nodes", n.id, f.Addresses, len(d.nodes)-1)
+	}
+}
+
+// unbroken requires whole answers on unbroken connections.
+func (a *answers) unbroken(t *testing.T) {
+	t.Helper()
+	a.whole(t)
+	for _, r := range a.results {
+		if len(r.Breaks) > 0 || r.Attempts > 1 {
+			t.Errorf("answer %s took %d connections, breaks %+v", r.RequestID, r.Attempts, r.Breaks)
+		}
+	}
+}
+
+// Guards against a planned stop that cuts off answers, keeps drawing callers or
+// never ends.
+func TestNodeLeaves(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 2, noService: true, tokenRate: 25})
+	a := d.startAnswers(6, 200)
+	a.awaitTokens(d, 10)
+	leaving := d.nodes[0]
+	leaving.terminate(t)
+	d.requireUnlisted(leaving)
+	d.requireRefusal(leaving)
+	a.unbroken(t)
+	leaving.requireExit(t)
+}
+
+// Guards against a host that the platform replaces while its node takes the
+// mark in the host list for somebody else's.
+func TestHostListMarksNode(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 2, noService: true, tokenRate: 25})
+	a := d.startAnswers(6, 200)
+	a.awaitTokens(d, 10)
+	leaving := d.nodes[0]
+	d.setHostState("host_id", leaving.id, "leaving")
+	d.requireUnlisted(leaving)
+	d.requireRefusal(leaving)
+	a.unbroken(t)
+	leaving.requireExit(t)
+}
+
+// Guards against a stop that cuts off a booking, or that forgets the result of
+// one that the table could not take yet.
+func TestNodeLeavesDuringBooking(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 1, serviceArgs: []string{"--latency", "2500ms"}})
+	results := make(chan caller.CallResult, 1)
+	go func() { results <- d.book(0, "k1", once) }()
+	d.await(startLimit, "the booking has run", func() bool { return d.runs().Keys["k1"] > 0 })
+	d.setFaults(map[string]any{"txn": map[string]any{"outage": true}})
+	leaving := d.nodes[0]
+	leaving.terminate(t)
+	first := <-results
+	requireOutcome(t, "booking", first, caller.OutcomeDone, false)
+	pause(2 * time.Second)
+	d.setFaults(nil)
+	leaving.requireExit(t)
+	again := d.book(1, "k1", once)
+	requireOutcome(t, "repeat", again, caller.OutcomeDone, true)
+	if again.Body != first.Body {
+		t.Errorf("repeat got %q, first got %q", again.Body, first.Body)
+	}
+	d.requireRuns("k1", 1)
+}
+
+// testEngineLeaves requires that an engine that leaves finishes its streams and
+// gets no new work after the bound.
+func testEngineLeaves(t *testing.T, leave func(*deployment, *backendProcess)) *backendProcess {
+	d := deploy(t, options{engines: 3, noService: true, tokenRate: 25})
+	a := d.startAnswers(12, 250)
+	a.awaitTokens(d, 10)
+	leaving := d.busyEngine(d.engines...)
+	leave(d, leaving)
+	pause(leaveBound)
+	before := d.load(leaving).Running
+	if before == 0 {
+		t.Error("the streams of the engine have ended too early to tell")
+	}
+	later := d.startAnswers(12, 40)
+	later.awaitTokens(d, 1)
+	if now := d.load(leaving).Running; now > before {
+		t.Errorf("the leaving engine has %d streams, before the new answers it had %d", now, before)
+	}
+	later.unbroken(t)
+	a.unbroken(t)
+	if moved := d.metric(scrape.Resumes); moved != 0 {
+		t.Errorf("%v answers were moved although the engine finishes its streams", moved)
+	}
+	return leaving
+}
+
+// Guards against new work for, and answers taken from, an engine that the host
+// list marks as leaving.
+func TestHostListMarksEngine(t *testing.T) {
+	t.Parallel()
+	testEngineLeaves(t, func(d *deployment, e *backendProcess) { d.setHostState("backend_id", e.id, "leaving") })
+}
+
+// Guards against the same for an engine that reports that it leaves.
+func TestEngineLeaves(t *testing.T) {
+	t.Parallel()
+	testEngineLeaves(t, func(_ *deployment, e *backendProcess) { e.terminate(t) }).requireExit(t)
+}
+
+// Guards against losing answers or bookings in a rolling restart under load.
+func TestRollingRestart(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 2, serviceArgs: []string{"--latency", "50ms"}})
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var bookings []ledger.Booking
+	total := 0
+	for worker := range 6 {
+		wg.Go(func() {
+			for round := 0; ; round++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				r := d.caller(worker+round).Generate(t.Context(), caller.Request{
+					Model: model, Prompt: fmt.Sprintf("worker %d round %d length=50", worker, round),
+				})
+				b := ledger.Booking{Key: fmt.Sprintf("k%d-%d", worker, round)}
+				b.First = d.book(worker+round, b.Key)
+				b.Second = d.book(worker+round+1, b.Key)
+				mu.Lock()
+				total++
+				bookings = append(bookings, b)
+				mu.Unlock()
+				if !r.Complete || !r.Clean || len(r.Breaks) > 0 {
+					t.Errorf("answer: complete %t, %+v, breaks %+v, error %+v", r.Complete, r.Counts, r.Breaks, r.Error)
+				}
+				if b.First.Outcome != caller.OutcomeDone || b.Second.Body != b.First.Body {
+					t.Errorf("booking %s: %+v, then %+v", b.Key, b.First, b.Second)
+				}
+			}
+		})
+	}
+	for _, n := range d.nodes {
+		n.terminate(t)
+		n.requireExit(t)
+		d.startNode(n)
+		d.awaitReady(n)
+	}
+	close(stop)
+	wg.Wait()
+	t.Logf("%d answers", total)
+	if s := d.checkBookings(bookings); s.Unanswered > 0 {
+		t.Errorf("%d bookings have no answer", s.Unanswered)
+	}
+}
