--- a/internal/capacity/backends_test.go
+++ b/internal/capacity/backends_test.go
@@ -110,10 +110,12 @@
 	for _, size := range []struct{ servers, cached int }{{1_000, 0}, {100, 100}, {100, 1_000}, {100, placement.DefaultCacheEntries}} {
 		b.Run(fmt.Sprintf("servers=%d/cached=%d", size.servers, size.cached), func(b *testing.B) {
 			f := newFleet(b, size.servers, 0)
+			var uses []placement.Use
+			for _, s := range f.Servers() {
+				uses = append(uses, placement.Use{Backend: s.ID, Running: 3, WaitingTokens: 100})
+			}
 			for b.Loop() {
-				for _, s := range f.Servers() {
-					f.ObservePeer(start, ident.HostID("host-0001"), s.ID, 3, 100)
-				}
+				f.ObservePeer(start, ident.HostID("host-0001"), uses)
 			}
 			b.ReportMetric(heapOf(func() any { return newFleet(b, size.servers, size.cached) })/float64(size.servers), "heap-B/server")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*size.servers), "ns/server")
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -40,22 +40,17 @@
 	return uses
 }
 
-// observeUses takes what a peer has on backend servers. A server that the peer
-// does not name has nothing of it.
-func (n *Node) observeUses(now time.Time, peer ident.HostID, uses []*nodepb.BackendUse) {
-	named := map[ident.BackendID]bool{}
-	n.backends.Fleet(func(f *placement.Fleet) {
-		for _, use := range uses {
-			id := ident.BackendID(use.GetBackendId())
-			named[id] = true
-			f.ObservePeer(now, peer, id, int(use.GetRunning()), use.GetWaitingTokens())
-		}
-		for _, s := range f.Servers() {
-			if !named[s.ID] {
-				f.ObservePeer(now, peer, s.ID, 0, 0)
-			}
-		}
-	})
+// observeUses takes what a peer has on backend servers.
+func (n *Node) observeUses(now time.Time, peer ident.HostID, messages []*nodepb.BackendUse) {
+	uses := make([]placement.Use, 0, len(messages))
+	for _, m := range messages {
+		uses = append(uses, placement.Use{
+			Backend:       ident.BackendID(m.GetBackendId()),
+			Running:       int(m.GetRunning()),
+			WaitingTokens: m.GetWaitingTokens(),
+		})
+	}
+	n.backends.Fleet(func(f *placement.Fleet) { f.ObservePeer(now, peer, uses) })
 }
 
 // ownCapacity estimates what the backend servers can take from this node: all
