--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -22,10 +22,13 @@
 	resumeBound = 4 * time.Second
 )
 
-// caller returns a verifying caller that knows all nodes, the i-th first.
+// caller returns a verifying caller that knows all nodes, the i-th first. Like an
+// unmodified client it does not send the received text back, so that an answer
+// continues only if the system has the text.
 func (d *deployment) caller(i int, change ...func(*caller.Config)) *caller.Caller {
 	cfg := caller.DefaultConfig()
 	cfg.Key, cfg.SilenceTimeout, cfg.RetryRefused = callerKey, callerSilence, true
+	cfg.SendText = false
 	for k := range d.nodes {
 		cfg.Nodes = append(cfg.Nodes, d.nodes[(i+k)%len(d.nodes)].callers)
 	}
