Find requests whose id contains slashes

Callers choose request ids. The route of explain matched one path segment, so that an id with a slash was answered with 404, and one with // or .. with a redirect to another id. Encoded paths for all routes were ruled out, since they would leave customers' names encoded.

--- a/internal/peer/operator/server.go
+++ b/internal/peer/operator/server.go
@@ -76,7 +76,8 @@
 // and readiness pages need no key.
 func NewHandler(config Config) http.Handler {
 	s := &server{config}
-	router := mux.NewRouter()
+	// A request id may contain slashes and dots, which must not be cleaned away.
+	router := mux.NewRouter().SkipClean(true)
 	router.HandleFunc(operatorapi.RouteHealth, s.health).Methods(http.MethodGet)
 	router.HandleFunc(operatorapi.RouteReady, s.ready).Methods(http.MethodGet)
 
@@ -92,8 +93,8 @@
 	guarded(contracts+"/{customer}/history", http.MethodGet, s.history)
 	guarded(operatorapi.RouteStatus, http.MethodGet, s.status)
 	guarded(operatorapi.RouteAudit, http.MethodGet, s.auditPage)
-	guarded(operatorapi.RouteExplain+"{request}", http.MethodGet, s.explain)
-	guarded(operatorapi.RouteTrace+"{request}", http.MethodGet, s.trace)
+	guarded(operatorapi.RouteExplain+"{request:.+}", http.MethodGet, s.explain)
+	guarded(operatorapi.RouteTrace+"{request:.+}", http.MethodGet, s.trace)
 	if config.Metrics != nil {
 		guarded(operatorapi.RouteMetrics, http.MethodGet, func(w http.ResponseWriter, r *http.Request, _ string) {
 			config.Metrics.ServeHTTP(w, r)
--- a/internal/peer/operator/server_test.go
+++ b/internal/peer/operator/server_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -28,6 +29,7 @@
 	table    *tabletest.Table
 	accepted bool
 	last     Change
+	request  ident.RequestID
 	after    time.Time
 	err      error
 }
@@ -62,11 +64,13 @@
 	return operatorapi.AuditPage{}, b.err
 }
 
-func (b *backend) Explain(context.Context, ident.RequestID) (operatorapi.Explanation, error) {
+func (b *backend) Explain(_ context.Context, request ident.RequestID) (operatorapi.Explanation, error) {
+	b.request = request
 	return operatorapi.Explanation{}, b.err
 }
 
-func (b *backend) Trace(context.Context, ident.RequestID) ([]byte, error) {
+func (b *backend) Trace(_ context.Context, request ident.RequestID) ([]byte, error) {
+	b.request = request
 	return []byte("{}\n"), b.err
 }
 
@@ -198,3 +202,19 @@
 		t.Errorf("audit during an outage: %d %+v", status, answer)
 	}
 }
+
+// Callers choose request ids; one with slashes once was no page.
+func TestRequestIDsWithSlashes(t *testing.T) {
+	b, handler := newServer()
+	for _, route := range []string{operatorapi.RouteExplain, operatorapi.RouteTrace} {
+		for _, id := range []ident.RequestID{"a/b", "a//b/../c", "a b%2F"} {
+			r := httptest.NewRequest(http.MethodGet, route+url.PathEscape(string(id)), nil)
+			r.Header.Set("Authorization", "Bearer secret")
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, r)
+			if w.Code != http.StatusOK || b.request != id {
+				t.Errorf("%s of %q: status %d for request %q", route, id, w.Code, b.request)
+			}
+		}
+	}
+}
