--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -238,16 +238,25 @@
 					recording.Free()
 					recording = NewRecording(Header{}, budget)
 				}
-				now = now.Add(59 * time.Millisecond)
-				var token continuation.Event = continuation.Token{Attempt: "a", Index: index, Text: " word", SilenceLimit: time.Second}
+				now = now.Add(54*time.Millisecond + time.Duration(i%8000)*time.Microsecond)
+				var token continuation.Event = continuation.Token{Attempt: "a", Index: index, Text: " word", SilenceLimit: time.Second + time.Duration(i%5000)*time.Microsecond}
 				accepted := []continuation.Action{continuation.Replicate{Index: index}}
 				var acknowledged continuation.Event = continuation.Acknowledged{Tokens: index + 1}
 				released := []continuation.Action{continuation.Release{From: index, To: index + 1}}
 				if on {
 					recording.Add(now, token, accepted)
+					now = now.Add(time.Millisecond + time.Duration(i%1000)*time.Microsecond)
 					recording.Add(now, acknowledged, released)
 				}
 			}
+			if tokens := recording.state.tokens; tokens > 0 {
+				var text bytes.Buffer
+				if err := Write(&text, recording.Session()); err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(recording.log))/float64(tokens), "log-B/token")
+				b.ReportMetric(float64(text.Len())/float64(tokens), "text-B/token")
+			}
 		})
 	}
 }
