--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -37,6 +37,9 @@
 // Place implements generation.Placer.
 func (p placer) Place(ctx context.Context, request *generation.Request, ask generation.Ask) (generation.Placement, error) {
 	n := p.node
+	if err := n.checkCrashes(request); err != nil {
+		return generation.Placement{}, err
+	}
 	prefixes, promptTokens := placement.PrefixHashes(request.Prompt + ask.AcceptedText)
 	if ask.Resume {
 		if err := n.spendRetry(ctx); err != nil {
@@ -63,6 +66,9 @@
 	}, ask.Attempt, n.forbiddenFor(request))
 	if err != nil {
 		ticket.Finished(0)
+		if placement.CodeOf(err) == placement.CodeUnknownModel {
+			n.unmet.add(request.Model, estimate)
+		}
 		return generation.Placement{}, err
 	}
 	n.startedOn(request, chosen.Backend, ask.Attempt)
