Keep refused generations out of traces and stored explanations

A generation that finds no backend server fails, which counted as a disturbance: in an overload refusals would push out the traces of real losses and use up the writes to the object store. A failure now counts only after a stream was opened. The new test failed before with one trace and one object.

--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -23,7 +23,8 @@
 		Use: "get REQUEST", Short: "Print the recorded sessions of one request",
 		Long: `Print the recorded sessions of one request as JSON lines. REQUEST is the value
 of the X-Request-Id header. Nodes keep the sessions of the newest disturbed
-requests: with a loss, a resume, a takeover, a failure or a discarded token.`,
+requests: with a loss, a resume, a takeover, a discarded token, or a failure
+after a stream was opened.`,
 		Example: "  yuccahatch trace get req-7f8f > trace.jsonl",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -37,8 +37,9 @@
 }
 
 // disturbances are the events after which the record of a request is written to
-// the object store.
-var disturbances = map[string]bool{"lost": true, "resumed": true, "taken_over": true, "failed": true}
+// the object store. A failure is none by itself: an overload refuses many
+// requests with it. After a loss the kept trace has it.
+var disturbances = map[string]bool{"lost": true, "resumed": true, "taken_over": true}
 
 type key struct {
 	customer ident.Customer
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -238,3 +238,21 @@
 		t.Errorf("%d traces of %d bytes, %d bytes in recordings", h.traces.kept.Len(), h.traces.bytes, h.traces.budget.Used())
 	}
 }
+
+// Guards against an overload whose refused requests push out the traces of real
+// disturbances and use up the writes to the object store.
+func TestRefusedGenerationsAreNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeObjects{objects: map[string][]byte{}}
+		h := newHost("h1", store, 3)
+		request := &generation.Request{Customer: "c", Request: "r"}
+		recorder := h.traces.Open(request, &generation.Start{Journal: &continuation.Journal{}}, continuation.DefaultConfig)
+		recorder.Step(time.Now(), continuation.PlacementFailed{}, []continuation.Action{continuation.Fail{Reason: "overloaded"}})
+		recorder.Close()
+		h.store.Add(time.Now(), "c", "r", "failed", "overloaded")
+		running(t, 3*time.Second, h)
+		if len(h.traces.Get("r")) != 0 || store.puts != 0 {
+			t.Errorf("%d traces kept, %d objects written", len(h.traces.Get("r")), store.puts)
+		}
+	})
+}
--- a/internal/explain/traces.go
+++ b/internal/explain/traces.go
@@ -22,9 +22,9 @@
 )
 
 // Traces records the sessions of a node and keeps those of the newest disturbed
-// generations: with a loss, a resume, a takeover, a failure or a discarded
-// token. Those of undisturbed generations are dropped at their end. It may be
-// used by any number of goroutines.
+// generations: with a loss, a resume, a takeover, a discarded token, or a failure
+// after a stream was opened. Those of other generations are dropped at their
+// end. It may be used by any number of goroutines.
 type Traces struct {
 	host   ident.HostID
 	budget *trace.Budget
@@ -95,6 +95,7 @@
 	customer  ident.Customer
 	request   ident.RequestID
 	recording *trace.Recording
+	opened    bool
 	disturbed bool
 }
 
@@ -110,8 +111,12 @@
 		case continuation.Resumed:
 			s.disturbed = true
 			s.traces.keep(s)
-		case continuation.Lost, continuation.Discarded, continuation.Fail:
+		case continuation.Lost, continuation.Discarded:
 			s.disturbed = true
+		case continuation.Open:
+			s.opened = true
+		case continuation.Fail:
+			s.disturbed = s.disturbed || s.opened
 		}
 	}
 }
