--- a/internal/e2e/explain_test.go
+++ b/internal/e2e/explain_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"net/http"
+	"net/url"
 	"testing"
 
 	"github.com/yuccahatch/yuccahatch/api/callerapi"
@@ -32,13 +33,25 @@
 	d.await(startLimit, "the explanation is stored", func() bool {
 		return d.metric("yuccahatch_explain_objects_total", "outcome", "written") > 0
 	})
+	requireExplained(t, d, request)
 	d.nodes[0].kill(t)
-
-	ask := func(route, id string) answered {
-		return do(http.MethodGet, "http://"+d.nodes[2].operators+route+id, operatorKey, nil, nil)
+	requireExplained(t, d, request)
+	if a := askOperator(d, operatorapi.RouteTrace, "never-sent"); a.status != http.StatusNotFound {
+		t.Errorf("unknown request: status %d, %s", a.status, a.body)
 	}
+}
+
+// askOperator asks the last node.
+func askOperator(d *deployment, route, request string) answered {
+	return do(http.MethodGet, "http://"+d.nodes[2].operators+route+url.PathEscape(request), operatorKey, nil, nil)
+}
+
+// requireExplained requires each decision once, whether the node, the object
+// store or both know it, and a trace that replays.
+func requireExplained(t *testing.T, d *deployment, request string) {
+	t.Helper()
 	var explanation operatorapi.Explanation
-	ask(operatorapi.RouteExplain, "explained%2F1").into(t, &explanation)
+	askOperator(d, operatorapi.RouteExplain, request).into(t, &explanation)
 	events := map[string]int{}
 	for _, decision := range explanation.Decisions {
 		events[decision.Event]++
@@ -46,12 +59,9 @@
 	if explanation.Customer != customer || events["placed"] != 2 || events["lost"] != 1 || events["resumed"] != 1 {
 		t.Errorf("explanation %+v", explanation)
 	}
-	found := ask(operatorapi.RouteTrace, "explained%2F1")
+	found := askOperator(d, operatorapi.RouteTrace, request)
 	report, err := trace.Replay(bytes.NewReader(found.body))
 	if err != nil || !report.OK() || len(report.Sessions) != 1 || len(report.Sessions[0].Resumes) != 1 {
 		t.Errorf("trace: status %d, %v, report %+v", found.status, err, report)
 	}
-	if a := ask(operatorapi.RouteTrace, "never-sent"); a.status != http.StatusNotFound {
-		t.Errorf("unknown request: status %d, %s", a.status, a.body)
-	}
 }
