--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -256,3 +256,19 @@
 		}
 	})
 }
+
+// Guards against explanations that a graceful stop loses, and against a stop
+// that writes without a bound.
+func TestStopWritesWhatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeObjects{objects: map[string][]byte{}}
+		h := newHost("h1", store, 3)
+		for i := range 2 * flushObjects {
+			h.serve("c", ident.RequestID(fmt.Sprint(i)), true)
+		}
+		running(t, 0, h)
+		if store.puts != flushObjects {
+			t.Errorf("%d objects were written, want %d", store.puts, flushObjects)
+		}
+	})
+}
