Take inputs a little older than the last one for no clock jump

A worker reads the clock and then waits for the lock around the view, so inputs can arrive out of order by the time of that wait. The view took this for a clock that was set back and suspected every peer until its next heartbeat. It was seen three times within a minute on nodes that nothing had paused (log lines peer_state with reason clock_jump; scripts/lab-cluster.sh, 3 nodes, load average 20 to 29 on 10 cores). The new test failed with a transition of b to suspected. Reading the clock under the lock in every worker was ruled out as the only remedy, since each new caller can get it wrong again; within a process the monotonic clock cannot go back, so the tolerance hides no real jump.

--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -293,3 +293,18 @@
 		}
 	}
 }
+
+// TestReorderedInputsAreNoClockJump guards against goroutines that read the
+// clock and then wait for the view's lock: the one that read first may come
+// second. Treated as a clock jump, that made all peers suspected.
+func TestReorderedInputsAreNoClockJump(t *testing.T) {
+	v := newView(t, Config{})
+	v.ObserveList(at(0), hosts("a", "b"))
+	v.ObserveHeartbeat(at(20), beat(1))
+	if out := v.ObserveHeartbeat(at(19), beat(1)); len(out) > 0 {
+		t.Errorf("an input 1 ms older than the last one: %+v", out)
+	}
+	if out := v.Tick(at(19 - 1000)); len(out) != 1 || out[0].Reason != ReasonClockJump {
+		t.Errorf("time that went back by 1 s: %+v", out)
+	}
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -216,9 +216,18 @@
 	return v.settle(now, v.self, reason, out)
 }
 
+// reorderLimit is how much older than the last input an input may be. Workers
+// read the clock before they take the lock around the view; on a machine with a
+// load of 25 on 10 cores the order was wrong about once a minute.
+const reorderLimit = 500 * time.Millisecond
+
 // Tick applies the passing of time. It also finds clock jumps: time that went
-// back, or more than Config.JumpLimit without any input.
+// back by more than reorderLimit, or more than Config.JumpLimit without any
+// input.
 func (v *View) Tick(now time.Time) []Transition {
+	if now.Before(v.last) && v.last.Sub(now) <= reorderLimit {
+		now = v.last
+	}
 	if now.Before(v.last) || now.Sub(v.last) > v.config.JumpLimit {
 		return v.ClockJumped(now)
 	}
