Void proofs of freshness whichever input finds a clock jump

Only the tick of the membership worker dropped the proofs of freshness. When a heartbeat or the host list arrived first after a pause, the view found the jump there and the tick found none: a node that was stopped for 13 s logged peers with reason clock_jump but no clock_jump event, and proofs from before a pause of 2 to 5 s stayed in force. The new test failed with 'a proof from before the pause admits work'. Polling the view for jumps in the tick was ruled out: a heartbeat in between would still be answered with the old proof.

--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -49,6 +49,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	transitions := n.view.ObserveList(now, list.Hosts)
+	n.voidProofs(transitions)
 	if len(list.Hosts) > 0 {
 		n.listed = hostIDs(list.Hosts)
 	}
@@ -66,23 +67,25 @@
 	return ids
 }
 
-// tickMembership lets the view settle states by time. A clock jump shows that
-// this node was paused; what it believed about others no longer counts.
+// tickMembership lets the view settle states by time.
 func (n *Node) tickMembership(context.Context) {
 	n.mu.Lock()
 	transitions := n.view.Tick(time.Now())
-	jumped := slices.ContainsFunc(transitions, func(t membership.Transition) bool {
-		return t.Reason == membership.ReasonClockJump
-	})
-	if jumped {
-		n.freshness.Reset()
-	}
+	n.voidProofs(transitions)
 	n.freshness.Prune(time.Now())
 	n.mu.Unlock()
-	if jumped {
+	n.observeTransitions(transitions)
+}
+
+// voidProofs drops the proofs of freshness if the view found a clock jump: this
+// node was paused, so what it believed about others no longer counts. Every
+// input of the view can find the jump, and only the first one does. It requires
+// mu.
+func (n *Node) voidProofs(transitions []membership.Transition) {
+	if slices.ContainsFunc(transitions, func(t membership.Transition) bool { return t.Reason == membership.ReasonClockJump }) {
+		n.freshness.Reset()
 		n.events.Log(logrus.WarnLevel, telemetry.EventClockJump, nil, "this node was paused; proofs of freshness are void")
 	}
-	n.observeTransitions(transitions)
 }
 
 func (n *Node) observeTransitions(transitions []membership.Transition) {
@@ -135,6 +138,7 @@
 	if err != nil {
 		n.mu.Lock()
 		transitions := n.view.ConnectionFailed(time.Now(), peer.Host, peer.Incarnation)
+		n.voidProofs(transitions)
 		n.mu.Unlock()
 		n.observeTransitions(transitions)
 		return
@@ -199,6 +203,7 @@
 		InFlight:    int(h.GetInFlight()),
 		AskedAt:     askedAt,
 	})
+	n.voidProofs(transitions)
 	if !askedAt.IsZero() {
 		if h.GetFreshAgeMs() < 0 {
 			age = -1
--- /dev/null
+++ b/internal/node/workers_test.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/platformapi"
+	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+	"github.com/yuccahatch/yuccahatch/internal/settings"
+)
+
+const testSettings = `
+[host]
+id = "a"
+data_centre = "d1"
+[[data_centres]]
+name = "d1"
+region = "r"
+[listen]
+callers = "127.0.0.1:7401"
+operators = "127.0.0.1:7402"
+nodes = "127.0.0.1:7400"
+[platform]
+url = "http://127.0.0.1:7500"
+timeout = "1s"
+[security]
+cursor_key_file = %q
+operator_key_hashes = []
+insecure = true
+`
+
+// newTestNode returns a node that does not run.
+func newTestNode(t *testing.T) *Node {
+	t.Helper()
+	dir := t.TempDir()
+	key, file := filepath.Join(dir, "key"), filepath.Join(dir, "node.toml")
+	if err := os.WriteFile(key, make([]byte, 32), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, fmt.Appendf(nil, testSettings, key), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := settings.Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// TestHeartbeatAfterAPauseVoidsProofs guards against a pause that a heartbeat
+// shows before the tick of the membership worker does: the tick then finds no
+// jump, and proofs from before the pause stayed in force.
+func TestHeartbeatAfterAPauseVoidsProofs(t *testing.T) {
+	n := newTestNode(t) // outside the bubble, since its metrics have a worker that does not end
+	synctest.Test(t, func(t *testing.T) {
+		hosts := []platformapi.Host{{HostID: "a", DataCentre: "d1", State: platformapi.HostLive}, {HostID: "b", DataCentre: "d1", State: platformapi.HostLive}}
+		n.view.ObserveList(time.Now(), hosts)
+		n.listed = hostIDs(hosts)
+		n.freshness.HeadRead(time.Now(), 0, 0)
+		if ok, reason := n.freshness.Admission(time.Now(), n.listed); !ok {
+			t.Fatal("no admission before the pause: ", reason)
+		}
+		time.Sleep(3 * time.Second) // longer than the jump limit, shorter than contracts.staleness_limit
+		n.observeHeartbeat(time.Time{}, &nodepb.HeartbeatRequest{Sender: &nodepb.Sender{HostId: "b", Incarnation: 1, DataCentre: "d1"}})
+		n.tickMembership(t.Context())
+		if ok, _ := n.freshness.Admission(time.Now(), n.listed); ok {
+			t.Error("a proof from before the pause admits work")
+		}
+	})
+}
