--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -17,6 +17,7 @@
 	order        []*entry  // the entries of nodes, sorted by host
 	last         time.Time // time of the last input
 	jumpedAt     time.Time // time of the last clock jump, or the start
+	jumped       bool      // a clock jump was found since the last TakeJump
 	leavingSince time.Time // zero if this node does not leave
 	haveList     bool
 	listedAt     time.Time // time of the last host list
@@ -252,7 +253,7 @@
 // its clock was set. Proofs are void and peers are suspected until heard
 // again; none is declared dead for a silence that was this node's own.
 func (v *View) ClockJumped(now time.Time) []Transition {
-	v.last, v.jumpedAt = now, now
+	v.last, v.jumpedAt, v.jumped = now, now, true
 	var out []Transition
 	for _, e := range v.order {
 		if e == v.self {
@@ -274,6 +275,14 @@
 	return out
 }
 
+// TakeJump tells whether a clock jump was found since the last call. The
+// transitions do not always show it: a suspected peer stays suspected.
+func (v *View) TakeJump() bool {
+	jumped := v.jumped
+	v.jumped = false
+	return jumped
+}
+
 // settle recomputes the state of one node and records a transition.
 func (v *View) settle(now time.Time, e *entry, reason Reason, out []Transition) []Transition {
 	state := Alive
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -49,7 +48,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	transitions := n.view.ObserveList(now, list.Hosts)
-	n.voidProofs(transitions)
+	n.voidProofs()
 	if len(list.Hosts) > 0 {
 		n.listed = hostIDs(list.Hosts)
 	}
@@ -71,7 +70,7 @@
 func (n *Node) tickMembership(context.Context) {
 	n.mu.Lock()
 	transitions := n.view.Tick(time.Now())
-	n.voidProofs(transitions)
+	n.voidProofs()
 	n.freshness.Prune(time.Now())
 	n.mu.Unlock()
 	n.observeTransitions(transitions)
@@ -81,8 +80,8 @@
 // node was paused, so what it believed about others no longer counts. Every
 // input of the view can find the jump, and only the first one does. It requires
 // mu.
-func (n *Node) voidProofs(transitions []membership.Transition) {
-	if slices.ContainsFunc(transitions, func(t membership.Transition) bool { return t.Reason == membership.ReasonClockJump }) {
+func (n *Node) voidProofs() {
+	if n.view.TakeJump() {
 		n.freshness.Reset()
 		n.events.Log(logrus.WarnLevel, telemetry.EventClockJump, nil, "this node was paused; proofs of freshness are void")
 	}
@@ -138,7 +137,7 @@
 	if err != nil {
 		n.mu.Lock()
 		transitions := n.view.ConnectionFailed(time.Now(), peer.Host, peer.Incarnation)
-		n.voidProofs(transitions)
+		n.voidProofs()
 		n.mu.Unlock()
 		n.observeTransitions(transitions)
 		return
@@ -203,7 +202,7 @@
 		InFlight:    int(h.GetInFlight()),
 		AskedAt:     askedAt,
 	})
-	n.voidProofs(transitions)
+	n.voidProofs()
 	if !askedAt.IsZero() {
 		if h.GetFreshAgeMs() < 0 {
 			age = -1
--- a/internal/node/workers_test.go
+++ b/internal/node/workers_test.go
@@ -64,6 +64,7 @@
 		hosts := []platformapi.Host{{HostID: "a", DataCentre: "d1", State: platformapi.HostLive}, {HostID: "b", DataCentre: "d1", State: platformapi.HostLive}}
 		n.view.ObserveList(time.Now(), hosts)
 		n.listed = hostIDs(hosts)
+		n.tickMembership(t.Context()) // the bubble's clock began as a jump
 		n.freshness.HeadRead(time.Now(), 0, 0)
 		if ok, reason := n.freshness.Admission(time.Now(), n.listed); !ok {
 			t.Fatal("no admission before the pause: ", reason)
