--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,6 +34,12 @@
 // readHostList brings membership and backend servers up to date with the
 // platform's list. Without an answer the last list stays in force.
 func (n *Node) readHostList(ctx context.Context) {
+	n.mu.Lock()
+	due := n.view.ListDue(time.Now(), n.settings.Membership.HostListInterval.Duration)
+	n.mu.Unlock()
+	if !due {
+		return
+	}
 	list, err := n.hostList.Fetch(ctx)
 	if err != nil {
 		n.events.LogError(logrus.WarnLevel, telemetry.EventHostListFailed, err, nil, "read the host list")
@@ -43,6 +48,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	transitions := n.view.ObserveList(now, list.Hosts)
+	n.voidProofs()
 	if len(list.Hosts) > 0 {
 		n.listed = hostIDs(list.Hosts)
 	}
@@ -60,23 +66,25 @@
 	return ids
 }
 
-// tickMembership lets the view settle states by time. A clock jump shows that
-// this node was paused; what it believed about others no longer counts.
+// tickMembership lets the view settle states by time.
 func (n *Node) tickMembership(context.Context) {
 	n.mu.Lock()
 	transitions := n.view.Tick(time.Now())
-	jumped := slices.ContainsFunc(transitions, func(t membership.Transition) bool {
-		return t.Reason == membership.ReasonClockJump
-	})
-	if jumped {
-		n.freshness.Reset()
-	}
+	n.voidProofs()
 	n.freshness.Prune(time.Now())
 	n.mu.Unlock()
-	if jumped {
+	n.observeTransitions(transitions)
+}
+
+// voidProofs drops the proofs of freshness if the view found a clock jump: this
+// node was paused, so what it believed about others no longer counts. Every
+// input of the view can find the jump, and only the first one does. It requires
+// mu.
+func (n *Node) voidProofs() {
+	if n.view.TakeJump() {
+		n.freshness.Reset()
 		n.events.Log(logrus.WarnLevel, telemetry.EventClockJump, nil, "this node was paused; proofs of freshness are void")
 	}
-	n.observeTransitions(transitions)
 }
 
 func (n *Node) observeTransitions(transitions []membership.Transition) {
@@ -129,6 +137,7 @@
 	if err != nil {
 		n.mu.Lock()
 		transitions := n.view.ConnectionFailed(time.Now(), peer.Host, peer.Incarnation)
+		n.voidProofs()
 		n.mu.Unlock()
 		n.observeTransitions(transitions)
 		return
@@ -193,6 +202,7 @@
 		InFlight:    int(h.GetInFlight()),
 		AskedAt:     askedAt,
 	})
+	n.voidProofs()
 	if !askedAt.IsZero() {
 		if h.GetFreshAgeMs() < 0 {
 			age = -1
