Add the resume experiment: the real state machine against modelled engines and faults

Cause: resume.weight was chosen by argument; latency and extra tokens of a weight were measured for single sessions only.

A discrete-event model of 35 engines, 6 nodes and about 330 answers at a time drives continuation.Machine, detect, retrybudget and placement through kills, the loss of a rack, freezes, pauses, silent connections and slow engines, and checks every token of every answer. Copies, admission and loss of nodes are left out: they are the same for all policies compared.

Ruled out: extending internal/placement/experiment, whose streams have no tokens and whose engines do not fail.

--- /dev/null
+++ b/internal/continuation/experiment/sim.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/platformapi"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// Shape of the model. The lags are those of internal/placement/experiment.
+const (
+	model         = "m"
+	engineCount   = 35
+	rackSize      = 9 // a quarter of the engines
+	nodeCount     = 6
+	hop           = time.Millisecond
+	pollPeriod    = 500 * time.Millisecond
+	reportLag     = 250 * time.Millisecond // from measurement to the node
+	cacheEventLag = time.Second
+	warmUp        = 20 * time.Second // no faults, not measured
+)
+
+// event is one entry of the schedule; equal times run in order of entry.
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type schedule []event
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].order < s[j].order
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+// Push implements heap.Interface.
+func (s *schedule) Push(x any) { *s = append(*s, x.(event)) }
+
+// Pop implements heap.Interface.
+func (s *schedule) Pop() any {
+	old := *s
+	e := old[len(old)-1]
+	*s = old[:len(old)-1]
+	return e
+}
+
+// sim is one run of one policy on one recorded load and schedule of faults.
+type sim struct {
+	now     time.Duration
+	events  schedule
+	order   int
+	policy  policy
+	rng     *rand.Rand
+	engines []*engine
+	byID    map[ident.BackendID]*engine
+	nodes   []*node
+	answers []*answer
+	ended   int
+	length  time.Duration
+	rackAt  time.Duration
+	report  *report
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.order++
+	heap.Push(&s.events, event{s.now + d, s.order, run})
+}
+
+func (s *sim) time() time.Time { return time.Unix(1_800_000_000, 0).Add(s.now) }
+
+// simulate runs one policy and returns its report.
+func simulate(p policy, seed uint64, length time.Duration) (*report, error) {
+	s := &sim{
+		policy: p, length: length, report: newReport(),
+		rng:  rand.New(rand.NewPCG(seed, 1)),
+		byID: map[ident.BackendID]*engine{},
+	}
+	var list []platformapi.Backend
+	for i := range engineCount {
+		e := newEngine(s, i, seed)
+		s.engines = append(s.engines, e)
+		s.byID[e.id] = e
+		list = append(list, platformapi.Backend{
+			BackendID: string(e.id), Kind: platformapi.KindEngine, DataCentre: e.dataCentre, State: platformapi.HostLive})
+	}
+	for i := range nodeCount {
+		n, err := newNode(s, i, seed, list)
+		if err != nil {
+			return nil, err
+		}
+		s.nodes = append(s.nodes, n)
+	}
+	s.poll()
+	load := record(seed, length)
+	for i := range load {
+		r := &load[i]
+		s.after(r.at, func() { s.begin(r) })
+	}
+	for _, f := range drawFaults(seed, length) {
+		s.after(f.at, func() { s.inject(f) })
+	}
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("policy %q, seed %d: %w", p.name, seed, err)
+	}
+	s.sum()
+	return s.report, nil
+}
+
+func (s *sim) begin(r *request) {
+	n := s.nodes[r.node]
+	a := newAnswer(s, n, r)
+	s.answers = append(s.answers, a)
+	n.budget.Started(s.time())
+	a.start()
+}
+
+// poll hands lagged reports, cache events and peers' counts to the nodes.
+func (s *sim) poll() {
+	if s.now > s.length && s.ended == len(s.answers) {
+		return
+	}
+	for _, e := range s.engines {
+		if e.dead || e.stopped {
+			continue
+		}
+		load, events := e.load(), e.takeEvents()
+		for _, n := range s.nodes {
+			if s.now == 0 {
+				n.fleet.ObserveLoad(s.time(), e.id, load)
+				continue
+			}
+			s.after(reportLag, func() { n.fleet.ObserveLoad(s.time(), e.id, load) })
+			s.after(cacheEventLag, func() { n.fleet.ObserveCache(e.id, events) })
+		}
+	}
+	for _, n := range s.nodes {
+		uses, sent := n.fleet.Uses(), s.time()
+		for _, peer := range s.nodes {
+			if peer != n {
+				s.after(hop, func() { peer.fleet.ObservePeer(sent, n.host, uses) })
+			}
+		}
+	}
+	s.after(pollPeriod, s.poll)
+}
