--- a/internal/node/contracts.go
+++ b/internal/node/contracts.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccahatch/yuccahatch/api/operatorapi"
+	"github.com/yuccahatch/yuccahatch/internal/admission"
 	"github.com/yuccahatch/yuccahatch/internal/contractset"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/membership"
@@ -72,6 +73,9 @@
 	n.freshness.Advance(n.contracts.Sequence())
 	n.mu.Unlock()
 	n.updateAdmission()
+	n.gate.Update(func(now time.Time, c *admission.Controller) []admission.Outcome {
+		return c.RecheckQueued(now)
+	})
 }
 
 // pushTimeout bounds the acknowledgements of a change. Nodes that do not answer
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -10,6 +10,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/membership"
 	"github.com/yuccahatch/yuccahatch/internal/peer/node/nodepb"
+	"github.com/yuccahatch/yuccahatch/internal/placement"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
@@ -98,6 +99,9 @@
 			"to":                t.To.String(),
 			"reason":            t.Reason,
 		}, "node changed its state")
+		if t.To == membership.Dead || t.To == membership.Left {
+			n.backends.Fleet(func(f *placement.Fleet) { f.ForgetPeer(t.Host) })
+		}
 	}
 }
 
