Record the death of a backend server before anything that ran there is placed again

Two causes: a process that is ending resets connections before it refuses them, so that a probe found the stream lost but the server not dead; and of two streams that found the same death at once, the second went on before the first had recorded it. Either way the crashing request was placed again as an innocent one. Ruled out: evidence between nodes, all deaths were within 14 ms on one node.

A probe that meets a reset asks again, up to four times within 60 ms; the finding of a death and its record are one step under a lock; and an attempt whose connection is lost counts for 3 s as running there.

--- a/internal/backendpool/pool.go
+++ b/internal/backendpool/pool.go
@@ -47,6 +47,11 @@
 	client *backend.Client
 	hooks  Hooks
 
+	// deathMu is held from the finding of a death until the hook has returned, so
+	// that whoever finds the same death meanwhile goes on only when it is
+	// recorded. It is taken before mu.
+	deathMu sync.Mutex
+
 	mu sync.Mutex
 	// fleet, rng, polling and down are guarded by mu.
 	fleet   *placement.Fleet
@@ -141,6 +146,8 @@
 	if err == nil && target.engine {
 		events, eventsErr = p.client.CacheEvents(ctx, target.url, target.after)
 	}
+	p.deathMu.Lock()
+	defer p.deathMu.Unlock()
 	if incarnation, died := p.polled(target, load, err, events, eventsErr); died {
 		p.hooks.Died(target.id, incarnation)
 	}
@@ -270,18 +277,24 @@
 // Died records that a server's process is gone, as a refused connection shows
 // before the next poll does. It tells the death if it is news.
 func (p *Pool) Died(id ident.BackendID) {
+	p.deathMu.Lock()
+	defer p.deathMu.Unlock()
+	if incarnation, news := p.markDead(id); news {
+		p.hooks.Died(id, incarnation)
+	}
+}
+
+func (p *Pool) markDead(id ident.BackendID) (incarnation int64, news bool) {
 	now := time.Now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	server := p.fleet.Server(id)
 	if server == nil || p.down[id] {
-		p.mu.Unlock()
-		return
+		return 0, false
 	}
 	p.down[id] = true
-	incarnation := server.Load.Incarnation
 	p.fleet.Died(now, id)
-	p.mu.Unlock()
-	p.hooks.Died(id, incarnation)
+	return server.Load.Incarnation, true
 }
 
 // Fleet calls view with the fleet while no other goroutine uses it. The
--- a/internal/generation/attempts.go
+++ b/internal/generation/attempts.go
@@ -89,10 +89,32 @@
 	})
 }
 
+// A process that is ending resets connections for a moment before it refuses
+// them. The probe asks again, so that its death is known before a request that
+// may have caused it is placed elsewhere.
+const (
+	maxProbeResets = 4
+	resetRetry     = 15 * time.Millisecond
+)
+
+func (r *Run) conclusiveStatus(ctx context.Context, a continuation.Probe) (backendapi.StreamStatus, error) {
+	for resets := 0; ; resets++ {
+		status, err := r.deps.Backends.Status(ctx, a.Backend, a.Attempt)
+		if backend.CodeOf(err) != backend.CodeBroken || resets == maxProbeResets {
+			return status, err
+		}
+		select {
+		case <-time.After(resetRetry):
+		case <-ctx.Done():
+			return status, err
+		}
+	}
+}
+
 func (r *Run) probe(a continuation.Probe) {
 	ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
 	defer cancel()
-	status, err := r.deps.Backends.Status(ctx, a.Backend, a.Attempt)
+	status, err := r.conclusiveStatus(ctx, a)
 	r.post(continuation.Probed{
 		Attempt:      a.Attempt,
 		Alive:        err == nil,
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -61,6 +61,10 @@
 func (n *Node) finishedOn(attempt ident.AttemptID, outcome generation.Outcome) {
 	n.crashesMu.Lock()
 	defer n.crashesMu.Unlock()
+	if outcome == generation.OutcomeLost || outcome == generation.OutcomeDied {
+		n.crashes.Lost(time.Now(), attempt)
+		return
+	}
 	n.crashes.Finished(time.Now(), attempt, outcome == generation.OutcomeFinished)
 }
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -54,7 +54,7 @@
 	e.Cleared = findings(t.cleared, after)
 	e.Confirmed = findings(t.confirmed, after)
 	for _, r := range t.runs {
-		if !r.answered && t.keptApart(r.fingerprint) {
+		if !r.answered && r.lostAt.IsZero() && t.keptApart(r.fingerprint) {
 			e.Suspects = append(e.Suspects, Placement{r.fingerprint, r.server})
 		}
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -16,6 +16,9 @@
 	// spread of detection: up to 1.5 s of silence and a probe.
 	BurstWindow  = 2 * time.Second
 	burstServers = 3
+	// lostLifetime is how long a lost attempt waits for its server's death to
+	// become known: a poll each 500 ms, and a probe that may be inconclusive.
+	lostLifetime = 3 * time.Second
 	// strikesWithoutRepetition is how many deaths confirm a request that had
 	// delivered tokens at one of them. Two deaths are not enough: servers die
 	// for other reasons, also twice under one long answer.
@@ -76,6 +79,8 @@
 	fingerprint Fingerprint
 	// answered tells that it has delivered a token.
 	answered bool
+	// lostAt is when its connection was lost, zero while it runs.
+	lostAt time.Time
 }
 
 type peer struct {
@@ -163,6 +168,15 @@
 	}
 }
 
+// Lost records that the connection to an attempt was lost. If its server turns
+// out to have died, the attempt counts as one that ran there.
+func (t *Tracker) Lost(now time.Time, attempt ident.AttemptID) {
+	if r, ok := t.runs[attempt]; ok {
+		r.lostAt = now
+		t.runs[attempt] = r
+	}
+}
+
 // Finished records that an attempt ended. Only one that ran to its end, completed,
 // clears its fingerprint; one that was cancelled or moved away does not.
 func (t *Tracker) Finished(now time.Time, attempt ident.AttemptID, completed bool) {
@@ -292,6 +306,11 @@
 			delete(t.confirmed, f)
 		}
 	}
+	for attempt, r := range t.runs {
+		if !r.lostAt.IsZero() && now.Sub(r.lostAt) > lostLifetime {
+			t.remove(attempt)
+		}
+	}
 	for host, p := range t.peers {
 		if now.Sub(p.heardAt) > PeerSilence {
 			delete(t.peers, host)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -229,3 +229,22 @@
 		}
 	}
 }
+
+// Guards against a crashing request whose connection is found lost before its
+// server is found dead: it must count as one that ran there.
+func TestLossBeforeDeath(t *testing.T) {
+	now, n := time.Unix(1e6, 0), New("a")
+	n.Started("1", "f", "s1")
+	n.Lost(now, "1")
+	n.Died(now.Add(time.Second), "s1", 1)
+	if n.Verdict("f") != Suspect {
+		t.Errorf("after the death: %s", n.Verdict("f"))
+	}
+	n.Started("2", "g", "s2")
+	n.Lost(now, "2")
+	n.Expire(now.Add(lostLifetime + time.Second))
+	n.Died(now.Add(time.Minute), "s2", 1)
+	if n.Verdict("g") != Clear {
+		t.Errorf("long after the loss: %s", n.Verdict("g"))
+	}
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -37,7 +37,7 @@
 		return false
 	}
 	for _, r := range t.runs {
-		if r.answered {
+		if r.answered || !r.lostAt.IsZero() {
 			continue
 		}
 		if r.fingerprint == f || r.server == server && t.keptApart(r.fingerprint) {
