--- a/internal/e2e/contracts_test.go
+++ b/internal/e2e/contracts_test.go
@@ -142,6 +142,38 @@
 	}
 }
 
+// Guards against work that a node admits under a contract that was changed
+// while it was frozen and that it cannot learn of when it wakes up.
+func TestNodeFrozenAndCutOff(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 1, noService: true, linked: true})
+	frozen, platform := d.nodes[2], d.linkedNode(2)
+	frozen.incoming.sever()
+	platform.sever()
+	frozen.freeze(t)
+	if result := d.putContract(d.nodes[0], rekeyed()); !result.Accepted || len(result.InForce) != 2 {
+		t.Errorf("change that one of three nodes cannot hear of: %+v", result)
+	}
+	pause(5500 * time.Millisecond) // beyond contracts.staleness_limit
+	for _, n := range d.others(frozen) {
+		n.freeze(t)
+	}
+	frozen.thaw(t)
+	for range 20 {
+		a := generate(frozen, callerKey)
+		if f := a.failure(t); a.status != http.StatusServiceUnavailable || f.Code != callerapi.CodeNodeIsolated {
+			t.Errorf("request with the removed key: status %d, %+v", a.status, f)
+		}
+	}
+	for _, n := range d.others(frozen) {
+		n.thaw(t)
+	}
+	d.await(startLimit, "the node learns of the change from its peers", func() bool { return knows(frozen, newKey) })
+	if knows(frozen, callerKey) {
+		t.Error("the removed key is known")
+	}
+}
+
 // quietNow returns quiet hours that began a minute ago and last for 10 minutes
 // or a little longer.
 func quietNow(now time.Time) string {
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -62,6 +62,8 @@
 	platform    []string // flags of the platform
 	// settings is added to the settings file of each node.
 	settings string
+	// linked lists nodes under addresses for other nodes that can be cut.
+	linked bool
 	// contract replaces the default contract.
 	contract string
 }
@@ -70,6 +72,8 @@
 type nodeProcess struct {
 	*process
 	id, callers, operators, nodes, config string
+	// incoming carries connections from other nodes if the option linked is set.
+	incoming *link
 }
 
 // backendProcess is an engine or the booking service.
@@ -149,8 +153,13 @@
 		n := &nodeProcess{id: fmt.Sprintf("node%d", i+1), callers: next(), operators: next(), nodes: next()}
 		n.config = filepath.Join(d.dir, n.id+".toml")
 		d.nodes = append(d.nodes, n)
+		address := n.nodes
+		if d.opt.linked {
+			n.incoming = newLink(d.t, n.nodes)
+			address = n.incoming.listener.Addr().String()
+		}
 		list.Hosts = append(list.Hosts, platformapi.Host{
-			HostID: n.id, Address: n.nodes, CallerAddress: n.callers, DataCentre: dataCentre(i), State: platformapi.HostLive,
+			HostID: n.id, Address: address, CallerAddress: n.callers, DataCentre: dataCentre(i), State: platformapi.HostLive,
 		})
 	}
 	for i := range d.opt.engines {
