Let only relays poll the change log above 128 hosts

Every node read the log's head twice a second: 2,200 reads/s at 1,100 nodes, of the table's 2,000. Above 128 hosts the two relays of each data centre poll; the others get entries and proofs of freshness with their heartbeats, as they did before besides their own reads. A random back-off after an outage is not done.

--- a/internal/node/contracts.go
+++ b/internal/node/contracts.go
@@ -17,9 +17,36 @@
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
+const (
+	// maxPollingNodes is the largest deployment in which every node polls the
+	// change log: 256 of the table's 2,000 reads a second.
+	maxPollingNodes = 128
+	// pollWithoutProof is the age of the newest proof of freshness at which a
+	// node polls the log although relays do. Proofs by relays are usually about
+	// 1 s old; contracts.staleness_limit is 5 s.
+	pollWithoutProof = 2 * time.Second
+)
+
+// pollsLog tells whether this node has to read the change log now. In large
+// deployments only relays do; the others learn of changes, and that there are
+// none, by the heartbeats of relays.
+func (n *Node) pollsLog(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.listed) <= maxPollingNodes || n.view.IsRelay() {
+		return true
+	}
+	_, age := n.freshness.Report(now, n.contracts)
+	return age < 0 || age >= pollWithoutProof
+}
+
 // followContracts makes one step along the change log.
 func (n *Node) followContracts(ctx context.Context) {
 	sentAt := time.Now()
+	if !n.pollsLog(sentAt) {
+		telemetry.ContractSequence.Gauge(n.scope).Update(float64(n.contracts.Sequence()))
+		return
+	}
 	applied, head, err := n.follower.Poll(ctx)
 	if err != nil {
 		n.events.LogError(logrus.WarnLevel, telemetry.EventContractPollFailed, err, nil, "read the contract log")
--- a/internal/node/workers_test.go
+++ b/internal/node/workers_test.go
@@ -77,3 +77,41 @@
 		}
 	})
 }
+
+// TestLargeDeploymentsPollTheLogByRelays guards against a number of reads that
+// grows with the nodes, and against a node without news that does not poll.
+func TestLargeDeploymentsPollTheLogByRelays(t *testing.T) {
+	for _, c := range []struct {
+		hosts    int
+		proofAge time.Duration
+		relay    bool
+		want     bool
+	}{
+		{hosts: maxPollingNodes, want: true},
+		{hosts: maxPollingNodes + 1, want: false},
+		{hosts: maxPollingNodes + 1, relay: true, want: true},
+		{hosts: maxPollingNodes + 1, proofAge: pollWithoutProof, want: true},
+		{hosts: maxPollingNodes + 1, proofAge: time.Hour, want: true},
+	} {
+		n, now := newTestNode(t), time.Now()
+		hosts := []platformapi.Host{{HostID: "a", DataCentre: "d1", State: platformapi.HostLive}}
+		for i := 1; i < c.hosts; i++ {
+			dc := "d1"
+			if c.relay {
+				dc = "d2" // node a is alone in its data centre
+			}
+			hosts = append(hosts, platformapi.Host{HostID: fmt.Sprint("b", i), DataCentre: dc, State: platformapi.HostLive})
+		}
+		n.view.ObserveList(now, hosts)
+		n.listed = hostIDs(hosts)
+		if c.proofAge < time.Minute {
+			n.freshness.HeadRead(now.Add(-c.proofAge), 0, 0)
+		}
+		if n.view.IsRelay() != c.relay {
+			t.Fatalf("%d hosts: relay %v, want %v", c.hosts, n.view.IsRelay(), c.relay)
+		}
+		if got := n.pollsLog(now); got != c.want {
+			t.Errorf("%+v: polls %v", c, got)
+		}
+	}
+}
