Resume experiment: count one reading of the prompt as undisturbed; poll dead engines

Cause: a first attempt that met a frozen engine reads no prompt, so the reading by its replacement is not extra work, and it was counted as such. The model did not report refused polls, which the backend pool does, so new work went to a dead rack for 15 s and answers failed at the limit of attempts that do not fail in the product.

Tokens of an answer that starts on an engine under a fault now belong to that fault.

--- a/internal/continuation/experiment/answer.go
+++ b/internal/continuation/experiment/answer.go
@@ -111,8 +111,8 @@
 	e := a.sim.byID[c.Backend]
 	st := &stream{
 		id: c.Attempt, answer: a, engine: e, resume: len(a.streams) > 0, first: c.Tokens,
-		replacement: len(a.streams) > 0, falseAlarm: a.wouldGoOn(),
-		prefixes: a.request.continued(c.Tokens), accepted: c.Tokens,
+		falseAlarm: a.wouldGoOn(),
+		prefixes:   a.request.continued(c.Tokens), accepted: c.Tokens,
 	}
 	if a.sim.policy.restart {
 		st.prefixes, st.accepted, st.skip = a.request.prefixes, 0, c.Tokens
@@ -120,6 +120,9 @@
 	for _, token := range a.machine.Journal().Tokens(0, c.Tokens) {
 		st.state = extend(st.state, token)
 	}
+	if e.fault != noFault {
+		a.lastFault = e.fault
+	}
 	a.streams = append(a.streams, st)
 	a.sim.after(hop, func() {
 		if e.dead {
--- a/internal/continuation/experiment/engine.go
+++ b/internal/continuation/experiment/engine.go
@@ -37,6 +37,7 @@
 	// forGood tells that it will not.
 	dead, stopped, forGood, slow bool
 	held                         []func()
+	fault                        faultKind // under which it is
 
 	streams  map[ident.AttemptID]*stream
 	waiting  []*stream // by priority, then arrival
@@ -63,6 +64,7 @@
 func (e *engine) clear() {
 	e.incarnation++
 	e.dead, e.stopped, e.forGood, e.slow = false, false, false, false
+	e.fault = noFault
 	e.held, e.waiting, e.toRead, e.reading = nil, nil, nil, nil
 	e.running, e.sequence, e.events = 0, 0, nil
 	e.streams = map[ident.AttemptID]*stream{}
@@ -84,7 +86,7 @@
 	if e.dead || !e.stopped {
 		return
 	}
-	e.stopped = false
+	e.stopped, e.fault = false, noFault
 	held := e.held
 	e.held = nil
 	for _, step := range held {
@@ -92,6 +94,13 @@
 	}
 }
 
+// recover ends the time of being slow.
+func (e *engine) recover() {
+	if e.slow {
+		e.slow, e.fault = false, noFault
+	}
+}
+
 // kill ends the process; its open connections are reset.
 func (e *engine) kill() {
 	e.dead = true
--- a/internal/continuation/experiment/faults.go
+++ b/internal/continuation/experiment/faults.go
@@ -104,7 +104,7 @@
 	case engineSlow:
 		s.mark(e, f.kind, -1)
 		e.slow = true
-		s.after(slowFor, func() { e.slow = false })
+		s.after(slowFor, e.recover)
 	}
 }
 
@@ -123,6 +123,9 @@
 // mark notes the fault at each answer whose newest stream is on the engine.
 // Node -1 means the answers of all nodes.
 func (s *sim) mark(e *engine, kind faultKind, node int) {
+	if node < 0 {
+		e.fault = kind
+	}
 	for _, st := range e.sorted() {
 		a := st.answer
 		if a.machine.Done() || a.currentEngine() != e.id || node >= 0 && a.node.index != node {
--- a/internal/continuation/experiment/sim.go
+++ b/internal/continuation/experiment/sim.go
@@ -18,6 +18,7 @@
 	nodeCount     = 6
 	hop           = time.Millisecond
 	pollPeriod    = 500 * time.Millisecond
+	pollTimeout   = 400 * time.Millisecond
 	reportLag     = 250 * time.Millisecond // from measurement to the node
 	cacheEventLag = time.Second
 	warmUp        = 20 * time.Second // no faults, not measured
@@ -131,6 +132,7 @@
 	}
 	for _, e := range s.engines {
 		if e.dead || e.stopped {
+			s.pollFailed(e)
 			continue
 		}
 		load, events := e.load(), e.takeEvents()
@@ -153,3 +155,16 @@
 	}
 	s.after(pollPeriod, s.poll)
 }
+
+// pollFailed tells the nodes that a poll was refused or timed out, as package
+// backendpool does.
+func (s *sim) pollFailed(e *engine) {
+	dead := e.dead
+	for _, n := range s.nodes {
+		if dead {
+			s.after(2*hop, func() { n.fleet.Died(s.time(), e.id) })
+		} else {
+			s.after(pollTimeout, func() { n.fleet.ConnectionFailed(s.time(), e.id) })
+		}
+	}
+}
--- a/internal/continuation/experiment/stream.go
+++ b/internal/continuation/experiment/stream.go
@@ -31,11 +31,10 @@
 	finished bool
 	gone     bool
 	conn     *connection
-	// replacement and falseAlarm tell that the attempt is not the first one,
-	// and that the stream before it would have gone on.
-	replacement, falseAlarm bool
-	repeated                int // answer tokens that were decoded again
-	used                    int // tokens that the journal accepted
+	// falseAlarm tells that a stream before it would have gone on.
+	falseAlarm bool
+	repeated   int // answer tokens that were decoded again
+	used       int // tokens that the journal accepted
 }
 
 // connection is one connection of a node to a stream.
