Probe a silent stream at half its silence limit

Cause: in the resume experiment a connection that goes silent while its engine lives waited for the whole silence limit, and at weight 1 every first token that came late opened a replacement before the probe could tell that the stream was queued.

The engine is now probed at half the limit, while the stream counts as healthy. An answer with further tokens leads to a reconnect at once; one without starts the limit anew. The replacement is placed as late as before: wait for the probe counts from the limit.

Ruled out: counting the wait from the early probe. The stated scenario "engine pauses shorter than the probe wait" then opens a second stream, which is what a larger weight is for. Counting early probes against the old limit of 3 stalls: a slow stream would have been replaced in half the time, so the limit is 6 probes, half a limit apart.

The new test failed before (304 ms at a limit of 300 ms).

--- a/internal/continuation/experiment/node.go
+++ b/internal/continuation/experiment/node.go
@@ -45,7 +45,7 @@
 	}
 	return &node{
 		sim: s, index: i, host: ident.HostID(fmt.Sprintf("h%d", i)), fleet: fleet,
-		detector: detect.New(s.policy.limits()), budget: budget,
+		detector: detect.New(detect.DefaultLimits), budget: budget,
 		rng: rand.New(rand.NewPCG(seed, uint64(100+i))),
 	}, nil
 }
@@ -73,7 +73,7 @@
 	tokens := a.machine.Journal().Len()
 	r := placement.Request{
 		Model: model, PromptTokens: a.request.promptTokens + tokens, Prefixes: a.request.continued(tokens),
-		Resume: p.Resume, Weight: n.sim.policy.weight, Exclude: p.Exclude,
+		Resume: p.Resume, Weight: n.sim.policy.choiceWeight(), Exclude: p.Exclude,
 	}
 	id, _, err := n.fleet.Choose(r, now, n.rng)
 	if err != nil {
--- a/internal/continuation/experiment/policies.go
+++ b/internal/continuation/experiment/policies.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/yuccahatch/yuccahatch/internal/detect"
 	"github.com/yuccahatch/yuccahatch/internal/placement"
 )
 
@@ -15,6 +14,8 @@
 type policy struct {
 	name   string
 	weight float64
+	// choice is the weight for the choice of the server; nil: weight.
+	choice *float64
 	// fixed replaces the adaptive limit between tokens.
 	fixed time.Duration
 	// restart generates the whole answer again and skips the known part. The
@@ -23,7 +24,13 @@
 	chooser func(*placement.Chooser)
 }
 
-func (p policy) limits() detect.Limits { return detect.DefaultLimits }
+// choiceWeight is the weight for the choice of the server.
+func (p policy) choiceWeight() float64 {
+	if p.choice != nil {
+		return *p.choice
+	}
+	return p.weight
+}
 
 // anyOf picks at random.
 type anyOf struct{}
@@ -37,6 +44,8 @@
 		{name: "weight 0.5", weight: 0.5},
 		{name: "weight 0.85", weight: 0.85},
 		{name: "weight 1", weight: 1},
+		{name: "weight 0, server chosen by 0.5", choice: new(0.5)},
+		{name: "weight 0.85, server chosen by 1", weight: 0.85, choice: new(1.0)},
 		{name: "restart from zero and skip", weight: defaultWeight, restart: true},
 		{name: "random server", weight: defaultWeight, chooser: func(c *placement.Chooser) {
 			c.Scorers, c.Picker = nil, anyOf{}
--- a/internal/continuation/machine.go
+++ b/internal/continuation/machine.go
@@ -53,8 +53,12 @@
 	// node does not know whether the engine has further tokens.
 	adoptWait = time.Second
 	// maxStalls is how many probes in a row may find a running stream without
-	// progress before a replacement races it.
-	maxStalls = 3
+	// progress before a replacement races it. Probes of a silent stream are half
+	// a silence limit apart.
+	maxStalls = 6
+	// earlyProbe is the part of the silence limit after which the stream's engine
+	// is probed. The answer is there before the limit unless the engine is lost.
+	earlyProbe = 0.5
 )
 
 // attempt is one stream that may feed the journal.
@@ -67,13 +71,26 @@
 	reconnects int
 	// stalls counts probes without progress since its last token.
 	stalls int
+	// probeAt is when it is probed although it is not suspected yet; zero: not.
+	probeAt time.Time
 	// silentAt is when it becomes suspected.
 	silentAt time.Time
-	probing  bool
+	// checking tells that a probe is out and that it is not suspected.
+	checking bool
+	// probing tells that a probe is out and that it is suspected.
+	probing bool
+	// probedAt is when the newest probe was sent.
+	probedAt time.Time
 	// delivered tells that the journal accepted a token from it.
 	delivered bool
 }
 
+// expect sets the times at which the attempt is probed and suspected.
+func (a *attempt) expect(now time.Time, limit time.Duration) {
+	a.probeAt = now.Add(time.Duration(earlyProbe * float64(limit)))
+	a.silentAt = now.Add(limit)
+}
+
 // Machine is the state machine of one generation.
 type Machine struct {
 	config  Config
@@ -232,11 +249,9 @@
 	}
 	m.opened++
 	m.resume = true
-	m.candidates = append(m.candidates, &attempt{
-		id:       e.Attempt,
-		backend:  e.Backend,
-		silentAt: now.Add(e.FirstTokenLimit),
-	})
+	opened := &attempt{id: e.Attempt, backend: e.Backend}
+	opened.expect(now, e.FirstTokenLimit)
+	m.candidates = append(m.candidates, opened)
 	return []Action{Open{Attempt: e.Attempt, Backend: e.Backend, Tokens: m.journal.Len()}}
 }
 
@@ -273,10 +288,11 @@
 	m.finish = e.Finish
 	source.broken = false
 	source.probing = false
+	source.checking = false
 	source.reconnects = 0
 	source.stalls = 0
 	source.delivered = true
-	source.silentAt = now.Add(e.SilenceLimit)
+	source.expect(now, e.SilenceLimit)
 	m.placeAt = time.Time{}
 	actions = append(actions, Replicate{Index: e.Index, Finish: e.Finish})
 	return append(actions, m.release()...)
@@ -315,6 +331,9 @@
 	for _, a := range m.candidates {
 		if !a.broken && !a.probing {
 			earliest(a.silentAt)
+			if !a.checking {
+				earliest(a.probeAt)
+			}
 		}
 	}
 	if len(m.candidates) == 0 && !m.lostAt.IsZero() {
--- a/internal/continuation/machine_test.go
+++ b/internal/continuation/machine_test.go
@@ -183,3 +183,20 @@
 	}
 	t.Error("the chain check passed an answer that skips into another generation")
 }
+
+// Guards against a silent connection that waits for the whole silence limit
+// although the engine answers a probe, and against a replacement for it.
+func TestSilentConnectionResumesBeforeTheLimit(t *testing.T) {
+	for _, weight := range []float64{0, 0.85, 1} {
+		config := DefaultConfig
+		config.Weight = weight
+		s := newSimulation(t, 1, config)
+		s.after(1500*time.Millisecond, func() { s.mute(s.current()) })
+		s.run()
+		s.checkAnswer()
+		if len(s.resumes) != 1 || s.resumes[0] >= silenceLimit || s.opened != 1 {
+			t.Errorf("weight %v: resumed after %v with %d streams, want one resume below %v on the same stream",
+				weight, s.resumes, s.opened, silenceLimit)
+		}
+	}
+}
--- a/internal/continuation/repair.go
+++ b/internal/continuation/repair.go
@@ -60,18 +60,30 @@
 	return []Action{Lost{Attempt: a.id, Backend: a.backend, Reason: reason}}
 }
 
-// probe asks about a suspected attempt and sets the time of its replacement.
+// check probes an attempt that is not suspected yet.
+func (m *Machine) check(now time.Time, a *attempt) []Action {
+	a.checking = true
+	a.probedAt = now
+	return []Action{Probe{Attempt: a.id, Backend: a.backend}}
+}
+
+// probe asks about a suspected attempt, unless a probe is out already, and sets
+// the time of its replacement.
 func (m *Machine) probe(now time.Time, a *attempt) []Action {
 	if a.probing {
 		return nil
 	}
-	a.probing = true
-	actions := []Action{Probe{Attempt: a.id, Backend: a.backend}}
+	var actions []Action
+	if !a.checking {
+		actions = m.check(now, a)
+	}
+	a.checking, a.probing = false, true
 	wait := time.Duration((1 - m.config.Weight) * float64(maxProbeWait))
-	if wait <= 0 {
+	placeAt := now.Add(wait)
+	if !placeAt.After(now) {
 		return append(actions, m.place()...)
 	}
-	m.placeAt = now.Add(wait)
+	m.placeAt = placeAt
 	return actions
 }
 
@@ -95,35 +107,42 @@
 
 func (m *Machine) probed(now time.Time, e Probed) []Action {
 	a := m.candidate(e.Attempt)
-	if a == nil || !a.probing || m.finish != "" {
+	if a == nil || !a.probing && !a.checking || m.finish != "" {
 		return nil
 	}
-	a.probing = false
+	a.probing, a.checking = false, false
 	if !e.Alive {
-		return m.remove(a, Cancel{Lost: true, Dead: e.Dead})
+		actions := m.lost(now, a, "the backend server does not know the stream")
+		return append(actions, m.remove(a, Cancel{Lost: true, Dead: e.Dead})...)
 	}
-	a.silentAt = now.Add(e.SilenceLimit)
+	m.placeAt = time.Time{}
+	a.expect(now, e.SilenceLimit)
 	if a.broken || e.Tokens > m.journal.Len() {
-		// The engine has tokens that the connection did not bring.
-		a.broken = false
-		a.reconnects++
-		if e.Tokens > m.journal.Len() {
-			a.silentAt = now.Add(reconnectWait)
-		}
-		m.placeAt = time.Time{}
-		return []Action{Reconnect{Attempt: a.id, Backend: a.backend, From: m.journal.Len()}}
+		return m.reconnect(now, a, e.Tokens)
 	}
-	m.placeAt = time.Time{}
 	if e.Queued {
 		return nil
 	}
 	a.stalls++
 	if a.stalls >= maxStalls {
-		return m.place()
+		return append(m.lost(now, a, "no progress"), m.place()...)
 	}
 	return nil
 }
 
+// reconnect opens a new connection to a stream that lives, because there is
+// none or because the engine has tokens that the connection did not bring.
+func (m *Machine) reconnect(now time.Time, a *attempt, produced int) []Action {
+	actions := m.lost(now, a, "silence")
+	a.broken = false
+	a.reconnects++
+	a.probeAt = time.Time{}
+	if produced > m.journal.Len() {
+		a.silentAt = now.Add(reconnectWait)
+	}
+	return append(actions, Reconnect{Attempt: a.id, Backend: a.backend, From: m.journal.Len()})
+}
+
 func (m *Machine) tick(now time.Time) []Action {
 	var actions []Action
 	if !m.goneAt.IsZero() && !now.Before(m.goneAt.Add(m.config.Linger)) {
@@ -136,7 +155,13 @@
 		return m.fail("no backend server continued the answer in time")
 	}
 	for _, a := range slices.Clone(m.candidates) {
-		if a.broken || a.probing || now.Before(a.silentAt) {
+		if a.broken || a.probing {
+			continue
+		}
+		if now.Before(a.silentAt) {
+			if !a.checking && !a.probeAt.IsZero() && !now.Before(a.probeAt) {
+				actions = append(actions, m.check(now, a)...)
+			}
 			continue
 		}
 		actions = append(actions, m.lost(now, a, "silence")...)
