--- a/lab/load/check.go
+++ b/lab/load/check.go
@@ -81,6 +81,9 @@
 	}
 	r.PromptTokens.check("requests.prompt_tokens", bad)
 	r.AnswerTokens.check("requests.answer_tokens", bad)
+	if r.MaxTokens < 0 {
+		bad("requests.max_tokens", "must not be negative, is %d", r.MaxTokens)
+	}
 	p := r.Prefix
 	if p.Share < 0 || p.Share > 1 {
 		bad("requests.prefix.share", "must be from 0 to 1, is %g", p.Share)
--- a/lab/load/collect.go
+++ b/lab/load/collect.go
@@ -93,17 +93,18 @@
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	firstToken, gap, total, resume *hdrhistogram.Histogram
-	firstSeries, gapSeries         series
-	resumes                        []Resume
-	side                           Side
-	tokens                         int64
+	firstToken, gap, total, resume, reconnect *hdrhistogram.Histogram
+	firstSeries, gapSeries                    series
+	resumes                                   []Resume
+	side                                      Side
+	tokens                                    int64
 }
 
 func newCollector(started time.Time, interruption time.Duration) *collector {
 	return &collector{
 		started: started, interruption: interruption,
 		firstToken: newHistogram(digits), gap: newHistogram(digits), total: newHistogram(digits), resume: newHistogram(digits),
+		reconnect:   newHistogram(digits),
 		firstSeries: series{now: newHistogram(seriesDigits)}, gapSeries: series{now: newHistogram(seriesDigits)},
 		side: Side{Refusals: map[string]int{}, Wrong: []string{}},
 	}
@@ -125,6 +126,9 @@
 	c.gapSeries.add(second, a.Silence)
 	if a.AfterBreak || a.Silence > c.interruption {
 		record(c.resume, a.Silence)
+		if a.AfterBreak {
+			record(c.reconnect, a.Silence)
+		}
 		c.resumes = append(c.resumes, Resume{At: at.Seconds(), Silence: float64(a.Silence.Microseconds()) / 1000, Reconnected: a.AfterBreak})
 	}
 }
@@ -193,6 +197,7 @@
 	c.gapSeries.close()
 	s := c.side
 	s.FirstToken, s.Gap, s.Total, s.Resume = summary(c.firstToken), summary(c.gap), summary(c.total), summary(c.resume)
+	s.Reconnect = summary(c.reconnect)
 	s.FirstTokenSeries, s.GapSeries, s.Resumes = c.firstSeries.points, c.gapSeries.points, slices.Clone(c.resumes)
 	s.Goodput = float64(s.goodTokens) / elapsed.Seconds()
 	return s
--- a/lab/load/file.go
+++ b/lab/load/file.go
@@ -80,6 +80,9 @@
 	PromptTokens Length   `toml:"prompt_tokens"`
 	AnswerTokens Length   `toml:"answer_tokens"`
 	Prefix       Prefix   `toml:"prefix"`
+	// MaxTokens is the limit that requests state; 0: none. Nodes reckon with it
+	// when they admit a request.
+	MaxTokens int `toml:"max_tokens"`
 	// RetryRefused repeats a refused request when the refusal says so.
 	RetryRefused bool `toml:"retry_refused"`
 }
--- a/lab/load/markdown.go
+++ b/lab/load/markdown.go
@@ -52,6 +52,7 @@
 	row("gap between tokens", s.Gap)
 	row("total", s.Total)
 	row("resume latency", s.Resume)
+	row("of it with a new connection", s.Reconnect)
 	p("")
 	for _, code := range slices.Sorted(maps.Keys(s.Refusals)) {
 		p("- refused with `%s`: %d", code, s.Refusals[code])
@@ -65,7 +66,7 @@
 func (r Report) extraMarkdown(p func(string, ...any)) {
 	e := r.Extra
 	p("## Extra resources\n\n| | |\n| --- | --- |")
-	p("| resumes inside nodes | %.0f, mean %.0f ms |", e.Resumes, e.ResumeMean)
+	p("| resumes inside nodes | %.0f, mean %.0f ms (histogram buckets rounded up) |", e.Resumes, e.ResumeMean)
 	p("| prompt tokens computed again | %.0f |", e.RecomputedPrompt)
 	p("| answer tokens computed again | %.0f |", e.RecomputedAnswer)
 	p("| tokens discarded | %.0f of %.0f accepted |", e.Discarded, e.Accepted)
--- a/lab/load/report.go
+++ b/lab/load/report.go
@@ -60,7 +60,9 @@
 	FirstToken Latency `json:"first_token"`
 	Gap        Latency `json:"gap"`
 	Total      Latency `json:"total"`
-	Resume     Latency `json:"resume"`
+	// Resume covers all interruptions, Reconnect those with a new connection.
+	Resume    Latency `json:"resume"`
+	Reconnect Latency `json:"reconnect"`
 	// Wrong describes the first wrong answers.
 	Wrong []string `json:"wrong"`
 
--- a/lab/load/requests.go
+++ b/lab/load/requests.go
@@ -64,6 +64,7 @@
 	r := p.file.Requests
 	out := planned{customer: p.customer(rng), length: r.AnswerTokens.draw(rng)}
 	out.request.Model = r.Models[rng.IntN(len(r.Models))]
+	out.request.MaxTokens = r.MaxTokens
 	prompt := p.prompt(rng, number, out.length)
 	if r.Chat {
 		out.request.Messages = []callerapi.Message{{Role: "user", Content: prompt}}
--- a/lab/load/watch.go
+++ b/lab/load/watch.go
@@ -120,7 +120,8 @@
 	Discarded        float64 `json:"tokens_discarded"`
 	Accepted         float64 `json:"tokens_accepted"`
 	Resumes          float64 `json:"resumes"` // inside nodes
-	// ResumeMean is the mean of the nodes' own measurement, in milliseconds.
+	// ResumeMean is the mean of the nodes' own measurement, in milliseconds. Their
+	// histogram adds up the upper bounds of its buckets, which double.
 	ResumeMean       float64      `json:"resume_mean_ms"`
 	CopyBytes        float64      `json:"copy_bytes"`
 	CopyTokens       float64      `json:"copy_tokens"`
