--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -12,6 +12,7 @@
 package admission
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -123,24 +124,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.QueueLimit, DefaultQueueLimit)
-	setDefault(&c.ResumeLimit, DefaultResumeLimit)
-	setDefault(&c.MaxWait, DefaultMaxWait)
-	setDefault(&c.GiveUpAfter, DefaultGiveUpAfter)
-	setDefault(&c.AgingStep, DefaultAgingStep)
-	setDefault(&c.Burst, DefaultBurst)
-	setDefault(&c.MinRetry, DefaultMinRetry)
-	setDefault(&c.MaxRetry, DefaultMaxRetry)
+	c.QueueLimit = cmp.Or(c.QueueLimit, DefaultQueueLimit)
+	c.ResumeLimit = cmp.Or(c.ResumeLimit, DefaultResumeLimit)
+	c.MaxWait = cmp.Or(c.MaxWait, DefaultMaxWait)
+	c.GiveUpAfter = cmp.Or(c.GiveUpAfter, DefaultGiveUpAfter)
+	c.AgingStep = cmp.Or(c.AgingStep, DefaultAgingStep)
+	c.Burst = cmp.Or(c.Burst, DefaultBurst)
+	c.MinRetry = cmp.Or(c.MinRetry, DefaultMinRetry)
+	c.MaxRetry = cmp.Or(c.MaxRetry, DefaultMaxRetry)
 	return c
 }
 
-func setDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 func (c Config) check() error {
 	if c.QueueLimit < 0 || c.ResumeLimit < 0 || c.AgingStep < 0 || c.Burst < 0 || c.MaxWait < 0 {
 		return newError(CodeInvalidConfig).Errorf("a limit is negative: %+v", c)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -9,8 +9,9 @@
 	"testing"
 	"time"
 
-	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"pgregory.net/rapid"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
 // TestMain fixes rapid's seed, so that CI is deterministic; -rapid.seed
--- a/internal/contractlog/errors.go
+++ b/internal/contractlog/errors.go
@@ -6,6 +6,7 @@
 	"github.com/samber/oops"
 
 	"github.com/yuccahatch/yuccahatch/internal/contractset"
+	"github.com/yuccahatch/yuccahatch/internal/errcode"
 	"github.com/yuccahatch/yuccahatch/internal/peer/table"
 )
 
@@ -45,17 +46,7 @@
 
 // CodeOf returns the code of an error that this package returned, and the empty
 // code for any other error.
-func CodeOf(err error) Code {
-	var e oops.OopsError
-	if !errors.As(err, &e) {
-		return ""
-	}
-	code, ok := e.Code().(Code)
-	if !ok {
-		return ""
-	}
-	return code
-}
+func CodeOf(err error) Code { return errcode.Of[Code](err) }
 
 // CurrentOf returns the newest version that a conflict carries. There is none
 // if the contract does not exist.
--- a/internal/membership/answers.go
+++ b/internal/membership/answers.go
@@ -6,8 +6,9 @@
 	"strings"
 	"time"
 
-	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/zeebo/xxh3"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
 // addressesElsewhere is how many places of a full answer go to other data
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -7,9 +7,10 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/yuccahatch/yuccahatch/api/platformapi"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
-	"pgregory.net/rapid"
 )
 
 // TestMain fixes rapid's seed, so that CI is deterministic; -rapid.seed
--- a/internal/peer/hostlist/errors.go
+++ b/internal/peer/hostlist/errors.go
@@ -1,9 +1,9 @@
 package hostlist
 
 import (
-	"errors"
-
 	"github.com/samber/oops"
+
+	"github.com/yuccahatch/yuccahatch/internal/errcode"
 )
 
 // Code classifies a failure to read the host list.
@@ -21,14 +21,7 @@
 
 // CodeOf returns the code of an error that this package returned, and the
 // empty code for any other error.
-func CodeOf(err error) Code {
-	var e oops.OopsError
-	if !errors.As(err, &e) {
-		return ""
-	}
-	code, _ := e.Code().(Code)
-	return code
-}
+func CodeOf(err error) Code { return errcode.Of[Code](err) }
 
 func newError(code Code) oops.OopsErrorBuilder {
 	return oops.Code(code).In("hostlist")
--- a/internal/peer/node/errors.go
+++ b/internal/peer/node/errors.go
@@ -8,6 +8,8 @@
 	"github.com/samber/oops"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+
+	"github.com/yuccahatch/yuccahatch/internal/errcode"
 )
 
 // Code classifies a failure of a call of another node.
@@ -36,14 +38,7 @@
 
 // CodeOf returns the code of an error that this package returned, and the
 // empty code for any other error.
-func CodeOf(err error) Code {
-	var e oops.OopsError
-	if !errors.As(err, &e) {
-		return ""
-	}
-	code, _ := e.Code().(Code)
-	return code
-}
+func CodeOf(err error) Code { return errcode.Of[Code](err) }
 
 func newError(code Code) oops.OopsErrorBuilder {
 	return oops.Code(code).In("node")
--- a/internal/peer/objects/errors.go
+++ b/internal/peer/objects/errors.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/yuccahatch/yuccahatch/internal/errcode"
 )
 
 // Code classifies a failure of the object store or the weight store.
@@ -30,14 +32,7 @@
 
 // CodeOf returns the code of an error that this package returned, and the
 // empty code for any other error.
-func CodeOf(err error) Code {
-	var e oops.OopsError
-	if !errors.As(err, &e) {
-		return ""
-	}
-	code, _ := e.Code().(Code)
-	return code
-}
+func CodeOf(err error) Code { return errcode.Of[Code](err) }
 
 // RetryAfter returns the wait that the weight store asked for with
 // CodeRateLimited, and 0 for any other error.
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -3,8 +3,9 @@
 import (
 	"strconv"
 
-	"github.com/yuccahatch/yuccahatch/api/backendapi"
 	"github.com/zeebo/xxh3"
+
+	"github.com/yuccahatch/yuccahatch/api/backendapi"
 )
 
 // PrefixHashes returns the hash of each prefix of the text that consists of a
--- a/internal/placement/config.go
+++ b/internal/placement/config.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/ident"
@@ -59,30 +60,23 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.OtherRoundTrip, DefaultOtherRoundTrip)
-	setDefault(&c.PrefillRate, DefaultPrefillRate)
-	setDefault(&c.OutputRate, DefaultOutputRate)
-	setDefault(&c.ExpectedOutputTokens, DefaultExpectedOutputTokens)
-	setDefault(&c.ResourceFactor, DefaultResourceFactor)
-	setDefault(&c.StaleAfter, DefaultStaleAfter)
-	setDefault(&c.StalePenalty, DefaultStalePenalty)
-	setDefault(&c.Slack, DefaultSlack)
-	setDefault(&c.FailuresToOpen, DefaultFailuresToOpen)
-	setDefault(&c.OpenFor, DefaultOpenFor)
-	setDefault(&c.OpenForLimit, DefaultOpenForLimit)
-	setDefault(&c.ProbeLimit, DefaultProbeLimit)
-	setDefault(&c.CacheEntries, DefaultCacheEntries)
-	setDefault(&c.PeerUseLifetime, DefaultPeerUseLifetime)
+	c.OtherRoundTrip = cmp.Or(c.OtherRoundTrip, DefaultOtherRoundTrip)
+	c.PrefillRate = cmp.Or(c.PrefillRate, DefaultPrefillRate)
+	c.OutputRate = cmp.Or(c.OutputRate, DefaultOutputRate)
+	c.ExpectedOutputTokens = cmp.Or(c.ExpectedOutputTokens, DefaultExpectedOutputTokens)
+	c.ResourceFactor = cmp.Or(c.ResourceFactor, DefaultResourceFactor)
+	c.StaleAfter = cmp.Or(c.StaleAfter, DefaultStaleAfter)
+	c.StalePenalty = cmp.Or(c.StalePenalty, DefaultStalePenalty)
+	c.Slack = cmp.Or(c.Slack, DefaultSlack)
+	c.FailuresToOpen = cmp.Or(c.FailuresToOpen, DefaultFailuresToOpen)
+	c.OpenFor = cmp.Or(c.OpenFor, DefaultOpenFor)
+	c.OpenForLimit = cmp.Or(c.OpenForLimit, DefaultOpenForLimit)
+	c.ProbeLimit = cmp.Or(c.ProbeLimit, DefaultProbeLimit)
+	c.CacheEntries = cmp.Or(c.CacheEntries, DefaultCacheEntries)
+	c.PeerUseLifetime = cmp.Or(c.PeerUseLifetime, DefaultPeerUseLifetime)
 	return c
 }
 
-func setDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 func (c Config) check() error {
 	if c.PrefillRate < 0 || c.OutputRate < 0 || c.ResourceFactor < 0 || c.ExpectedOutputTokens < 0 {
 		return newError(CodeInvalidConfig).Errorf("a rate, factor or count is negative")
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -7,10 +7,11 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/yuccahatch/yuccahatch/api/backendapi"
 	"github.com/yuccahatch/yuccahatch/api/platformapi"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
-	"github.com/zeebo/xxh3"
 )
 
 // Fleet is what this node knows about the backend servers that it follows.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -8,10 +8,11 @@
 	"testing"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/yuccahatch/yuccahatch/api/backendapi"
 	"github.com/yuccahatch/yuccahatch/api/platformapi"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
-	"github.com/zeebo/xxh3"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -1,9 +1,9 @@
 package replica
 
 import (
-	"errors"
-
 	"github.com/samber/oops"
+
+	"github.com/yuccahatch/yuccahatch/internal/errcode"
 )
 
 // Code says why a copy was lost.
@@ -26,14 +26,7 @@
 
 // CodeOf returns the code of an error that this package made, and the empty
 // code for any other error.
-func CodeOf(err error) Code {
-	var e oops.OopsError
-	if !errors.As(err, &e) {
-		return ""
-	}
-	code, _ := e.Code().(Code)
-	return code
-}
+func CodeOf(err error) Code { return errcode.Of[Code](err) }
 
 func newError(code Code) oops.OopsErrorBuilder {
 	return oops.Code(code).In("replica")
--- a/internal/settings/errors.go
+++ b/internal/settings/errors.go
@@ -1,11 +1,12 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 
 	"github.com/samber/oops"
+
+	"github.com/yuccahatch/yuccahatch/internal/errcode"
 )
 
 // Code classifies a failure to load settings.
@@ -21,14 +22,7 @@
 
 // CodeOf returns the code of an error that this package returned, and the
 // empty code for any other error.
-func CodeOf(err error) Code {
-	var e oops.OopsError
-	if !errors.As(err, &e) {
-		return ""
-	}
-	code, _ := e.Code().(Code)
-	return code
-}
+func CodeOf(err error) Code { return errcode.Of[Code](err) }
 
 // Problem is one reason for which a settings document is refused.
 type Problem struct {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -99,24 +99,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.ValidFor, DefaultValidFor)
-	setDefault(&c.Margin, DefaultMargin)
-	setDefault(&c.HostsWindow, DefaultHostsWindow)
-	setDefault(&c.JumpLimit, DefaultJumpLimit)
-	setDefault(&c.Headroom, DefaultHeadroom)
-	setDefault(&c.KeepOwn, DefaultKeepOwn)
-	setDefault(&c.Step, DefaultStep)
-	setDefault(&c.RefusedFor, DefaultRefusedFor)
+	c.ValidFor = cmp.Or(c.ValidFor, DefaultValidFor)
+	c.Margin = cmp.Or(c.Margin, DefaultMargin)
+	c.HostsWindow = cmp.Or(c.HostsWindow, DefaultHostsWindow)
+	c.JumpLimit = cmp.Or(c.JumpLimit, DefaultJumpLimit)
+	c.Headroom = cmp.Or(c.Headroom, DefaultHeadroom)
+	c.KeepOwn = cmp.Or(c.KeepOwn, DefaultKeepOwn)
+	c.Step = cmp.Or(c.Step, DefaultStep)
+	c.RefusedFor = cmp.Or(c.RefusedFor, DefaultRefusedFor)
 	return c
 }
 
-func setDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
-
 func (c Config) check() error {
 	if c.ValidFor < 0 || c.Margin < 0 || c.HostsWindow < 0 || c.JumpLimit < 0 || c.RefusedFor < 0 {
 		return newError(CodeInvalidConfig).Errorf("a duration is negative: %+v", c)
