generation: refuse a request at once that no backend server accepted

With all engines dead a new request was answered after 4 s with generation_failed, outcome unknown. Cause: the first attempt, which a half-open breaker lets through, made the request a resume, which asks for a placement for 4 s; and Opened counted attempts whose connection was refused. Ruled out: the breaker, whose half-open trial is wanted, and admission.

The machine counts the attempts that their server refused to run. While there are no others the request stays new work, and its outcome is not_run.

--- a/internal/continuation/machine.go
+++ b/internal/continuation/machine.go
@@ -82,8 +82,10 @@
 	// one exists only while a replacement races a suspected attempt.
 	candidates []*attempt
 	opened     int
-	resume     bool
-	excluded   []ident.BackendID
+	// rejected counts opened attempts that their server refused to run.
+	rejected int
+	resume   bool
+	excluded []ident.BackendID
 
 	placing   bool
 	placeAt   time.Time // zero: no placement is due
@@ -122,6 +124,10 @@
 	m.candidates = append(m.candidates, &attempt{id: id, backend: backend, broken: true})
 }
 
+// MayHaveRun tells that some backend server may have run an attempt that this
+// machine opened: not all of them were rejected.
+func (m *Machine) MayHaveRun() bool { return m.opened > m.rejected }
+
 // Journal returns the accepted tokens.
 func (m *Machine) Journal() *Journal { return m.journal }
 
--- a/internal/continuation/repair.go
+++ b/internal/continuation/repair.go
@@ -27,6 +27,12 @@
 	}
 	a.broken = true
 	actions := m.lost(now, a, e.Reason)
+	if e.Rejected && a.reconnects == 0 && !a.delivered {
+		m.rejected++
+		// A request that no backend server has accepted is new work still, so
+		// that it is refused at once if there is no other server.
+		m.resume = m.resume && (m.MayHaveRun() || m.journal.Len() > 0)
+	}
 	if e.Rejected || a.reconnects >= maxReconnects {
 		return append(actions, m.remove(a, Cancel{Lost: !e.Rejected, Rejected: e.Rejected})...)
 	}
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -212,7 +212,8 @@
 	Tokens int
 	// PromptTokens is the engine's count, 0 if no stream was opened.
 	PromptTokens int
-	// Opened tells that a stream was opened, so that the request may have run.
+	// Opened tells that a stream was opened and not rejected, so that the request
+	// may have run.
 	Opened bool
 	// Failed holds the reason if the answer is not complete.
 	Failed string
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -177,6 +177,7 @@
 		}
 	}
 	r.result.Tokens = r.machine.Journal().Len()
+	r.result.Opened = r.result.Opened && r.machine.MayHaveRun()
 	return r.result
 }
 
--- a/internal/generation/run_test.go
+++ b/internal/generation/run_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/samber/oops"
+
 	"github.com/yuccahatch/yuccahatch/api/backendapi"
 	"github.com/yuccahatch/yuccahatch/internal/continuation"
 	"github.com/yuccahatch/yuccahatch/internal/cursor"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/backend"
 )
 
 // script is what one attempt delivers: tokens, then an error.
@@ -131,3 +136,52 @@
 		})
 	}
 }
+
+// onePlacement fails from the second placement on.
+type onePlacement struct{ asked *int }
+
+func (p onePlacement) Place(ctx context.Context, r *Request, ask Ask) (Placement, error) {
+	*p.asked++
+	if *p.asked > 1 {
+		return Placement{}, errors.New("no server is left")
+	}
+	return anyServer{}.Place(ctx, r, ask)
+}
+
+// Guards against a new request that waits for the time of a resume, and is then
+// said to have run perhaps, although no server has accepted it.
+func TestRejectedRequestDidNotRun(t *testing.T) {
+	cases := map[string]struct {
+		err    error
+		opened bool
+	}{
+		"no connection":   {oops.Code(backend.CodeConnect).New("refused"), false},
+		"refusal":         {oops.Code(backend.CodeRejected).New("leaving"), false},
+		"answer is lost":  {oops.Code(backend.CodeBroken).New("reset"), true},
+		"stream is known": {nil, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				codec, err := cursor.NewCodec(make([]byte, 32))
+				if err != nil {
+					t.Fatal(err)
+				}
+				asked := 0
+				scripts := []script{{openErr: c.err, err: io.ErrUnexpectedEOF}}
+				begun := time.Now()
+				result := New(Deps{
+					Backends: &scripted{scripts: scripts}, Placer: onePlacement{&asked}, Cursors: codec,
+					Detector: func(string) Detector { return patientDetector{} },
+					Observer: noObserver{}, Config: continuation.DefaultConfig,
+				}, &Request{}, Start{}, &textSink{}).Execute(t.Context())
+				if result.Failed == "" || result.Opened != c.opened {
+					t.Errorf("%+v, want a failure and Opened %t", result, c.opened)
+				}
+				if waited := time.Since(begun); !c.opened && waited > 0 {
+					t.Errorf("the refusal took %s of virtual time, want none", waited)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/failures.go
+++ b/internal/node/failures.go
@@ -58,7 +58,7 @@
 	switch {
 	case result.Failed == "":
 		return nil
-	case !result.Opened && result.PlaceError != nil && result.Tokens == 0:
+	case !result.Opened && result.Tokens == 0:
 		return placeFailure(result.PlaceError)
 	}
 	outcome := callerapi.OutcomeUnknown
