--- a/internal/e2e/engines_test.go
+++ b/internal/e2e/engines_test.go
@@ -4,8 +4,11 @@
 
 import (
 	"net/http"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
 	"github.com/yuccahatch/yuccahatch/lab/scrape"
 )
 
@@ -93,10 +96,32 @@
 	a := d.startAnswers(60, 160)
 	a.awaitTokens(d, 20)
 	for _, e := range d.engines[:2] {
-		e.signal(t, 9)
+		e.signal(t, syscall.SIGKILL)
 	}
 	a.whole(t)
 	if d.metric(scrape.Resumes, "way", "new_attempt") == 0 {
 		t.Error("no answer continued in a new attempt, so the kills hit none")
 	}
 }
+
+// Guards against answers that are given up for good, and new work that waits
+// without an answer, while every engine is gone.
+func TestAllEnginesGone(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 2, noService: true})
+	a := d.startAnswers(4, 160)
+	a.awaitTokens(d, 20)
+	for _, e := range d.engines {
+		e.kill(t)
+	}
+	pause(time.Second)
+	begun := time.Now()
+	refused := generate(d.nodes[0], callerKey)
+	t.Logf("refusal after %d ms", time.Since(begun).Milliseconds())
+	if f := refused.failure(t); refused.status != http.StatusServiceUnavailable || f.Code != callerapi.CodeBackendUnavailable || f.Outcome != callerapi.OutcomeNotRun || f.RetryAfterMillis == 0 {
+		t.Errorf("new work without an engine: status %d, %+v", refused.status, f)
+	}
+	pause(5 * time.Second) // beyond the time for which a node tries to resume
+	d.startEngine(d.engines[1])
+	a.whole(t)
+}
--- a/internal/e2e/nodes_test.go
+++ b/internal/e2e/nodes_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,8 +30,8 @@
 	a := d.startAnswers(1, 160, d.nodes[0])
 	a.awaitTokens(d, 30)
 	engine := d.busyEngine(d.engines...)
-	engine.signal(t, 9)
-	d.nodes[0].signal(t, 9)
+	engine.signal(t, syscall.SIGKILL)
+	d.nodes[0].signal(t, syscall.SIGKILL)
 	requireBound(t, a.whole(t))
 }
 
@@ -54,6 +55,22 @@
 	requireBound(t, a.whole(t))
 }
 
+// Guards against an answer that is lost with its owner and every node that could
+// have a copy while its engine still has the stream.
+func TestOnlyEngineAndOneNodeLeft(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 2, noService: true, settings: "[copies]\nmode = \"off\"\n"})
+	a := d.startAnswers(2, 160, d.nodes[0], d.nodes[1])
+	a.awaitTokens(d, 30)
+	d.nodes[0].signal(t, syscall.SIGKILL)
+	d.nodes[1].signal(t, syscall.SIGKILL)
+	a.whole(t)
+	pause(metricsLag)
+	if moved := d.metric(scrape.Resumes, "way", "new_attempt"); moved != 0 {
+		t.Errorf("%v answers were computed again although their engines live", moved)
+	}
+}
+
 // Guards against harm by a node that was frozen while its callers went on
 // elsewhere: it must not disturb the streams that other nodes took over, and
 // must serve again.
