--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -94,6 +94,9 @@
 
 // slots limits the processes of parallel tests.
 var slots = struct {
+	// turn is held by the one test that waits, so that tests with many
+	// processes are not passed over.
+	turn sync.Mutex
 	sync.Mutex
 	changed *sync.Cond
 	used    int
@@ -107,6 +110,8 @@
 	if n > maxProcesses {
 		t.Fatalf("a test wants %d processes, at most %d may run", n, maxProcesses)
 	}
+	slots.turn.Lock()
+	defer slots.turn.Unlock()
 	slots.Lock()
 	defer slots.Unlock()
 	for slots.used+n > maxProcesses {
