node: look the caller's key up again after the check of freshness

A node that woke up from a pause answered one of 20 waiting requests whose key a contract change had removed meanwhile (TestNodeFrozenDuringChange, 1 of 5 runs on a busy machine). Cause: the key was looked up under the old version; then the change came into force together with a new proof of freshness; then the request passed the check of isolation. Ruled out: proofs from before the pause, which the clock jump had voided 17 ms earlier, and a request that was admitted before the change came into force, since the node was isolated then.

The key is looked up again after that check, against a contract that is at least as new as the proof; calls of services check freshness before they read the contract. Before: TestKeyRemovedDuringCheck admits both the generation and the call. After: both get invalid_api_key.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -28,11 +28,11 @@
 func (n *Node) Call(ctx context.Context, access caller.Access, call *caller.ServiceCall) (caller.ServiceAnswer, error) {
 	n.runs.callBegins()
 	defer n.runs.callEnds()
-	inForce, err := n.contractOf(access.Customer)
+	refusal := n.mayTakeWork()
+	inForce, err := n.contractFor(access)
 	if err != nil {
 		return caller.ServiceAnswer{}, err
 	}
-	refusal := n.mayTakeWork()
 	if refusal == nil {
 		refusal = quietFailure(inForce.Contract, "service:"+call.Service, time.Now())
 	}
--- a/internal/node/continuing.go
+++ b/internal/node/continuing.go
@@ -67,7 +67,7 @@
 	if err := n.mayTakeWork(); err != nil {
 		return generation.Result{}, err
 	}
-	inForce, err := n.contractOf(access.Customer)
+	inForce, err := n.contractFor(access)
 	if err != nil {
 		return generation.Result{}, err
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -30,16 +30,21 @@
 	if key == "" {
 		return caller.Access{}, &caller.Failure{Code: callerapi.CodeInvalidAPIKey, Message: "no bearer key was sent"}
 	}
-	inForce, ok := n.contracts.ByKeyHash(contract.HashKey(key))
+	hash := contract.HashKey(key)
+	inForce, ok := n.contracts.ByKeyHash(hash)
 	if !ok {
 		// The key may be in a contract that this node has not read yet. A caller
 		// that is told that its key is invalid does not come back.
 		if err := n.isolationFailure(time.Now()); err != nil {
 			return caller.Access{}, err
 		}
-		return caller.Access{}, &caller.Failure{Code: callerapi.CodeInvalidAPIKey, Message: "the bearer key is not in any contract"}
+		return caller.Access{}, unknownKey()
 	}
-	return caller.Access{Customer: inForce.Entry.Customer}, nil
+	return caller.Access{Customer: inForce.Entry.Customer, Key: hash}, nil
+}
+
+func unknownKey() error {
+	return &caller.Failure{Code: callerapi.CodeInvalidAPIKey, Message: "the bearer key is not in any contract"}
 }
 
 // Addresses implements caller.Gateway.
@@ -137,6 +142,21 @@
 	return inForce, nil
 }
 
+// contractFor returns the contract in force of an authenticated caller. It is
+// called after mayTakeWork, so that the contract is at least as new as the proof
+// of freshness. The key is looked up again: it was accepted before that proof,
+// and the contract may have changed in between.
+func (n *Node) contractFor(access caller.Access) (*contractset.InForce, error) {
+	inForce, err := n.contractOf(access.Customer)
+	if err != nil {
+		return nil, err
+	}
+	if holder, ok := n.contracts.ByKeyHash(access.Key); !ok || holder.Entry.Customer != access.Customer {
+		return nil, unknownKey()
+	}
+	return inForce, nil
+}
+
 // quietFailure refuses work for the target during quiet hours.
 func quietFailure(c *contract.Contract, target string, now time.Time) error {
 	until, quiet := c.QuietUntil(target, now)
@@ -155,7 +175,7 @@
 	if err := n.mayTakeWork(); err != nil {
 		return nil, err
 	}
-	inForce, err := n.contractOf(access.Customer)
+	inForce, err := n.contractFor(access)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/node/gateway_test.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/api/platformapi"
+	"github.com/yuccahatch/yuccahatch/internal/contract"
+	"github.com/yuccahatch/yuccahatch/internal/contractset"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/caller"
+)
+
+// contractEntry is a version of a contract with one key.
+func contractEntry(version int, key string) contractset.Entry {
+	hash := contract.HashKey(key)
+	return contractset.Entry{
+		Customer: "c", Version: ident.ContractVersion(version), Sequence: ident.LogSequence(version),
+		Document: fmt.Sprintf("customer = \"c\"\nkeys = [%q]\npriority = \"normal\"\nshare_percent = 100\nmodels = []\n", hash.String()),
+	}
+}
+
+// TestKeyRemovedDuringCheck guards against work that is admitted with a key
+// that was looked up before a contract change came into force and before the
+// proof of freshness that the change brought along. A node that wakes up from a
+// pause meets both within milliseconds of the requests in its sockets.
+func TestKeyRemovedDuringCheck(t *testing.T) {
+	n := newTestNode(t)
+	n.listed = hostIDs([]platformapi.Host{{HostID: "a"}, {HostID: "b"}})
+	n.contracts.Apply(contractEntry(1, "old"))
+	access, err := n.Authenticate("old")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.contracts.Apply(contractEntry(2, "new"))
+	n.freshness.HeadRead(time.Now(), 2, n.contracts.Sequence())
+
+	checks := map[string]func() error{
+		"generation": func() error {
+			_, err := n.checkGeneration(access, &caller.GenerationRequest{Model: "m"})
+			return err
+		},
+		"call": func() error {
+			_, err := n.Call(t.Context(), access, &caller.ServiceCall{Service: "s", Method: "POST", Path: "/"})
+			return err
+		},
+	}
+	for name, check := range checks {
+		var failure *caller.Failure
+		if err := check(); !errors.As(err, &failure) || failure.Code != callerapi.CodeInvalidAPIKey {
+			t.Errorf("%s with the removed key: %v", name, err)
+		}
+	}
+}
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/internal/contract"
 	"github.com/yuccahatch/yuccahatch/internal/cursor"
 	"github.com/yuccahatch/yuccahatch/internal/generation"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
@@ -21,6 +22,9 @@
 // Access is what an authenticated caller may do.
 type Access struct {
 	Customer ident.Customer
+	// Key is the hash of the bearer key, which a contract change may remove
+	// while the request is being checked.
+	Key contract.KeyHash
 }
 
 // GenerationRequest is a checked request for a generation.
