e2e: report phases and slow requests of the rolling restart

A request that meets a node in the first tenths of a second after its restart can be refused as overloaded with a Retry-After of 60 s: admission has no capacity before the first load reports. TestRollingRestart then takes 76 s instead of 9 s; it logs the decisions of such a request.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -104,7 +104,9 @@
 	if !opt.noService {
 		processes++
 	}
+	waited := time.Now()
 	reserve(t, processes)
+	t.Logf("%d processes, waited %d ms for their turn", processes, time.Since(waited).Milliseconds())
 	d := &deployment{t: t, opt: opt, dir: logDirectory(t)}
 	d.lay()
 	d.startBackends()
--- a/internal/e2e/leaving_test.go
+++ b/internal/e2e/leaving_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/api/callerapi"
+	"github.com/yuccahatch/yuccahatch/api/operatorapi"
 	"github.com/yuccahatch/yuccahatch/lab/caller"
 	"github.com/yuccahatch/yuccahatch/lab/ledger"
 	"github.com/yuccahatch/yuccahatch/lab/scrape"
@@ -180,6 +181,10 @@
 				b := ledger.Booking{Key: fmt.Sprintf("k%d-%d", worker, round)}
 				b.First = d.book(worker+round, b.Key)
 				b.Second = d.book(worker+round+1, b.Key)
+				if slow := max(r.Total, b.First.Total, b.Second.Total); slow > answerLimit/4 {
+					why := do(http.MethodGet, "http://"+d.nodes[0].operators+operatorapi.RouteExplain+r.RequestID, operatorKey, nil, nil)
+					t.Logf("slow: answer %s in %d connections, %s; booking %s, %+v, then %s, %+v", r.Total, r.Attempts, why.body, b.First.Total, b.First.Errors, b.Second.Total, b.Second.Errors)
+				}
 				mu.Lock()
 				total++
 				bookings = append(bookings, b)
@@ -194,14 +199,18 @@
 		})
 	}
 	for _, n := range d.nodes {
+		begun := time.Now()
 		n.terminate(t)
 		n.requireExit(t)
+		exited := time.Since(begun)
 		d.startNode(n)
 		d.awaitReady(n)
+		t.Logf("%s left in %d ms, was ready again after %d ms", n.id, exited.Milliseconds(), time.Since(begun).Milliseconds())
 	}
 	close(stop)
+	begun := time.Now()
 	wg.Wait()
-	t.Logf("%d answers", total)
+	t.Logf("%d answers; the last ones took %d ms", total, time.Since(begun).Milliseconds())
 	if s := d.checkBookings(bookings); s.Unanswered > 0 {
 		t.Errorf("%d bookings have no answer", s.Unanswered)
 	}
