Let another server race a resume that waits in an engine's queue

Cause: load reports lag, so after the loss of a rack the nodes resume answers on the same few servers.

After two probes have found a resume queued, another server is asked; the first token decides as in every race. Cancelling the queued attempt costs nothing. New work does not race. The last attempt is kept for a further loss, and at the limit of attempts no placement is asked for while a candidate is left.

--- a/internal/continuation/experiment/node.go
+++ b/internal/continuation/experiment/node.go
@@ -45,7 +45,7 @@
 	}
 	return &node{
 		sim: s, index: i, host: ident.HostID(fmt.Sprintf("h%d", i)), fleet: fleet,
-		detector: detect.New(detect.DefaultLimits), budget: budget,
+		detector: detect.New(s.policy.limits()), budget: budget,
 		rng: rand.New(rand.NewPCG(seed, uint64(100+i))),
 	}, nil
 }
--- a/internal/continuation/experiment/policies.go
+++ b/internal/continuation/experiment/policies.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/yuccahatch/yuccahatch/internal/detect"
 	"github.com/yuccahatch/yuccahatch/internal/placement"
 )
 
@@ -18,6 +19,8 @@
 	choice *float64
 	// fixed replaces the adaptive limit between tokens.
 	fixed time.Duration
+	// multiple replaces the multiple of the 99th percentile of gaps.
+	multiple float64
 	// restart generates the whole answer again and skips the known part. The
 	// product never does so: only the cost is modelled.
 	restart bool
@@ -32,6 +35,14 @@
 	return p.weight
 }
 
+func (p policy) limits() detect.Limits {
+	limits := detect.DefaultLimits
+	if p.multiple > 0 {
+		limits.GapMultiple = p.multiple
+	}
+	return limits
+}
+
 // anyOf picks at random.
 type anyOf struct{}
 
@@ -46,6 +57,8 @@
 		{name: "weight 1", weight: 1},
 		{name: "weight 0, server chosen by 0.5", choice: new(0.5)},
 		{name: "weight 0.85, server chosen by 1", weight: 0.85, choice: new(1.0)},
+		{name: "weight 0.85, limit 3 gaps", weight: defaultWeight, multiple: 3},
+		{name: "weight 0.85, limit 6 gaps", weight: defaultWeight, multiple: 6},
 		{name: "restart from zero and skip", weight: defaultWeight, restart: true},
 		{name: "random server", weight: defaultWeight, chooser: func(c *placement.Chooser) {
 			c.Scorers, c.Picker = nil, anyOf{}
--- a/internal/continuation/machine.go
+++ b/internal/continuation/machine.go
@@ -56,6 +56,10 @@
 	// progress before a replacement races it. Probes of a silent stream are half
 	// a silence limit apart.
 	maxStalls = 6
+	// maxQueued is how many probes may find a resume in its engine's queue before
+	// another server races it. Load reports lag, so the nodes that resume the
+	// answers of a lost rack crowd the same servers.
+	maxQueued = 2
 	// earlyProbe is the part of the silence limit after which the stream's engine
 	// is probed. The answer is there before the limit unless the engine is lost.
 	earlyProbe = 0.5
@@ -71,6 +75,8 @@
 	reconnects int
 	// stalls counts probes without progress since its last token.
 	stalls int
+	// queued counts probes that found it in its engine's queue.
+	queued int
 	// probeAt is when it is probed although it is not suspected yet; zero: not.
 	probeAt time.Time
 	// silentAt is when it becomes suspected.
@@ -219,7 +225,7 @@
 
 func (m *Machine) place() []Action {
 	m.placeAt = time.Time{}
-	if m.placing || m.healthy() {
+	if m.placing || m.healthy() || m.opened >= m.config.MaxAttempts && len(m.candidates) > 0 {
 		return nil
 	}
 	m.placing = true
--- a/internal/continuation/repair.go
+++ b/internal/continuation/repair.go
@@ -121,7 +121,7 @@
 		return m.reconnect(now, a, e.Tokens)
 	}
 	if e.Queued {
-		return nil
+		return m.queued(a)
 	}
 	a.stalls++
 	if a.stalls >= maxStalls {
@@ -130,6 +130,17 @@
 	return nil
 }
 
+// queued lets another server race a resume that waits in its engine's queue.
+// The last attempt is kept for a further loss.
+func (m *Machine) queued(a *attempt) []Action {
+	a.queued++
+	if m.lostAt.IsZero() || a.queued < maxQueued || m.opened+1 >= m.config.MaxAttempts {
+		return nil
+	}
+	a.stalls = maxStalls
+	return m.place()
+}
+
 // reconnect opens a new connection to a stream that lives, because there is
 // none or because the engine has tokens that the connection did not bring.
 func (m *Machine) reconnect(now time.Time, a *attempt, produced int) []Action {
