Resume experiment: report a stream under prefill as running

Cause: docs/backend-protocol.md calls a stream queued only until it enters the batch; the model said queued until the first token. That overstates how often another server races a queued resume.

The restart baseline gets a first token limit that covers its known part. -only takes a regular expression.

--- a/internal/continuation/experiment/answer.go
+++ b/internal/continuation/experiment/answer.go
@@ -190,7 +190,8 @@
 		e.do(func() {
 			p := continuation.Probed{}
 			if st := e.streams[c.Attempt]; st != nil {
-				p.Alive, p.Tokens, p.Queued = true, st.next(), !st.finished && (!st.decoding || st.skip > 0)
+				// A stream whose prompt is read is running by docs/backend-protocol.md.
+				p.Alive, p.Tokens, p.Queued = true, st.next(), !st.inBatch || st.skip > 0
 			}
 			a.sim.after(hop, func() { reply(p) })
 		})
--- a/internal/continuation/experiment/main.go
+++ b/internal/continuation/experiment/main.go
@@ -15,6 +15,7 @@
 	"io"
 	"maps"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -27,7 +28,7 @@
 	seed := flag.Uint64("seed", 1, "seed of the first run")
 	runs := flag.Int("runs", 3, "runs of each policy, with consecutive seeds")
 	length := flag.Duration("length", 4*time.Minute, "modelled time in which requests arrive")
-	only := flag.String("only", "", "run only policies whose name contains this")
+	only := flag.String("only", "", "run only policies whose name matches this regular expression")
 	perFault := flag.Bool("faults", false, "print a table of each kind of fault as well")
 	csvFile := flag.String("csv", "", "write the table of policies to this file as well")
 	flag.Parse()
@@ -38,9 +39,13 @@
 }
 
 func run(out io.Writer, seed uint64, runs int, length time.Duration, only string, perFault bool, csvFile string) error {
-	var names []string
+	names, err := regexp.Compile(only)
+	if err != nil {
+		return fmt.Errorf("names of policies: %w", err)
+	}
+	selected := slices.DeleteFunc(policies(), func(p policy) bool { return !names.MatchString(p.name) })
+	var titles []string
 	var reports []*report
-	selected := slices.DeleteFunc(policies(), func(p policy) bool { return !strings.Contains(p.name, only) })
 	results, err := simulateAll(selected, seed, runs, length)
 	if err != nil {
 		return err
@@ -50,12 +55,12 @@
 		for _, r := range results[i*runs : (i+1)*runs] {
 			total.merge(r)
 		}
-		names, reports = append(names, p.name), append(reports, total)
+		titles, reports = append(titles, p.name), append(reports, total)
 	}
-	writeTable(out, names, reports)
+	writeTable(out, titles, reports)
 	if perFault {
 		for i, r := range reports {
-			fmt.Fprintf(out, "\n%s, %d answers of %d tokens in all:\n\n", names[i], r.answers, r.generated)
+			fmt.Fprintf(out, "\n%s, %d answers of %d tokens in all:\n\n", titles[i], r.answers, r.generated)
 			writeFaults(out, r)
 			for _, reason := range slices.Sorted(maps.Keys(r.reasons)) {
 				fmt.Fprintf(out, "\nfailed %d: %s\n", r.reasons[reason], reason)
@@ -65,7 +70,7 @@
 	if csvFile == "" {
 		return nil
 	}
-	return writeCSV(csvFile, names, reports)
+	return writeCSV(csvFile, titles, reports)
 }
 
 // parallelRuns leaves most of a shared machine to others.
--- a/internal/continuation/experiment/node.go
+++ b/internal/continuation/experiment/node.go
@@ -90,7 +90,8 @@
 	n.fleet.Sent(now, id, attempt, r)
 	limit := n.detector.FirstToken(time.Duration(float64(uncached) / prefillRate * float64(time.Second)))
 	if n.sim.policy.restart {
-		limit += time.Duration(tokens) * fullGap * 2
+		// The probe at half the limit must not take the known part for a queue.
+		limit += time.Duration(tokens) * fullGap * 4
 	}
 	a.step(continuation.Placed{Attempt: attempt, Backend: id, FirstTokenLimit: limit})
 }
