Let the weight decide how long a resume waits in an engine's queue

Cause: the race of a queued resume began after two probes at every weight.

The race begins 0.5 s + (1 - weight) x 1 s after the loss.

The new test fails with the rule of two probes.

--- a/internal/continuation/machine.go
+++ b/internal/continuation/machine.go
@@ -56,10 +56,10 @@
 	// progress before a replacement races it. Probes of a silent stream are half
 	// a silence limit apart.
 	maxStalls = 6
-	// maxQueued is how many probes may find a resume in its engine's queue before
-	// another server races it. Load reports lag, so the nodes that resume the
-	// answers of a lost rack crowd the same servers.
-	maxQueued = 2
+	// minQueueWait is how long after the loss a resume may wait in an engine's
+	// queue at weight 1 before another server races it. Load reports lag, so the
+	// nodes that resume the answers of a lost rack crowd the same servers.
+	minQueueWait = 500 * time.Millisecond
 	// earlyProbe is the part of the silence limit after which the stream's engine
 	// is probed. The answer is there before the limit unless the engine is lost.
 	earlyProbe = 0.5
@@ -75,8 +75,6 @@
 	reconnects int
 	// stalls counts probes without progress since its last token.
 	stalls int
-	// queued counts probes that found it in its engine's queue.
-	queued int
 	// probeAt is when it is probed although it is not suspected yet; zero: not.
 	probeAt time.Time
 	// silentAt is when it becomes suspected.
--- a/internal/continuation/queued_test.go
+++ b/internal/continuation/queued_test.go
@@ -9,7 +9,8 @@
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
-// queuedResume drives a machine to a resume on e2 that two probes found in the
+// queuedResume drives a machine to a resume on e2 that two probes, 0.5 s and
+// 0.65 s after the loss, found in the
 // engine's queue, and returns the actions after the second.
 func queuedResume(config Config) (*Machine, time.Time, []Action) {
 	now := time.Unix(1_800_000_000, 0)
@@ -61,3 +62,13 @@
 		t.Errorf("the queued attempt delivered: %v, journal has %d tokens, want 2", actions, m.Journal().Len())
 	}
 }
+
+// Guards against a weight that saves resources and gives up the server with the
+// cached prompt as early as one that saves latency.
+func TestQueuedResumeWaitsByWeight(t *testing.T) {
+	config := DefaultConfig
+	config.Weight = 0
+	if _, _, actions := queuedResume(config); len(actions) != 0 {
+		t.Errorf("weight 0, 0.65 s after the loss: %v, want no action", actions)
+	}
+}
--- a/internal/continuation/repair.go
+++ b/internal/continuation/repair.go
@@ -121,7 +121,7 @@
 		return m.reconnect(now, a, e.Tokens)
 	}
 	if e.Queued {
-		return m.queued(a)
+		return m.queued(now, a)
 	}
 	a.stalls++
 	if a.stalls >= maxStalls {
@@ -130,11 +130,12 @@
 	return nil
 }
 
-// queued lets another server race a resume that waits in its engine's queue.
-// The last attempt is kept for a further loss.
-func (m *Machine) queued(a *attempt) []Action {
-	a.queued++
-	if m.lostAt.IsZero() || a.queued < maxQueued || m.opened+1 >= m.config.MaxAttempts {
+// queued lets another server race a resume that has waited in its engine's
+// queue for as long as the weight permits. The last attempt is kept for a
+// further loss.
+func (m *Machine) queued(now time.Time, a *attempt) []Action {
+	wait := minQueueWait + time.Duration((1-m.config.Weight)*float64(maxProbeWait))
+	if m.lostAt.IsZero() || now.Before(m.lostAt.Add(wait)) || m.opened+1 >= m.config.MaxAttempts {
 		return nil
 	}
 	a.stalls = maxStalls
