--- a/internal/continuation/queued_test.go
+++ b/internal/continuation/queued_test.go
@@ -10,8 +10,8 @@
 )
 
 // queuedResume drives a machine to a resume on e2 that two probes, 0.5 s and
-// 0.65 s after the loss, found in the
-// engine's queue, and returns the actions after the second.
+// 0.65 s after the loss, found in the engine's queue, and returns the actions
+// after the second.
 func queuedResume(config Config) (*Machine, time.Time, []Action) {
 	now := time.Unix(1_800_000_000, 0)
 	m := NewMachine(config, &Journal{}, 0)
