--- a/internal/continuation/machine.go
+++ b/internal/continuation/machine.go
@@ -56,41 +56,15 @@
 	// progress before a replacement races it. Probes of a silent stream are half
 	// a silence limit apart.
 	maxStalls = 6
+	// minQueueWait is how long after the loss a resume may wait in an engine's
+	// queue at weight 1 before another server races it. Load reports lag, so the
+	// nodes that resume the answers of a lost rack crowd the same servers.
+	minQueueWait = 500 * time.Millisecond
 	// earlyProbe is the part of the silence limit after which the stream's engine
 	// is probed. The answer is there before the limit unless the engine is lost.
 	earlyProbe = 0.5
 )
 
-// attempt is one stream that may feed the journal.
-type attempt struct {
-	id      ident.AttemptID
-	backend ident.BackendID
-	// broken tells that it has no connection.
-	broken bool
-	// reconnects counts new connections since its last token.
-	reconnects int
-	// stalls counts probes without progress since its last token.
-	stalls int
-	// probeAt is when it is probed although it is not suspected yet; zero: not.
-	probeAt time.Time
-	// silentAt is when it becomes suspected.
-	silentAt time.Time
-	// checking tells that a probe is out and that it is not suspected.
-	checking bool
-	// probing tells that a probe is out and that it is suspected.
-	probing bool
-	// probedAt is when the newest probe was sent.
-	probedAt time.Time
-	// delivered tells that the journal accepted a token from it.
-	delivered bool
-}
-
-// expect sets the times at which the attempt is probed and suspected.
-func (a *attempt) expect(now time.Time, limit time.Duration) {
-	a.probeAt = now.Add(time.Duration(earlyProbe * float64(limit)))
-	a.silentAt = now.Add(limit)
-}
-
 // Machine is the state machine of one generation.
 type Machine struct {
 	config  Config
@@ -225,7 +199,7 @@
 
 func (m *Machine) place() []Action {
 	m.placeAt = time.Time{}
-	if m.placing || m.healthy() {
+	if m.placing || m.healthy() || m.opened >= m.config.MaxAttempts && len(m.candidates) > 0 {
 		return nil
 	}
 	m.placing = true
--- a/internal/continuation/repair.go
+++ b/internal/continuation/repair.go
@@ -127,7 +127,7 @@
 		return m.reconnect(now, a, e.Tokens)
 	}
 	if e.Queued {
-		return nil
+		return m.queued(now, a)
 	}
 	a.stalls++
 	if a.stalls >= maxStalls {
@@ -136,6 +136,18 @@
 	return nil
 }
 
+// queued lets another server race a resume that has waited in its engine's
+// queue for as long as the weight permits. The last attempt is kept for a
+// further loss.
+func (m *Machine) queued(now time.Time, a *attempt) []Action {
+	wait := minQueueWait + time.Duration((1-m.config.Weight)*float64(maxProbeWait))
+	if m.lostAt.IsZero() || now.Before(m.lostAt.Add(wait)) || m.opened+1 >= m.config.MaxAttempts {
+		return nil
+	}
+	a.stalls = maxStalls
+	return m.place()
+}
+
 // reconnect opens a new connection to a stream that lives, because there is
 // none or because the engine has tokens that the connection did not bring.
 func (m *Machine) reconnect(now time.Time, a *attempt, produced int) []Action {
