--- a/internal/continuation/experiment/engine.go
+++ b/internal/continuation/experiment/engine.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"container/list"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/internal/eventsim"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
@@ -46,10 +46,7 @@
 	running  int
 	arrivals int
 
-	cache    map[uint64]*list.Element
-	recent   *list.List
-	events   []backendapi.CacheEvent
-	sequence int64
+	cache *eventsim.PrefixCache
 }
 
 func newEngine(s *sim, i int, seed uint64) *engine {
@@ -66,9 +63,9 @@
 	e.dead, e.stopped, e.forGood, e.slow = false, false, false, false
 	e.fault = noFault
 	e.held, e.waiting, e.toRead, e.reading = nil, nil, nil, nil
-	e.running, e.sequence, e.events = 0, 0, nil
+	e.running = 0
 	e.streams = map[ident.AttemptID]*stream{}
-	e.cache, e.recent = map[uint64]*list.Element{}, list.New()
+	e.cache = eventsim.NewPrefixCache(cacheBlocks)
 }
 
 func (e *engine) restart() { e.clear() }
@@ -160,7 +157,7 @@
 	st := e.toRead[0]
 	e.toRead = e.toRead[1:]
 	e.reading = st
-	st.cached = min(e.lookUp(st.prefixes), st.promptTokens())
+	st.cached = min(e.cache.LookUp(st.prefixes), st.promptTokens())
 	st.readFrom = e.sim.now
 	took := time.Duration(float64(st.promptTokens()-st.cached) / prefillRate * float64(time.Second))
 	e.sim.after(took, func() { e.do(func() { e.read(st) }) })
@@ -173,7 +170,7 @@
 	}
 	st.settleRead()
 	e.reading = nil
-	e.store(st.prefixes)
+	e.cache.Store(st.prefixes)
 	st.decoding = true
 	e.fill()
 	st.produce()
@@ -215,42 +212,8 @@
 	e.fill()
 }
 
-func (e *engine) lookUp(prefixes []uint64) int {
-	n := 0
-	for n < len(prefixes) && e.cache[prefixes[n]] != nil {
-		e.recent.MoveToFront(e.cache[prefixes[n]])
-		n++
-	}
-	return n * blockTokens
-}
-
-func (e *engine) store(prefixes []uint64) {
-	for i := len(prefixes) - 1; i >= 0; i-- { // the first block stays longest
-		p := prefixes[i]
-		if el := e.cache[p]; el != nil {
-			e.recent.MoveToFront(el)
-			continue
-		}
-		e.cache[p] = e.recent.PushFront(p)
-		e.event(backendapi.CacheStored, p)
-	}
-	for e.recent.Len() > cacheBlocks {
-		p := e.recent.Remove(e.recent.Back()).(uint64)
-		delete(e.cache, p)
-		e.event(backendapi.CacheEvicted, p)
-	}
-}
-
-func (e *engine) event(kind string, hash uint64) {
-	e.sequence++
-	e.events = append(e.events, backendapi.CacheEvent{
-		Sequence: e.sequence, Kind: kind, PrefixHash: fmt.Sprintf("%016x", hash)})
-}
-
 func (e *engine) takeEvents() backendapi.CacheEvents {
-	events := e.events
-	e.events = nil
-	return backendapi.CacheEvents{Incarnation: e.incarnation, Events: events}
+	return backendapi.CacheEvents{Incarnation: e.incarnation, Events: e.cache.TakeEvents()}
 }
 
 // load is the engine's report at this moment.
--- a/internal/continuation/experiment/sim.go
+++ b/internal/continuation/experiment/sim.go
@@ -1,12 +1,12 @@
 package main
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/api/platformapi"
+	"github.com/yuccahatch/yuccahatch/internal/eventsim"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
@@ -24,37 +24,10 @@
 	warmUp        = 20 * time.Second // no faults, not measured
 )
 
-// event is one entry of the schedule; equal times run in order of entry.
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type schedule []event
-
-func (s schedule) Len() int { return len(s) }
-func (s schedule) Less(i, j int) bool {
-	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].order < s[j].order
-}
-func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-
-// Push implements heap.Interface.
-func (s *schedule) Push(x any) { *s = append(*s, x.(event)) }
-
-// Pop implements heap.Interface.
-func (s *schedule) Pop() any {
-	old := *s
-	e := old[len(old)-1]
-	*s = old[:len(old)-1]
-	return e
-}
-
 // sim is one run of one policy on one recorded load and schedule of faults.
 type sim struct {
 	now     time.Duration
-	events  schedule
-	order   int
+	events  eventsim.Schedule
 	policy  policy
 	rng     *rand.Rand
 	engines []*engine
@@ -68,8 +41,7 @@
 }
 
 func (s *sim) after(d time.Duration, run func()) {
-	s.order++
-	heap.Push(&s.events, event{s.now + d, s.order, run})
+	s.events.Add(s.now+d, run)
 }
 
 func (s *sim) time() time.Time { return time.Unix(1_800_000_000, 0).Add(s.now) }
@@ -105,10 +77,10 @@
 	for _, f := range drawFaults(seed, length) {
 		s.after(f.at, func() { s.inject(f) })
 	}
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.run()
+	for s.events.Len() > 0 {
+		at, run := s.events.Next()
+		s.now = at
+		run()
 	}
 	if err := s.check(); err != nil {
 		return nil, fmt.Errorf("policy %q, seed %d: %w", p.name, seed, err)
--- a/internal/placement/experiment/engine.go
+++ b/internal/placement/experiment/engine.go
@@ -1,11 +1,11 @@
 package main
 
 import (
-	"container/list"
 	"fmt"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/internal/eventsim"
 )
 
 // Shape of the engines.
@@ -40,16 +40,13 @@
 	waiting     []*stream
 	prefillFree time.Duration // when the prefill under way ends
 	waitTokens  int
-	cache       map[uint64]*list.Element
-	recent      *list.List              // of block hashes, most recent first
-	events      []backendapi.CacheEvent // since the last poll
-	sequence    int64
+	cache       *eventsim.PrefixCache
 }
 
 func newEngine(s *sim, i int) *engine {
 	return &engine{
 		sim: s, id: fmt.Sprintf("e%02d", i), dataCentre: fmt.Sprintf("d%d", i%3),
-		cache: map[uint64]*list.Element{}, recent: list.New(),
+		cache: eventsim.NewPrefixCache(cacheBlocks),
 	}
 }
 
@@ -75,7 +72,7 @@
 func (e *engine) run(st *stream) {
 	st.running = true
 	e.running++
-	st.cached = e.lookUp(st.request.place.Prefixes)
+	st.cached = e.cache.LookUp(st.request.place.Prefixes)
 	uncached := st.request.place.PromptTokens - st.cached
 	begin := max(e.prefillFree, e.sim.now)
 	e.prefillFree = begin + seconds(float64(uncached)/prefillRate)
@@ -83,7 +80,7 @@
 		if st.cancelled {
 			return
 		}
-		e.store(st.request.place.Prefixes)
+		e.cache.Store(st.request.place.Prefixes)
 		st.firstToken()
 		e.sim.at(e.sim.now+seconds(float64(st.request.output)/e.rate()), func() { e.end(st) })
 	})
@@ -111,38 +108,6 @@
 	}
 }
 
-func (e *engine) lookUp(prefixes []uint64) int {
-	n := 0
-	for n < len(prefixes) && e.cache[prefixes[n]] != nil {
-		e.recent.MoveToFront(e.cache[prefixes[n]])
-		n++
-	}
-	return n * blockTokens
-}
-
-func (e *engine) store(prefixes []uint64) {
-	for i := len(prefixes) - 1; i >= 0; i-- { // the first block stays longest
-		p := prefixes[i]
-		if el := e.cache[p]; el != nil {
-			e.recent.MoveToFront(el)
-			continue
-		}
-		e.cache[p] = e.recent.PushFront(p)
-		e.event(backendapi.CacheStored, p)
-	}
-	for e.recent.Len() > cacheBlocks {
-		p := e.recent.Remove(e.recent.Back()).(uint64)
-		delete(e.cache, p)
-		e.event(backendapi.CacheEvicted, p)
-	}
-}
-
-func (e *engine) event(kind string, hash uint64) {
-	e.sequence++
-	e.events = append(e.events, backendapi.CacheEvent{
-		Sequence: e.sequence, Kind: kind, PrefixHash: fmt.Sprintf("%016x", hash)})
-}
-
 // load is the engine's report at this moment.
 func (e *engine) load() backendapi.Load {
 	return backendapi.Load{
--- a/internal/placement/experiment/sim.go
+++ b/internal/placement/experiment/sim.go
@@ -1,15 +1,16 @@
 package main
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/yuccahatch/yuccahatch/api/backendapi"
 	"github.com/yuccahatch/yuccahatch/api/platformapi"
 	"github.com/yuccahatch/yuccahatch/internal/admission"
+	"github.com/yuccahatch/yuccahatch/internal/eventsim"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/placement"
 )
@@ -24,37 +25,10 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// event is one entry of the schedule; equal times run in order of entry.
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type schedule []event
-
-func (s schedule) Len() int { return len(s) }
-func (s schedule) Less(i, j int) bool {
-	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].order < s[j].order
-}
-func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-
-// Push implements heap.Interface.
-func (s *schedule) Push(x any) { *s = append(*s, x.(event)) }
-
-// Pop implements heap.Interface.
-func (s *schedule) Pop() any {
-	old := *s
-	e := old[len(old)-1]
-	*s = old[:len(old)-1]
-	return e
-}
-
 // sim is one run of one policy on one recorded load.
 type sim struct {
 	now     time.Duration
-	events  schedule
-	order   int
+	events  eventsim.Schedule
 	rng     *rand.Rand
 	engines []*engine
 	nodes   []*node
@@ -73,8 +47,7 @@
 }
 
 func (s *sim) at(t time.Duration, run func()) {
-	s.order++
-	heap.Push(&s.events, event{t, s.order, run})
+	s.events.Add(t, run)
 }
 
 func (s *sim) time(t time.Duration) time.Time { return time.Unix(1_700_000_000, 0).Add(t) }
@@ -130,10 +103,10 @@
 	for t := time.Duration(0); t <= end; t += pollPeriod {
 		s.at(t, s.poll)
 	}
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.run()
+	for s.events.Len() > 0 {
+		at, run := s.events.Next()
+		s.now = at
+		run()
 	}
 	return &s.result, nil
 }
@@ -159,8 +132,7 @@
 func (s *sim) poll() {
 	for _, e := range s.engines {
 		load := e.load()
-		events := e.events
-		e.events = nil
+		events := e.cache.TakeEvents()
 		for _, n := range s.nodes {
 			id := ident.BackendID(e.id)
 			s.at(s.now+reportLag, func() { n.fleet.ObserveLoad(s.time(s.now), id, load) })
