--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -48,35 +48,72 @@
 	if err := n.checkCrashes(request); err != nil {
 		return generation.Placement{}, err
 	}
-	prefixes, promptTokens := placement.PrefixHashes(request.Prompt + ask.AcceptedText)
+	prompt := readPrompt(request, ask)
+	ticket, err := n.admitAttempt(ctx, request, ask, prompt)
+	if err != nil {
+		return generation.Placement{}, err
+	}
+	placed, err := n.choose(request, ask, prompt, ticket)
+	if err != nil {
+		ticket.Finished(0)
+		return generation.Placement{}, err
+	}
+	return placed, nil
+}
+
+// promptCost is what an attempt's prompt means for placement and admission.
+type promptCost struct {
+	prefixes []uint64
+	tokens   int
+}
+
+func readPrompt(request *generation.Request, ask generation.Ask) promptCost {
+	prefixes, tokens := placement.PrefixHashes(request.Prompt + ask.AcceptedText)
+	return promptCost{prefixes, tokens}
+}
+
+// outputTokens expresses the prompt in output tokens.
+func (c promptCost) outputTokens() int { return c.tokens / promptTokensPerOutput }
+
+// estimate is the expected cost of the whole attempt in output tokens.
+func (c promptCost) estimate(request *generation.Request) int {
+	return c.outputTokens() + min(request.MaxTokens, expectedOutputTokens)
+}
+
+// admitAttempt waits until an attempt may run.
+func (n *Node) admitAttempt(ctx context.Context, request *generation.Request, ask generation.Ask, prompt promptCost) (*gate.Ticket, error) {
 	if ask.Resume {
 		if err := n.spendRetry(ctx); err != nil {
-			return generation.Placement{}, err
+			return nil, err
 		}
 	}
-	estimate := promptTokens/promptTokensPerOutput + min(request.MaxTokens, expectedOutputTokens)
+	estimate := prompt.estimate(request)
 	n.countEstimate(estimate)
 	ticket, err := n.admit(ctx, request.Customer, estimate, ask.Resume)
 	if err != nil {
-		return generation.Placement{}, err
+		return nil, err
 	}
 	if err := n.recheckContract(request, ask); err != nil {
 		ticket.Finished(0)
-		return generation.Placement{}, err
+		return nil, err
 	}
 	n.observer.Decision(request, "admitted", fmt.Sprintf("%d estimated tokens after %d ms", estimate, ticket.Waited.Milliseconds()))
+	return ticket, nil
+}
+
+// choose places an admitted attempt on a backend server.
+func (n *Node) choose(request *generation.Request, ask generation.Ask, prompt promptCost, ticket *gate.Ticket) (generation.Placement, error) {
 	chosen, err := n.backends.Choose(placement.Request{
 		Model:        request.Model,
-		PromptTokens: promptTokens,
-		Prefixes:     prefixes,
+		PromptTokens: prompt.tokens,
+		Prefixes:     prompt.prefixes,
 		Resume:       ask.Resume,
 		Weight:       n.settings.Resume.Weight,
 		Exclude:      ask.Exclude,
 	}, ask.Attempt, n.forbiddenFor(request))
 	if err != nil {
-		ticket.Finished(0)
 		if placement.CodeOf(err) == placement.CodeUnknownModel {
-			n.unmet.add(request.Model, estimate)
+			n.unmet.add(request.Model, prompt.estimate(request))
 		}
 		return generation.Placement{}, err
 	}
@@ -84,7 +121,7 @@
 	return generation.Placement{
 		Backend:         chosen.Backend,
 		FirstTokenLimit: n.detector(request.Model).FirstToken(chosen.Prefill),
-		Release:         n.releaseFunc(request, ask.Attempt, chosen.Backend, ticket, promptTokens/promptTokensPerOutput),
+		Release:         n.releaseFunc(ask.Attempt, chosen.Backend, ticket, prompt.outputTokens()),
 	}, nil
 }
 
@@ -119,7 +156,7 @@
 }
 
 // releaseFunc returns what an attempt used.
-func (n *Node) releaseFunc(request *generation.Request, attempt ident.AttemptID, id ident.BackendID, ticket *gate.Ticket, prompt int) func(generation.Outcome, int) {
+func (n *Node) releaseFunc(attempt ident.AttemptID, id ident.BackendID, ticket *gate.Ticket, prompt int) func(generation.Outcome, int) {
 	var once sync.Once
 	return func(outcome generation.Outcome, tokens int) {
 		once.Do(func() {
