--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -64,6 +64,8 @@
 	settings string
 	// linked lists nodes under addresses for other nodes that can be cut.
 	linked bool
+	// tls puts mutual TLS between the nodes.
+	tls bool
 	// contract replaces the default contract.
 	contract string
 }
@@ -92,6 +94,8 @@
 	nodes    []*nodeProcess
 	engines  []*backendProcess
 	service  *backendProcess
+	// authority issues the nodes' certificates.
+	authority *authority
 }
 
 // deploy starts a deployment with the contract in force on every node.
@@ -222,9 +226,9 @@
 [security]
 cursor_key_file = %q
 operator_key_hashes = [%q]
-insecure = true
+%s
 %s`, n.id, dataCentre(i), n.callers, n.operators, n.nodes, platform,
-		filepath.Join(d.dir, "cursor.key"), keyHash(operatorKey), d.opt.settings)
+		filepath.Join(d.dir, "cursor.key"), keyHash(operatorKey), d.security(n), d.opt.settings)
 }
 
 func keyHash(key string) string {
--- /dev/null
+++ b/internal/e2e/tls_test.go
@@ -0,0 +1,109 @@
+//go:build linux
+
+package e2e
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// authority issues the certificates of a deployment.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// security returns the settings of the connections between nodes, and writes the
+// files that they name.
+func (d *deployment) security(n *nodeProcess) string {
+	if !d.opt.tls {
+		return "insecure = true"
+	}
+	if d.authority == nil {
+		d.authority = d.newAuthority()
+	}
+	host, _, err := net.SplitHostPort(n.nodes)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	template := certificateTemplate(n.id)
+	template.IPAddresses = []net.IP{net.ParseIP(host)}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	key, der := d.sign(template, d.authority.certificate, d.authority.key)
+	d.write(n.id+".pem", pemBlock("CERTIFICATE", der))
+	d.write(n.id+".key", pemBlock("PRIVATE KEY", d.marshal(key)))
+	return fmt.Sprintf("ca_file = %q\ncertificate_file = %q\nprivate_key_file = %q",
+		filepath.Join(d.dir, "ca.pem"), filepath.Join(d.dir, n.id+".pem"), filepath.Join(d.dir, n.id+".key"))
+}
+
+func (d *deployment) newAuthority() *authority {
+	template := certificateTemplate("deployment authority")
+	template.IsCA, template.BasicConstraintsValid = true, true
+	template.KeyUsage = x509.KeyUsageCertSign
+	key, der := d.sign(template, template, nil)
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.write("ca.pem", pemBlock("CERTIFICATE", der))
+	return &authority{certificate, key}
+}
+
+func certificateTemplate(name string) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(time.Hour),
+	}
+}
+
+// sign makes a key and its certificate; without a signer it signs itself.
+func (d *deployment) sign(template, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*ecdsa.PrivateKey, []byte) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if signer == nil {
+		signer = key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return key, der
+}
+
+func (d *deployment) marshal(key *ecdsa.PrivateKey) []byte {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return der
+}
+
+func pemBlock(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
+
+// Guards a deployment with mutual TLS: contracts, heartbeats and copies must pass
+// between its nodes, so that an answer survives node and engine.
+func TestNodesWithTLS(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, options{engines: 3, noService: true, tls: true})
+	a := d.startAnswers(4, 120, d.nodes[0])
+	a.awaitTokens(d, 20)
+	d.nodes[0].kill(t)
+	d.busyEngine(d.engines...).kill(t)
+	requireBound(t, a.whole(t))
+}
