Limit what a customer has in flight, not only its rate

Cause: the token bucket holds 30 s of a customer's rate so that idle engines fill at once, and a customer with 50% could spend it on all places. Ruled out: a shorter burst, which refuses a ramp of new streams on idle engines.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -52,6 +52,10 @@
 	// Rate is the node's present part of the customer's share in tokens/s;
 	// math.Inf(1) means no limit.
 	Rate float64
+	// Slots is the node's part of the customer's share in estimated tokens in
+	// flight; 0 means no limit. A customer below it may start one more request.
+	// The rate alone lets a burst take all places of the engines.
+	Slots int64
 }
 
 // Capacity is what the backend servers can take from this node.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -307,3 +307,32 @@
 		}
 	}
 }
+
+// TestCustomerSlots guards other customers against a burst of one that takes all
+// places before its rate is spent.
+func TestCustomerSlots(t *testing.T) {
+	limits := map[ident.Customer]Limits{
+		"flood":  {Priority: Normal, Weight: 1, Rate: 100, Slots: 500},
+		"steady": free(Normal, 1),
+	}
+	c := newController(t, Config{Burst: time.Minute, MaxWait: time.Minute, GiveUpAfter: time.Minute}, Capacity{Slots: 1000, Rate: 200}, limits)
+	for id := range uint64(20) {
+		if refusal, err := c.Offer(at(0), Item{ID: id, Customer: "flood", Tokens: 100}); err != nil || refusal != nil {
+			t.Fatal(refusal, err)
+		}
+	}
+	started := c.Dispatch(at(0))
+	if len(started) != 5 {
+		t.Fatalf("%d requests started, want the 5 of the customer's slots", len(started))
+	}
+	if refusal, err := c.Offer(at(1), Item{ID: 100, Customer: "steady", Tokens: 100}); err != nil || refusal != nil {
+		t.Fatal(refusal, err)
+	}
+	if out := c.Dispatch(at(1)); len(out) != 1 || out[0].Item.Customer != "steady" {
+		t.Errorf("started %v, want the other customer's request", out)
+	}
+	c.Finished(at(2), started[0].Item, 100)
+	if out := c.Dispatch(at(2)); len(out) != 1 || out[0].Item.Customer != "flood" {
+		t.Errorf("started %v after a request finished, want the next one", out)
+	}
+}
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -106,7 +106,12 @@
 // estimate that it did not use goes back to the customer.
 func (c *Controller) Finished(now time.Time, item Item, usedTokens int) {
 	c.inFlight = max(c.inFlight-int64(item.Tokens), 0)
-	if q := c.byName[item.Customer]; q != nil && !item.Resume && usedTokens < item.Tokens {
+	q := c.byName[item.Customer]
+	if q == nil || item.Resume {
+		return
+	}
+	q.inFlight = max(q.inFlight-int64(item.Tokens), 0)
+	if usedTokens < item.Tokens {
 		q.refill(now, c.config.Burst)
 		unused := float64(item.Tokens - max(usedTokens, 0))
 		q.level = min(burst(q.limits.Rate, c.config.Burst), q.level+unused)
@@ -137,6 +142,7 @@
 		before := c.inFlight
 		if out = c.start(now, w, out); c.inFlight > before {
 			q.level -= float64(w.item.Tokens)
+			q.inFlight += int64(w.item.Tokens)
 			q.tags[class] = c.virtual[class] + float64(w.item.Tokens)/q.limits.Weight
 		}
 	}
@@ -184,7 +190,7 @@
 	var best *customer
 	bestClass, bestTag := classes, 0.0
 	for _, q := range c.customers {
-		if q.queue.len() == 0 || q.level <= 0 {
+		if q.queue.len() == 0 || q.level <= 0 || q.full() {
 			continue
 		}
 		class := q.class(now, c.config.AgingStep)
@@ -221,7 +227,7 @@
 		for q.queue.len() > 0 && now.Sub(q.queue.front().since) >= c.config.GiveUpAfter {
 			q.refill(now, c.config.Burst)
 			reason := ReasonOverloaded
-			if q.level <= 0 {
+			if q.level <= 0 || q.full() {
 				reason = ReasonOverShare
 			}
 			w := c.pop(q)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -70,6 +70,8 @@
 	// run and the rate still holds over time.
 	level    float64
 	refilled time.Time
+	// inFlight is the estimate of its requests in flight, resumes left out.
+	inFlight int64
 	// offered is the exponentially averaged rate of offered tokens.
 	offered   float64
 	offeredAt time.Time
@@ -111,6 +113,24 @@
 // ownWait is the time until the customer's own rate lets one more request
 // start behind those in its queue.
 func (q *customer) ownWait() time.Duration {
+	return max(q.rateWait(), q.slotWait())
+}
+
+// full tells that the customer uses its part of the slots.
+func (q *customer) full() bool { return q.limits.Slots > 0 && q.inFlight >= q.limits.Slots }
+
+// slotWait is the time until the customer's own requests in flight leave room
+// for those that wait.
+func (q *customer) slotWait() time.Duration {
+	excess := q.inFlight + q.queue.tokens - q.limits.Slots
+	if q.limits.Slots <= 0 || excess < 0 || math.IsInf(q.limits.Rate, 1) {
+		return 0
+	}
+	return seconds(float64(excess) / q.limits.Rate)
+}
+
+// rateWait is the time until the rate has covered the requests that wait.
+func (q *customer) rateWait() time.Duration {
 	missing := float64(q.queue.tokens) - q.level
 	if missing < 0 || missing == 0 && q.level > 0 || math.IsInf(q.limits.Rate, 1) {
 		return 0
--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -206,7 +206,7 @@
 
 // updateAdmission tells the gate about capacity and contracts.
 func (n *Node) updateAdmission() {
-	capacity := n.ownCapacity()
+	capacity, fleet := n.ownCapacity()
 	inForce := n.contracts.All()
 	n.gate.Update(func(now time.Time, c *admission.Controller) []admission.Outcome {
 		c.SetCapacity(capacity)
@@ -214,10 +214,12 @@
 			if f.Contract == nil {
 				continue
 			}
+			rate, slots := n.customerPart(now, c, f.Entry.Customer, f.Contract.SharePercent, fleet)
 			limits := admission.Limits{
 				Priority: admissionClass[f.Contract.Priority],
 				Weight:   math.Max(f.Contract.SharePercent, 0.1),
-				Rate:     n.customerRate(now, c, f.Entry.Customer, f.Contract.SharePercent, capacity.Rate),
+				Rate:     rate,
+				Slots:    slots,
 			}
 			// The limits come from a checked contract.
 			_ = c.SetCustomer(now, f.Entry.Customer, limits)
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -57,9 +57,9 @@
 	n.backends.Fleet(func(f *placement.Fleet) { f.ObservePeer(now, peer, uses) })
 }
 
-// ownCapacity estimates what the backend servers can take from this node: all
-// slots less what other nodes use, at least this node's equal part.
-func (n *Node) ownCapacity() admission.Capacity {
+// ownCapacity returns the capacity of all backend servers, and what they can take
+// from this node: all slots less what other nodes use, at least an equal part.
+func (n *Node) ownCapacity() (own, fleet admission.Capacity) {
 	var slots, peers int
 	var rate float64
 	n.backends.Fleet(func(f *placement.Fleet) {
@@ -77,10 +77,10 @@
 	n.mu.Unlock()
 	free := float64(slots)*capacityMargin - float64(peers)
 	equal := float64(slots) * capacityMargin / float64(nodes)
-	return admission.Capacity{
-		Slots: int64(max(free, equal) * n.meanTokens()),
-		Rate:  rate,
-	}
+	mean := n.meanTokens()
+	own = admission.Capacity{Slots: int64(max(free, equal) * mean), Rate: rate}
+	fleet = admission.Capacity{Slots: int64(float64(slots) * mean), Rate: rate}
+	return own, fleet
 }
 
 // meanEstimateWeight is the weight of one request in the mean estimate, which
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -131,17 +131,19 @@
 	return true
 }
 
-// customerRate returns this node's part of a customer's limit in tokens/s, and
-// records what the customer could use here now. Without load reports the limit
+// customerPart returns this node's part of a customer's limit in tokens/s and in
+// estimated tokens in flight, and records what the customer could use here now. Without load reports the limit
 // is not known; the lack of slots then holds work back, as it does for a customer
 // that may use all of the capacity.
-func (n *Node) customerRate(now time.Time, c *admission.Controller, customer ident.Customer, sharePercent, fleetRate float64) float64 {
-	limit := fleetRate * sharePercent / 100
+func (n *Node) customerPart(now time.Time, c *admission.Controller, customer ident.Customer, sharePercent float64, fleet admission.Capacity) (rate float64, slots int64) {
+	limit := fleet.Rate * sharePercent / 100
 	if limit <= 0 || sharePercent >= 100 {
-		return math.Inf(1)
+		return math.Inf(1), 0
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.ledger.SetDemand(now, customer, c.Demand(now, customer)/limit)
-	return limit * n.ledger.Part(now, customer)
+	part := n.ledger.Part(now, customer)
+	// At least one token: no part at all must not read as no limit.
+	return limit * part, max(1, int64(float64(fleet.Slots)*sharePercent/100*part))
 }
