--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -55,3 +55,21 @@
 		}
 	}
 }
+
+// TestNoContract guards against work for a customer whose contract this node
+// cannot apply: neither the version before nor none may stand in for it.
+func TestNoContract(t *testing.T) {
+	n := newTestNode(t)
+	unreadable := contractEntry(2, "key")
+	unreadable.Document = "customer = 7"
+	n.contracts.Apply(contractEntry(1, "key"), unreadable)
+	for _, customer := range []ident.Customer{"c", "nobody"} {
+		var failure *caller.Failure
+		if _, err := n.contractOf(customer); !errors.As(err, &failure) || failure.Code != callerapi.CodeNoContract {
+			t.Errorf("customer %q: %v, want %s", customer, err, callerapi.CodeNoContract)
+		}
+	}
+	if _, err := n.Authenticate("key"); err == nil {
+		t.Error("a key of the version before opens the contract that cannot be read")
+	}
+}
