contractset: give every step of the isolation test an effect

Two steps were left out where they did not apply (rapid's t.Skip). They now poll or send a heartbeat instead, so that each run has as many steps that count. The test still finds a node that counts as heard before it is restored (rule removed on a scratch copy: fails after 25 tests); 5,000 checks pass.

--- a/internal/contractset/isolation_test.go
+++ b/internal/contractset/isolation_test.go
@@ -160,13 +160,15 @@
 			"answers": func(*rapid.T) { c.deliverAll() },
 			"heal": func(t *rapid.T) {
 				if len(c.cut) == 0 {
-					t.Skip("nothing is cut")
+					c.poll(host("host")) // nothing to heal: a step that has an effect
+					return
 				}
 				c.cut = map[string]bool{}
 			},
 			"answer": func(t *rapid.T) {
 				if len(c.inFlight) == 0 {
-					t.Skip("nothing under way")
+					c.heartbeat(t, host("host"), host("peer"))
+					return
 				}
 				i := rapid.IntRange(0, len(c.inFlight)-1).Draw(t, "which")
 				answer := c.inFlight[i]
