--- a/internal/daemoncmd/daemoncmd.go
+++ b/internal/daemoncmd/daemoncmd.go
@@ -23,7 +23,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), checkCommand())
+	root.AddCommand(runCommand(), frontCommand(), checkCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/fleet/choose.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+const (
+	// waitStep is the precision of expected waits. Within one step the choice
+	// follows the hash of the prompt, so that a request that comes back to any
+	// host finds the engine that has read its prompt.
+	waitStep = 150 * time.Millisecond
+	// runCost is the expected slow-down by one more running request.
+	runCost = 4 * time.Millisecond
+	// failCost is the cost of a failure rate of 1.
+	failCost = 3 * time.Second
+	// fullCost is the cost of a server that refused a request a moment ago.
+	fullCost = 2 * time.Second
+	// noRoomCost is the cost of an engine whose memory would overflow: it would
+	// preempt another request.
+	noRoomCost = 5 * time.Second
+	// reportFor is how long a reported load counts.
+	reportFor = 300 * time.Millisecond
+	// plainWork is the expected time of one request at a plain service.
+	plainWork = 30 * time.Millisecond
+)
+
+// Exclude names servers that a request must not go to again.
+type Exclude []ident.BackendID
+
+// Choice is the result of a decision.
+type Choice struct {
+	Server *Server
+	// Wait is the expected time until the request is begun, Prefill until its
+	// prompt is read after that.
+	Wait, Prefill time.Duration
+	// Candidates is the number of servers that could be chosen.
+	Candidates int
+}
+
+// usable is the filter of all choices: listed, not leaving, and not lost.
+func (f *Fleet) usable(s *Server, service string, now time.Time) bool {
+	return s.Service == service && !s.Draining && !now.Before(s.lostUntil) && !f.inLostZone(s, now)
+}
+
+// Engine chooses the engine for a prompt: the least expected time to the first
+// token, and among equals the first by the hash of the prompt.
+func (f *Fleet) Engine(now time.Time, service string, memory int, p Prompt, exclude Exclude) (Choice, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best Choice
+	var bestCost time.Duration
+	var bestHash uint64
+	count := 0
+	for _, s := range f.servers {
+		if !f.usable(s, service, now) || slices.Contains(exclude, s.ID) {
+			continue
+		}
+		count++
+		prefill := s.prefillOn(p)
+		wait := s.queueWait(now)
+		cost := (wait + prefill + time.Duration(len(s.runs))*runCost + f.faultCost(s, now)).Truncate(waitStep)
+		if memory > 0 && s.usedTokens()+p.Tokens+p.Output > memory {
+			cost += noRoomCost
+		}
+		hash := preference(p.Part, s)
+		if best.Server == nil || cost < bestCost || cost == bestCost && hash > bestHash {
+			best, bestCost, bestHash = Choice{Server: s, Wait: wait, Prefill: prefill}, cost, hash
+		}
+	}
+	best.Candidates = count
+	return best, best.Server != nil
+}
+
+// Backup chooses the engine that holds the copy of a run: in another data
+// centre than the run, with the most free memory.
+func (f *Fleet) Backup(now time.Time, primary *Server, memory int, p Prompt, exclude Exclude) *Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best *Server
+	var bestUsed int
+	var bestHash uint64
+	for _, s := range f.servers {
+		if s.ID == primary.ID || s.DataCentre == primary.DataCentre || !f.usable(s, primary.Service, now) || slices.Contains(exclude, s.ID) {
+			continue
+		}
+		used := s.usedTokens()
+		if memory > 0 && used+p.Tokens+p.Output > memory {
+			continue
+		}
+		// Steps of one request, so that the hash decides among equals.
+		used /= max(1, p.Tokens)
+		hash := preference(p.Part, s)
+		if best == nil || used < bestUsed || used == bestUsed && hash > bestHash {
+			best, bestUsed, bestHash = s, used, hash
+		}
+	}
+	return best
+}
+
+// Plain chooses the server of a plain service with the least expected wait. A
+// random choice among equals spreads what all hosts send at once.
+func (f *Fleet) Plain(now time.Time, service string, exclude Exclude) (Choice, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best Choice
+	var bestCost time.Duration
+	equals := 0
+	for _, s := range f.servers {
+		if !f.usable(s, service, now) || slices.Contains(exclude, s.ID) {
+			continue
+		}
+		best.Candidates++
+		cost := (f.plainWait(s, now) + f.faultCost(s, now)).Truncate(plainWork)
+		switch {
+		case best.Server == nil || cost < bestCost:
+			best.Server, bestCost, equals = s, cost, 1
+		case cost == bestCost:
+			equals++
+			if rand.IntN(equals) == 0 {
+				best.Server = s
+			}
+		}
+	}
+	if best.Server == nil {
+		return best, false
+	}
+	best.Wait = f.plainWait(best.Server, now)
+	return best, true
+}
+
+// plainWait is the expected wait at a plain service by what this node has there
+// and by the last report.
+func (f *Fleet) plainWait(s *Server, now time.Time) time.Duration {
+	busy := s.outstanding
+	if now.Sub(s.reportedAt) < reportFor {
+		busy = max(busy, s.reported.Running+s.reported.Waiting)
+	}
+	return time.Duration(busy) * plainWork / time.Duration(max(1, s.Slots))
+}
+
+func (f *Fleet) faultCost(s *Server, now time.Time) time.Duration {
+	cost := time.Duration(s.failRate * float64(failCost)).Truncate(failCost / 8)
+	if now.Before(s.fullUntil) {
+		cost += fullCost
+	}
+	return cost
+}
+
+// Usable reports whether a service has a server that may get work.
+func (f *Fleet) Usable(now time.Time, service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.servers {
+		if f.usable(s, service, now) {
+			n++
+		}
+	}
+	return n
+}
+
+// preference ranks servers for a prompt in the same way on every host.
+func preference(part uint64, s *Server) uint64 {
+	return xxh3.HashStringSeed(string(s.ID), part)
+}
+
+// Takes reports whether a server may get work now.
+func (f *Fleet) Takes(s *Server, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[s.ID] == s && f.usable(s, s.Service, now)
+}
+
+// QueueWait is the expected time until a new prompt is begun on s.
+func (f *Fleet) QueueWait(s *Server, now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.queueWait(now)
+}
+
+// PrefillOn is the expected time that s needs to read a prompt.
+func (f *Fleet) PrefillOn(s *Server, p Prompt) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.prefillOn(p)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,250 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+const (
+	// lostFor keeps work from a server that was found silent or unreachable. A
+	// server that crashed is back under a new identity before that.
+	lostFor = 1500 * time.Millisecond
+	// resetFor is the same after one connection was reset, which an answer that
+	// is lost also causes.
+	resetFor = 300 * time.Millisecond
+	// zoneLossWindow and zoneLossServers define the loss of a data centre: so
+	// many servers of one service lost within the window.
+	zoneLossWindow  = 500 * time.Millisecond
+	zoneLossServers = 3
+	// zoneLossFor is how long servers of a lost data centre get no new work
+	// unless they were heard from, or first seen, after the loss.
+	zoneLossFor = 1200 * time.Millisecond
+	// lapseGrace is how long a server whose entry disappeared during an outage
+	// of the platform's store may still get work. Live servers are listed again
+	// within two seconds of the store's return.
+	lapseGrace = 2 * time.Second
+	// fullFor keeps new work from a server that refused one as full.
+	fullFor = 100 * time.Millisecond
+	// promptFor is how long an engine is expected to hold a prompt.
+	promptFor = 20 * time.Second
+	// failWeight is the weight of the newest result in the moving failure rate.
+	failWeight = 0.15
+)
+
+// Loss says how a server was found lost.
+type Loss int
+
+const (
+	// LossReset is a connection that broke off.
+	LossReset Loss = iota
+	// LossRefused is a connection that could not be opened.
+	LossRefused
+	// LossSilent is a server that stopped sending.
+	LossSilent
+)
+
+func (l Loss) String() string { return [...]string{"reset", "refused", "silent"}[l] }
+
+type zoneKey struct {
+	service    string
+	dataCentre ident.DataCentre
+}
+
+// Fleet is the set of backend servers that a node knows.
+type Fleet struct {
+	epoch time.Time
+	self  ident.HostID
+
+	mu       sync.Mutex
+	servers  map[ident.BackendID]*Server
+	zoneLost map[zoneKey]time.Time // time of the newest loss of a data centre
+}
+
+// New returns an empty fleet.
+func New(self ident.HostID, now time.Time) *Fleet {
+	return &Fleet{
+		epoch:    now,
+		self:     self,
+		servers:  map[ident.BackendID]*Server{},
+		zoneLost: map[zoneKey]time.Time{},
+	}
+}
+
+// Heard records that a byte of the server arrived. It takes no lock.
+func (f *Fleet) Heard(s *Server, now time.Time) { s.lastHeard.Store(int64(now.Sub(f.epoch))) }
+
+func (f *Fleet) heardAt(s *Server) time.Time {
+	return f.epoch.Add(time.Duration(s.lastHeard.Load()))
+}
+
+// Put takes over an entry of the list.
+func (f *Fleet) Put(now time.Time, e Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[e.ID]
+	if s != nil && s.Born == e.Born && s.Address == e.Address && s.Service == e.Service {
+		if e.Sequence > s.Sequence && now.Sub(s.lostAt) > lostFor {
+			s.lostUntil = time.Time{}
+		}
+		s.Draining, s.Sequence, s.listedAt, s.removedAt = e.Draining, e.Sequence, now, time.Time{}
+		return
+	}
+	if s != nil && e.Born < s.Born {
+		return // an old report of an earlier life
+	}
+	f.servers[e.ID] = &Server{
+		Entry:     e,
+		firstSeen: now,
+		listedAt:  now,
+		runs:      map[runKey]*run{},
+		copies:    map[runKey]int{},
+		prompts:   map[uint64]cached{},
+	}
+}
+
+// Remove takes a server off the list. With lapsed, the entry disappeared during
+// an outage of the store, and the server goes on getting work for lapseGrace.
+func (f *Fleet) Remove(now time.Time, id ident.BackendID, lapsed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	if s == nil {
+		return
+	}
+	if lapsed && !s.Draining {
+		s.removedAt = now
+		return
+	}
+	delete(f.servers, id)
+}
+
+// Expire removes servers whose grace after a lapsed entry has passed.
+func (f *Fleet) Expire(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, s := range f.servers {
+		if !s.removedAt.IsZero() && now.Sub(s.removedAt) > lapseGrace {
+			delete(f.servers, id)
+		}
+		for part, c := range s.prompts {
+			if now.Sub(c.at) > promptFor {
+				delete(s.prompts, part)
+			}
+		}
+	}
+}
+
+// IDs returns the ids of all listed servers.
+func (f *Fleet) IDs() []ident.BackendID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ids := make([]ident.BackendID, 0, len(f.servers))
+	for id := range f.servers {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Entries returns the entries of all listed servers.
+func (f *Fleet) Entries() []Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entries := make([]Entry, 0, len(f.servers))
+	for _, s := range f.servers {
+		entries = append(entries, s.Entry)
+	}
+	return entries
+}
+
+// Server returns the server of an id, or nil.
+func (f *Fleet) Server(id ident.BackendID) *Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[id]
+}
+
+// Lost records a sign that a server is lost and reports whether it is the first
+// one of this loss, which peers should learn.
+func (f *Fleet) Lost(now time.Time, id ident.BackendID, how Loss) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	if s == nil {
+		return false
+	}
+	known := now.Before(s.lostUntil)
+	repeated := now.Sub(s.lostAt) < zoneLossWindow
+	wait := lostFor
+	if how == LossReset && !repeated {
+		wait = resetFor
+	}
+	if until := now.Add(wait); until.After(s.lostUntil) {
+		s.lostUntil = until
+	}
+	s.lostAt = now
+	if how != LossReset && !known {
+		s.unreachable.Add(1)
+	}
+	if how != LossReset {
+		s.prompts = map[uint64]cached{}
+	}
+	f.noteZone(now, s)
+	return !known
+}
+
+// noteZone records the loss of the data centre of s if enough of its servers
+// were lost within the window.
+func (f *Fleet) noteZone(now time.Time, s *Server) {
+	lost := 0
+	for _, other := range f.servers {
+		if other.Service == s.Service && other.DataCentre == s.DataCentre && now.Sub(other.lostAt) < zoneLossWindow {
+			lost++
+		}
+	}
+	if lost >= zoneLossServers {
+		f.zoneLost[zoneKey{s.Service, s.DataCentre}] = now
+	}
+}
+
+// ZoneLost reports whether the data centre of s was lost a moment ago and s has
+// not been heard from since.
+func (f *Fleet) ZoneLost(s *Server, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inLostZone(s, now)
+}
+
+func (f *Fleet) inLostZone(s *Server, now time.Time) bool {
+	at, ok := f.zoneLost[zoneKey{s.Service, s.DataCentre}]
+	if !ok || now.Sub(at) > zoneLossFor {
+		return false
+	}
+	return s.firstSeen.Before(at) && f.heardAt(s).Before(at)
+}
+
+// Full records that a server refused a request as full.
+func (f *Fleet) Full(s *Server, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.fullUntil = now.Add(fullFor)
+}
+
+// Result records whether a server answered a request well.
+func (f *Fleet) Result(s *Server, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	failed := 1.0
+	if ok {
+		failed = 0
+	}
+	s.failRate += failWeight * (failed - s.failRate)
+}
+
+// Reported takes over the load that came with an answer.
+func (f *Fleet) Reported(s *Server, now time.Time, load Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.reported, s.reportedAt = load, now
+}
--- /dev/null
+++ b/internal/fleet/runs.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// Prompt describes the work of a request for an engine.
+type Prompt struct {
+	Tokens int // prompt
+	Output int // most tokens of the answer
+	// Part is a hash of the last part of the prompt, which belongs to the
+	// request or its session alone; 0 if unknown.
+	Part uint64
+	// Done is the number of tokens that a copy holds already.
+	Done int
+}
+
+const (
+	// prefillPerToken is the time that an engine needs for one prompt token
+	// between the tokens of other requests.
+	prefillPerToken = 150 * time.Microsecond
+	// cachedTokens is what an engine still reads of a prompt that it holds.
+	cachedTokens = 256
+)
+
+// Placed is a run on an engine, as told to peers.
+type Placed struct {
+	Run     uint64 // unique among the runs of its host
+	Server  ident.BackendID
+	Backup  ident.BackendID // holds a copy; empty if none
+	Prefill time.Duration
+	Tokens  int
+	Part    uint64
+}
+
+// Start records a run.
+func (f *Fleet) Start(now time.Time, host ident.HostID, p Placed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := runKey{host, p.Run}
+	if s := f.servers[p.Server]; s != nil {
+		s.addRun(now, key, &run{prefill: p.Prefill, tokens: p.Tokens, part: p.Part, started: now, waiting: true})
+	}
+	if b := f.servers[p.Backup]; b != nil {
+		b.copies[key] = p.Tokens
+	}
+}
+
+// First records that the prompt of a run has been read.
+func (f *Fleet) First(now time.Time, host ident.HostID, p Placed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[p.Server]
+	if s == nil {
+		return
+	}
+	if r := s.runs[runKey{host, p.Run}]; r != nil && r.waiting {
+		r.waiting = false
+		s.settle(now)
+	}
+}
+
+// End records that a run is over and its copy freed.
+func (f *Fleet) End(now time.Time, host ident.HostID, p Placed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := runKey{host, p.Run}
+	if s := f.servers[p.Server]; s != nil {
+		if r := s.runs[key]; r != nil {
+			delete(s.runs, key)
+			if r.waiting {
+				s.settle(now)
+			}
+		}
+	}
+	if b := f.servers[p.Backup]; b != nil {
+		delete(b.copies, key)
+	}
+}
+
+// ForgetHost drops the runs of a host that is gone. Its engines stop them when
+// its connections close.
+func (f *Fleet) ForgetHost(now time.Time, host ident.HostID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		for key := range s.runs {
+			if key.host == host {
+				delete(s.runs, key)
+			}
+		}
+		for key := range s.copies {
+			if key.host == host {
+				delete(s.copies, key)
+			}
+		}
+		s.settle(now)
+	}
+}
+
+// Begin and Done count the requests of this node at a plain service.
+func (f *Fleet) Begin(s *Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.outstanding++
+}
+
+// Done ends what Begin began.
+func (f *Fleet) Done(s *Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.outstanding--
+}
+
+// prefillOn estimates the time that s needs to read the prompt.
+func (s *Server) prefillOn(p Prompt) time.Duration {
+	tokens := p.Tokens - p.Done
+	if _, ok := s.prompts[p.Part]; ok && p.Part != 0 {
+		tokens = min(tokens, cachedTokens)
+	}
+	return time.Duration(max(tokens, 1)) * prefillPerToken
+}
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,152 @@
+// Package fleet keeps what a node knows of the backend servers and decides
+// which of them runs a request.
+//
+// Load pattern: nearly all engines of one data centre are lost within
+// milliseconds, in the middle of generations with long prompts, and come back
+// empty a second later under new identities; data centres are lost in turn. The
+// decisions therefore work on what this node and its peers sent, which is known
+// within milliseconds, and not on load reports, which are old when they arrive.
+//
+// A Fleet is guarded by its own lock, which is taken for each request and not
+// for each event of a stream. Methods take the time and do no I/O.
+package fleet
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// Entry is what a backend server says of itself in the platform's list.
+type Entry struct {
+	ID ident.BackendID
+	// Born tells apart lives under one id: the Unix millisecond of the start,
+	// or 0 if the server does not tell it.
+	Born       int64
+	Service    string
+	Address    string // IP:port; other servers use it again later
+	DataCentre ident.DataCentre
+	Slots      int
+	Draining   bool
+	Sequence   int64 // rises with each report of one life
+}
+
+// runKey identifies a run across hosts.
+type runKey struct {
+	host ident.HostID
+	run  uint64
+}
+
+// run is one request on one engine, as far as placement is concerned.
+type run struct {
+	prefill time.Duration // time that the engine needs for the prompt
+	tokens  int           // prompt and output
+	part    uint64        // hash of the last part of the prompt
+	started time.Time
+	waiting bool // the first event has not arrived
+}
+
+// cached is a prompt that an engine has read and may still hold.
+type cached struct {
+	tokens int
+	at     time.Time
+}
+
+// Server is one life of a backend server. Fields without a comment on another
+// guard are guarded by the lock of its Fleet.
+type Server struct {
+	// Entry does not change except for Draining and Sequence.
+	Entry
+	// lastHeard is the time of the newest byte from the server in nanoseconds
+	// since the fleet's start. It is written by the readers of streams.
+	lastHeard atomic.Int64
+	// unreachable counts how often the server was marked as lost. Readers of
+	// streams compare it to see a loss that another request or host found.
+	unreachable atomic.Uint32
+
+	firstSeen time.Time
+	// listedAt is the time at which the newest entry was read.
+	listedAt time.Time
+	// lostAt is the time of the newest sign of loss; until lostUntil the server
+	// gets no work.
+	lostAt    time.Time
+	lostUntil time.Time
+	// fullUntil ends the time after a refusal in which other servers go first.
+	fullUntil time.Time
+	// removedAt is set when the entry has gone from the list while the
+	// platform's store had just come back, see Fleet.Apply.
+	removedAt time.Time
+
+	runs   map[runKey]*run
+	copies map[runKey]int // tokens of copies of runs on other engines
+	// queueEnd is the expected time at which all waiting prompts are read.
+	queueEnd time.Time
+	prompts  map[uint64]cached
+
+	outstanding int     // requests of this node at a plain service
+	failRate    float64 // moving share of requests that the server failed
+	reported    Load
+	reportedAt  time.Time
+}
+
+// Load is what a server reports with an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// Gone reports whether the server was marked as lost since the mark was taken.
+func (s *Server) Gone(mark uint32) bool { return s.unreachable.Load() != mark }
+
+// Mark returns the number of losses so far, for Gone.
+func (s *Server) Mark() uint32 { return s.unreachable.Load() }
+
+func (s *Server) usedTokens() int {
+	used := 0
+	for _, r := range s.runs {
+		used += r.tokens
+	}
+	for _, tokens := range s.copies {
+		used += tokens
+	}
+	return used
+}
+
+// queueWait is the expected time until a new prompt is begun.
+func (s *Server) queueWait(now time.Time) time.Duration {
+	return max(0, s.queueEnd.Sub(now))
+}
+
+func (s *Server) waitingRuns() int {
+	n := 0
+	for _, r := range s.runs {
+		if r.waiting {
+			n++
+		}
+	}
+	return n
+}
+
+// addRun puts a run at the end of the queue of prompts.
+func (s *Server) addRun(now time.Time, key runKey, r *run) {
+	s.runs[key] = r
+	if r.waiting {
+		start := now
+		if s.queueEnd.After(now) {
+			start = s.queueEnd
+		}
+		s.queueEnd = start.Add(r.prefill)
+	}
+	if r.part != 0 {
+		s.prompts[r.part] = cached{tokens: r.tokens, at: now}
+	}
+}
+
+// settle recomputes the end of the queue after a run has left it.
+func (s *Server) settle(now time.Time) {
+	var left time.Duration
+	for _, r := range s.runs {
+		if r.waiting {
+			left += max(0, r.prefill-now.Sub(r.started))
+		}
+	}
+	s.queueEnd = now.Add(left)
+}
--- /dev/null
+++ b/internal/front/node.go
@@ -0,0 +1,282 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/gateway"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
+	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
+	"github.com/yuccahatch/yuccahatch/internal/routing"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
+)
+
+const (
+	// configWait is how long the store holds the call for the configuration. A
+	// connection that went silent is found by then, or by a peer's heartbeat.
+	configWait = 5 * time.Second
+	// serversPause is the time between reads of the servers' reports, which
+	// change many times a second. A server must be left two seconds after it
+	// reported that it leaves.
+	serversPause = 600 * time.Millisecond
+	// housekeeping is how often expired state is dropped.
+	housekeeping = 500 * time.Millisecond
+	// logBuffer is the number of log lines that may wait for a slow reader.
+	logBuffer = 1024
+	// memoryShare is the part of the host's memory at which the collector works
+	// harder.
+	memoryShare = 0.6
+)
+
+// Node is one node of a deployment.
+type Node struct {
+	settings    Settings
+	store       Store
+	decoder     Decoder
+	incarnation ident.Incarnation
+
+	log     *telemetry.EventLog
+	scope   tally.Scope
+	metrics http.Handler
+	closers []io.Closer
+
+	routes  routing.Holder
+	fleet   *fleet.Fleet
+	pool    *backendconn.Pool
+	mesh    *mesh.Mesh
+	gateway *gateway.Gateway
+	config  *follower
+	servers *follower
+
+	leaving  atomic.Bool
+	listed   atomic.Bool // the servers have been read once
+	inFlight atomic.Int64
+	fetching atomic.Bool // a peer's state is being read
+
+	mu sync.Mutex
+	// mu guards what peers may ask for.
+	rawConfig  []byte
+	rawServers map[string][]byte
+}
+
+// New prepares a node. Lines of the log go to out.
+func New(s Settings, store Store, codec interface {
+	gateway.Codec
+	Decoder
+}, out io.Writer) (*Node, error) {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	}
+	now := time.Now()
+	writer := telemetry.NewAsyncWriter(out, logBuffer)
+	log := telemetry.NewEventLog(telemetry.NewLogger(writer, "info", string(s.Host), string(s.DataCentre)))
+	scope, page, closer, err := telemetry.NewMetrics()
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings: s, store: store, decoder: codec,
+		incarnation: ident.Incarnation(now.UnixNano()),
+		log:         log, scope: scope, metrics: page, closers: []io.Closer{closer, writer},
+		fleet: fleet.New(s.Host, now), pool: backendconn.NewPool(),
+		rawServers: map[string][]byte{},
+	}
+	n.mesh, err = mesh.New(s.Mesh, n.fleet, n.member, n.heard)
+	if err != nil {
+		return nil, err
+	}
+	n.gateway = &gateway.Gateway{
+		Codec: codec, Routes: &n.routes, Fleet: n.fleet, Pool: n.pool, Self: s.Host,
+		Announce: n.mesh, Log: log, Metrics: gateway.NewMetrics(scope),
+		Budgets: &gateway.Budgets{
+			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window,
+			Hosts: func() int { return 1 + len(n.mesh.Alive(time.Now())) },
+		},
+		Leaving: n.leaving.Load,
+	}
+	n.config = n.newFollower(TableConfig, configWait, 0, n.replaceConfig, n.applyConfig)
+	n.servers = n.newFollower(TableServers, 0, serversPause, n.replaceServers, n.applyServers)
+	return n, nil
+}
+
+func (n *Node) newFollower(t Table, wait, pause time.Duration, replace, apply func([]Row, bool)) *follower {
+	return &follower{
+		store: n.store, table: t, log: n.log, wait: wait, pause: pause,
+		replace: replace, apply: apply, wake: make(chan struct{}, 1),
+	}
+}
+
+// Ready reports whether clients may be sent here.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.routes.Current() != nil && n.listed.Load()
+}
+
+// addressTTL is how long clients keep a list of addresses. A short time lets
+// them leave a host that is about to stop before it stops.
+const addressTTL = time.Second
+
+// Addresses returns the addresses that clients may use, and for how long.
+func (n *Node) Addresses() ([]string, time.Duration) {
+	var list []string
+	if n.Ready() {
+		list = append(list, n.settings.Clients)
+	}
+	for _, m := range n.mesh.Alive(time.Now()) {
+		if m.State == mesh.Ready && m.Clients != "" {
+			list = append(list, m.Clients)
+		}
+	}
+	if len(list) == 0 {
+		list = append(list, n.settings.Clients)
+	}
+	return list, min(addressTTL, max(n.settings.AddressTTL, time.Millisecond))
+}
+
+// member describes this node to its peers.
+func (n *Node) member(now time.Time) mesh.Member {
+	m := mesh.Member{
+		Host: n.settings.Host, Incarnation: n.incarnation, DataCentre: n.settings.DataCentre,
+		Mesh: n.settings.Mesh, Clients: n.settings.Clients, State: mesh.Starting,
+		ConfigVersion: n.routes.Version(),
+	}
+	if n.servers != nil {
+		m.StoreAgeMs = n.servers.age(now).Milliseconds()
+	}
+	switch {
+	case n.leaving.Load():
+		m.State = mesh.Leaving
+	case n.Ready():
+		m.State = mesh.Ready
+	}
+	return m
+}
+
+func (n *Node) replaceConfig(rows []Row, outage bool) { n.applyConfig(rows, outage) }
+
+func (n *Node) applyConfig(rows []Row, _ bool) {
+	for _, r := range rows {
+		if r.Key == configKey && !r.Removed {
+			n.offerConfig(r.Value, "store")
+		}
+	}
+}
+
+// offerConfig installs a configuration if it is newer than the present one.
+func (n *Node) offerConfig(raw []byte, source string) {
+	c, err := n.decoder.DecodeConfig(raw)
+	if err != nil {
+		n.log.LogError(logrus.ErrorLevel, telemetry.EventConfigRefused, err, logrus.Fields{"source": source}, "configuration cannot be read")
+		return
+	}
+	if !n.routes.Offer(routing.NewTable(c)) {
+		return
+	}
+	n.mu.Lock()
+	n.rawConfig = raw
+	n.mu.Unlock()
+	n.log.Log(logrus.InfoLevel, telemetry.EventConfigApplied, logrus.Fields{
+		"version": c.Version, "source": source, "routes": len(c.Routes), "teams": len(c.Teams),
+	}, "configuration in force")
+}
+
+// replaceServers takes over the whole list of servers.
+func (n *Node) replaceServers(rows []Row, outage bool) {
+	listed := make(map[ident.BackendID]bool, len(rows))
+	for _, r := range rows {
+		listed[ident.BackendID(r.Key)] = true
+	}
+	now := time.Now()
+	n.applyServers(rows, outage)
+	for _, id := range n.fleet.IDs() {
+		if !listed[id] {
+			n.removeServer(now, id, outage)
+		}
+	}
+	n.listed.Store(true)
+}
+
+func (n *Node) applyServers(rows []Row, outage bool) {
+	now := time.Now()
+	for _, r := range rows {
+		if r.Removed {
+			n.removeServer(now, ident.BackendID(r.Key), outage)
+			continue
+		}
+		e, err := n.decoder.DecodeEntry(r.Key, r.Value)
+		if err != nil {
+			n.log.LogError(logrus.WarnLevel, telemetry.EventBackendListed, err, nil, "entry names no usable server")
+			n.removeServer(now, ident.BackendID(r.Key), false)
+			continue
+		}
+		if old := n.fleet.Server(e.ID); old == nil || old.Born != e.Born || old.Draining != e.Draining {
+			n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
+				telemetry.FieldBackend: e.ID, "address": e.Address, "service": e.Service, "leaving": e.Draining, "sequence": e.Sequence,
+			}, "backend server listed")
+		}
+		n.fleet.Put(now, e)
+		n.mu.Lock()
+		n.rawServers[r.Key] = r.Value
+		n.mu.Unlock()
+	}
+}
+
+func (n *Node) removeServer(now time.Time, id ident.BackendID, lapsed bool) {
+	n.fleet.Remove(now, id, lapsed)
+	n.mu.Lock()
+	delete(n.rawServers, string(id))
+	n.mu.Unlock()
+	n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
+		telemetry.FieldBackend: id, "lapsed": lapsed,
+	}, "backend server off the list")
+}
+
+// register tells other nodes of this one through the store, and learns of them.
+func (n *Node) register(ctx context.Context) {
+	raw, err := json.Marshal(n.member(time.Now()))
+	if err != nil {
+		panic(err) // the type always encodes
+	}
+	for backoff := retryFirst; ctx.Err() == nil; backoff = min(2*backoff, retryMost) {
+		err := n.store.Put(ctx, TableNodes, string(n.settings.Host), raw)
+		if err == nil {
+			if err = n.learnNodes(ctx); err == nil {
+				return
+			}
+		}
+		n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableNodes}, "node not registered yet")
+		select {
+		case <-time.After(backoff):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (n *Node) learnNodes(ctx context.Context) error {
+	rows, err := n.store.List(ctx, TableNodes)
+	if err != nil {
+		return err
+	}
+	var list []mesh.Member
+	for _, r := range rows.Rows {
+		var m mesh.Member
+		if err := json.Unmarshal(r.Value, &m); err != nil {
+			n.log.LogError(logrus.WarnLevel, telemetry.EventPeerState, err, logrus.Fields{telemetry.FieldPeer: r.Key}, "row of a node cannot be read")
+			continue
+		}
+		list = append(list, m)
+	}
+	n.mesh.Know(time.Now(), list)
+	n.mesh.Hello()
+	return nil
+}
--- /dev/null
+++ b/internal/front/peers.go
@@ -0,0 +1,125 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
+)
+
+const (
+	// statePath is the path of a node's state on its mesh address.
+	statePath = "/state"
+	// storeStale is the age of the newest answer of the store after which a node
+	// asks its peers, and peerFresh the greatest age that makes a peer worth
+	// asking.
+	storeStale = 1200 * time.Millisecond
+	peerFresh  = 1000 * time.Millisecond
+	// newerAfter is how long a node waits for a version from the store that a
+	// peer already has.
+	newerAfter = 150 * time.Millisecond
+	// stateTimeout bounds the call of a peer.
+	stateTimeout = 700 * time.Millisecond
+	// maxState bounds a peer's answer.
+	maxState = 16 << 20
+)
+
+// stateDocument is what a node knows from the store, in the store's own form.
+type stateDocument struct {
+	Config  []byte            `json:"config,omitempty"`
+	Servers map[string][]byte `json:"servers,omitempty"`
+}
+
+// serveState answers a peer that cannot read the store. The query says whether
+// it needs the list of servers.
+func (n *Node) serveState(w http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	doc := stateDocument{Config: n.rawConfig}
+	if r.URL.Query().Has("servers") {
+		doc.Servers = maps.Clone(n.rawServers)
+	}
+	n.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(doc) // the peer asks again if it gets no answer
+}
+
+// heard takes note of a peer's heartbeat.
+func (n *Node) heard(m mesh.Member) {
+	if m.ConfigVersion > n.routes.Version() && n.fetching.CompareAndSwap(false, true) {
+		go func() {
+			defer n.fetching.Store(false)
+			time.Sleep(newerAfter)
+			if m.ConfigVersion > n.routes.Version() {
+				n.readPeer(context.Background(), m, false)
+			}
+		}()
+	}
+}
+
+// readPeers reads the list of servers from a peer while the store does not
+// answer this node but does answer that one.
+func (n *Node) readPeers(ctx context.Context, now time.Time) {
+	if n.servers.age(now) < storeStale {
+		return
+	}
+	var best *mesh.Member
+	for _, m := range n.mesh.Alive(now) {
+		if m.StoreAgeMs < peerFresh.Milliseconds() && (best == nil || m.StoreAgeMs < best.StoreAgeMs) {
+			best = &m
+		}
+	}
+	if best != nil {
+		n.readPeer(ctx, *best, true)
+	}
+}
+
+// readPeer takes over what a peer knows from the store.
+func (n *Node) readPeer(ctx context.Context, m mesh.Member, servers bool) {
+	doc, err := fetchState(ctx, m.Mesh, servers)
+	if err != nil {
+		n.log.LogError(logrus.WarnLevel, telemetry.EventPeerCallFailed, err, logrus.Fields{telemetry.FieldPeer: m.Host}, "state of a peer not read")
+		return
+	}
+	if len(doc.Config) > 0 {
+		n.offerConfig(doc.Config, string(m.Host))
+	}
+	if !servers || len(doc.Servers) == 0 {
+		return
+	}
+	rows := make([]Row, 0, len(doc.Servers))
+	for key, value := range doc.Servers {
+		rows = append(rows, Row{Key: key, Value: value})
+	}
+	n.replaceServers(rows, false)
+}
+
+func fetchState(ctx context.Context, address string, servers bool) (stateDocument, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	target := "http://" + address + statePath
+	if servers {
+		target += "?servers"
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return stateDocument{}, newError(CodePeerState).Errorf("peer %s: %v", address, err)
+	}
+	request.Close = true // a connection to a peer is needed too rarely to be kept
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return stateDocument{}, newError(CodePeerState).Errorf("peer %s: %v", address, err)
+	}
+	defer response.Body.Close()
+	var doc stateDocument
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxState)).Decode(&doc); err != nil {
+		return stateDocument{}, newError(CodePeerState).Errorf("peer %s: %v", address, err)
+	}
+	return doc, nil
+}
--- /dev/null
+++ b/internal/gateway/headers.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+)
+
+// perConnection lists the headers that concern one connection only (RFC 9110,
+// section 7.6.1).
+var perConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// EndToEnd returns a copy of a header without what concerns one connection only.
+func EndToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		out[name] = values
+	}
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range perConnection {
+		delete(out, name)
+	}
+	return out
+}
+
+// passHead copies the head of a server's answer to the client.
+func passHead(w http.ResponseWriter, h http.Header) {
+	out := w.Header()
+	for name, values := range EndToEnd(h) {
+		out[name] = values
+	}
+	if out["Content-Type"] == nil {
+		out["Content-Type"] = nil // net/http would guess one
+	}
+}
--- /dev/null
+++ b/internal/peer/mesh/members.go
@@ -0,0 +1,98 @@
+package mesh
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+const (
+	// aliveFor is the silence after which a node is not named to clients.
+	aliveFor = 1100 * time.Millisecond
+	// goneFor is the silence after which a node's runs are forgotten.
+	goneFor = 3 * time.Second
+	// forgetFor is the silence after which a node gets no heartbeats.
+	forgetFor = 5 * time.Minute
+)
+
+type peer struct {
+	Member
+	heard time.Time // zero if only its address is known
+	gone  bool
+}
+
+// members is the view of all other nodes. It is a decision type: it holds no
+// clock and does no I/O.
+type members struct {
+	self  ident.HostID
+	peers map[ident.HostID]*peer
+}
+
+func newMembers(self ident.HostID) *members {
+	return &members{self: self, peers: map[ident.HostID]*peer{}}
+}
+
+// know adds a node whose address was read from the platform's store.
+func (m *members) know(now time.Time, x Member) {
+	if x.Host == m.self || x.Mesh == "" {
+		return
+	}
+	p := m.peers[x.Host]
+	if p == nil || x.Incarnation > p.Incarnation {
+		m.peers[x.Host] = &peer{Member: x, heard: now.Add(-aliveFor), gone: true}
+	}
+}
+
+// hear takes over what a node says of itself. It reports whether the node has
+// started anew since it was last heard, so that its earlier runs are void.
+func (m *members) hear(now time.Time, x Member) (restarted, ok bool) {
+	if x.Host == m.self || x.Host == "" {
+		return false, false
+	}
+	p := m.peers[x.Host]
+	if p != nil && x.Incarnation < p.Incarnation {
+		return false, false
+	}
+	restarted = p != nil && x.Incarnation > p.Incarnation
+	m.peers[x.Host] = &peer{Member: x, heard: now}
+	return restarted, true
+}
+
+// expire returns the nodes that have just been found gone.
+func (m *members) expire(now time.Time) []ident.HostID {
+	var gone []ident.HostID
+	for id, p := range m.peers {
+		silent := now.Sub(p.heard)
+		if silent > forgetFor {
+			delete(m.peers, id)
+		}
+		if silent > goneFor && !p.gone {
+			p.gone = true
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// alive returns the nodes heard a moment ago, by host id.
+func (m *members) alive(now time.Time) []Member {
+	var list []Member
+	for _, p := range m.peers {
+		if now.Sub(p.heard) < aliveFor {
+			list = append(list, p.Member)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Host < list[j].Host })
+	return list
+}
+
+func (m *members) addresses() []string {
+	list := make([]string, 0, len(m.peers))
+	for _, p := range m.peers {
+		list = append(list, p.Mesh)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/peer/mesh/message.go
@@ -0,0 +1,81 @@
+// Package mesh joins the nodes of a deployment by datagrams.
+//
+// Load pattern: what a node must know of its peers within milliseconds is small
+// and loses its worth within seconds: that they live, which version of the
+// configuration they have, which engine they gave a prompt, and which server
+// they lost. A datagram needs no connection that could go silent, and one that
+// is lost is made up for by the next heartbeat.
+//
+// A Mesh is used by any number of goroutines. Its sender and its receiver are
+// one goroutine each, joined to the rest by a bounded ring.
+package mesh
+
+import (
+	"encoding/json"
+
+	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// State is what a node says of itself.
+type State string
+
+// States of a node.
+const (
+	// Starting nodes have no configuration yet.
+	Starting State = "starting"
+	// Ready nodes take clients.
+	Ready State = "ready"
+	// Leaving nodes finish what they have.
+	Leaving State = "leaving"
+)
+
+// Member is a node as its peers see it.
+type Member struct {
+	Host        ident.HostID      `json:"h"`
+	Incarnation ident.Incarnation `json:"i"`
+	DataCentre  ident.DataCentre  `json:"d"`
+	Mesh        string            `json:"m"` // address for datagrams and state calls
+	Clients     string            `json:"c"` // address for clients
+	State       State             `json:"s"`
+	// ConfigVersion is the newest version that the node has.
+	ConfigVersion int64 `json:"v"`
+	// StoreAgeMs is the age of the node's newest answer from the platform's
+	// store in milliseconds.
+	StoreAgeMs int64 `json:"a"`
+}
+
+// EventKind says what an Event is about.
+type EventKind string
+
+// Kinds of events.
+const (
+	EventPlaced EventKind = "placed"
+	EventFirst  EventKind = "first"
+	EventEnded  EventKind = "ended"
+	EventLost   EventKind = "lost"
+)
+
+// Event is news of one node for the placement of its peers.
+type Event struct {
+	Kind   EventKind       `json:"k"`
+	Placed *fleet.Placed   `json:"p,omitempty"`
+	Server ident.BackendID `json:"b,omitempty"`
+	Loss   fleet.Loss      `json:"l,omitempty"`
+}
+
+// message is the content of one datagram.
+type message struct {
+	Member Member  `json:"m"`
+	Events []Event `json:"e,omitempty"`
+	// Hello asks the receiver to answer, as a node does that has just started.
+	Hello bool `json:"q,omitempty"`
+}
+
+func encode(m message) ([]byte, error) { return json.Marshal(m) }
+
+func decode(p []byte) (message, error) {
+	var m message
+	err := json.Unmarshal(p, &m)
+	return m, err
+}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -35,6 +35,9 @@
 	Backends               = Metric{"backends", Gauge, "servers", []string{"kind", "state"}, "Backend servers by state."}
 	Quarantined            = Metric{"quarantined_total", Counter, "requests", []string{"stage"}, "Requests suspected or confirmed to crash backend servers."}
 	ExplainObjects         = Metric{"explain_objects_total", Counter, "objects", []string{"outcome"}, "Writes of explanations to the object store by outcome."}
+	RoutedRequests         = Metric{"routed_requests_total", Counter, "requests", []string{"kind", "outcome"}, "Requests of a gateway by kind of route and outcome."}
+	RoutedSeconds          = Metric{"routed_request_seconds", Histogram, "seconds", []string{"kind"}, "Time from a request to the end of its answer, by kind of route."}
+	Probes                 = Metric{"backend_probes_total", Counter, "calls", nil, "Calls that ask a backend server for its state."}
 	OrdersTotal            = Metric{"orders_total", Counter, "orders", []string{"outcome"}, "Orders sent to backend servers."}
 )
 
@@ -49,5 +52,6 @@
 		&RingDropped, &Refused, &QueueLength,
 		&ContractSequence, &ContractFreshSeconds, &Isolated,
 		&Peers, &PeerCalls, &PlatformCalls, &Claims, &Backends, &Quarantined, &ExplainObjects, &OrdersTotal,
+		&RoutedRequests, &RoutedSeconds, &Probes,
 	}
 }
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -44,6 +44,15 @@
 	EventAuditFailed         Event = "audit_failed"
 	EventExplainFailed       Event = "explain_failed"
 	EventRingOverflow        Event = "ring_overflow"
+	EventRequestServed       Event = "request_served"
+	EventRequestTroubled     Event = "request_troubled"
+	EventBackendLost         Event = "backend_lost"
+	EventBackendListed       Event = "backend_listed"
+	EventConfigApplied       Event = "config_applied"
+	EventConfigRefused       Event = "config_refused"
+	EventStoreLost           Event = "store_lost"
+	EventStoreBack           Event = "store_back"
+	EventSettingsReloaded    Event = "settings_reloaded"
 )
 
 // Limits of repeated events. An outage repeats one event thousands of times a
