--- a/internal/daemoncmd/front.go
+++ b/internal/daemoncmd/front.go
@@ -1,7 +1,12 @@
 package daemoncmd
 
 import (
+	"bytes"
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -9,6 +14,36 @@
 	"github.com/yuccahatch/yuccahatch/platform"
 )
 
+// settingsPoll is how often the settings file is compared with what was read;
+// the platform may change it without a signal.
+const settingsPoll = 2 * time.Second
+
+// reloadOnChange reads the settings again on SIGHUP and when the file changes.
+func reloadOnChange(ctx context.Context, path string, n *front.Node) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	poll := time.NewTicker(settingsPoll)
+	defer poll.Stop()
+	seen, _ := os.ReadFile(path) // LoadSettings has reported a file that cannot be read
+	for {
+		why := "signal"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-poll.C:
+			raw, err := os.ReadFile(path)
+			if err != nil || bytes.Equal(raw, seen) {
+				continue // a file that is being replaced is read at the next poll
+			}
+			seen, why = raw, "file changed"
+		}
+		s, err := platform.LoadSettings(path)
+		n.Reload(s, err, why)
+	}
+}
+
 // frontCommand runs a node on the Arejo platform.
 func frontCommand() *cobra.Command {
 	return &cobra.Command{
@@ -30,6 +65,7 @@
 			}
 			ctx, leave, stop := signals(cmd.Context())
 			defer stop()
+			go reloadOnChange(ctx, os.Getenv(platform.SettingsVariable), n)
 			return n.Run(ctx, leave, front.Handlers{
 				Readiness: platform.ReadinessHandler(n),
 				Directory: platform.DirectoryHandler(n),
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -48,6 +48,31 @@
 	return s.Service == service && !s.Draining && !now.Before(s.lostUntil) && !f.inLostZone(s, now)
 }
 
+// candidates returns the usable servers of a service. When there is none, it
+// returns those that are only suspected, and else those that were found gone:
+// the signs of loss may be wrong, and trying a server is better than refusing.
+func (f *Fleet) candidates(service string, now time.Time, exclude Exclude) []*Server {
+	var usable, suspected, gone []*Server
+	for _, s := range f.servers {
+		switch {
+		case s.Service != service || s.Draining || slices.Contains(exclude, s.ID):
+		case f.usable(s, service, now):
+			usable = append(usable, s)
+		case !s.gone:
+			suspected = append(suspected, s)
+		default:
+			gone = append(gone, s)
+		}
+	}
+	switch {
+	case len(usable) > 0:
+		return usable
+	case len(suspected) > 0:
+		return suspected
+	}
+	return gone
+}
+
 // Engine chooses the engine for a prompt: the least expected time to the first
 // token, and among equals the first by the hash of the prompt.
 func (f *Fleet) Engine(now time.Time, service string, memory int, p Prompt, exclude Exclude) (Choice, bool) {
@@ -56,12 +81,8 @@
 	var best Choice
 	var bestCost time.Duration
 	var bestHash uint64
-	count := 0
-	for _, s := range f.servers {
-		if !f.usable(s, service, now) || slices.Contains(exclude, s.ID) {
-			continue
-		}
-		count++
+	candidates := f.candidates(service, now, exclude)
+	for _, s := range candidates {
 		prefill := s.prefillOn(p)
 		wait := s.queueWait(now)
 		cost := (wait + prefill + time.Duration(len(s.runs))*runCost + f.faultCost(s, now)).Truncate(waitStep)
@@ -73,7 +94,7 @@
 			best, bestCost, bestHash = Choice{Server: s, Wait: wait, Prefill: prefill}, cost, hash
 		}
 	}
-	best.Candidates = count
+	best.Candidates = len(candidates)
 	return best, best.Server != nil
 }
 
@@ -111,11 +132,9 @@
 	var best Choice
 	var bestCost time.Duration
 	equals := 0
-	for _, s := range f.servers {
-		if !f.usable(s, service, now) || slices.Contains(exclude, s.ID) {
-			continue
-		}
-		best.Candidates++
+	candidates := f.candidates(service, now, exclude)
+	best.Candidates = len(candidates)
+	for _, s := range candidates {
 		cost := (f.plainWait(s, now) + f.faultCost(s, now)).Truncate(plainWork)
 		switch {
 		case best.Server == nil || cost < bestCost:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -8,23 +9,25 @@
 )
 
 const (
-	// lostFor keeps work from a server that was found silent or unreachable. A
-	// server that crashed is back under a new identity before that.
-	lostFor = 1500 * time.Millisecond
-	// resetFor is the same after one connection was reset, which an answer that
-	// is lost also causes.
+	// goneFor keeps work from a server that was found gone, unless it reports
+	// again before. A server that crashed comes back under a new identity.
+	goneFor = 5 * time.Second
+	// reportLag is the time in which a report that was made before a loss may
+	// still arrive. A report that arrives later shows that the server lives.
+	reportLag = 1500 * time.Millisecond
+	// resetFor keeps work from a server after one connection was reset, which an
+	// answer that is lost also causes.
 	resetFor = 300 * time.Millisecond
 	// zoneLossWindow and zoneLossServers define the loss of a data centre: so
 	// many servers of one service lost within the window.
 	zoneLossWindow  = 500 * time.Millisecond
 	zoneLossServers = 3
-	// zoneLossFor is how long servers of a lost data centre get no new work
-	// unless they were heard from, or first seen, after the loss.
-	zoneLossFor = 1200 * time.Millisecond
-	// lapseGrace is how long a server whose entry disappeared during an outage
+	// LapseGrace is how long a server whose entry disappeared during an outage
 	// of the platform's store may still get work. Live servers are listed again
 	// within two seconds of the store's return.
-	lapseGrace = 2 * time.Second
+	LapseGrace = 2 * time.Second
+	// missingFor is how long the successor of a lost server is looked for.
+	missingFor = 10 * time.Second
 	// fullFor keeps new work from a server that refused one as full.
 	fullFor = 100 * time.Millisecond
 	// promptFor is how long an engine is expected to hold a prompt.
@@ -43,9 +46,11 @@
 	LossRefused
 	// LossSilent is a server that stopped sending.
 	LossSilent
+	// LossReplaced is another server at the address.
+	LossReplaced
 )
 
-func (l Loss) String() string { return [...]string{"reset", "refused", "silent"}[l] }
+func (l Loss) String() string { return [...]string{"reset", "refused", "silent", "replaced"}[l] }
 
 type zoneKey struct {
 	service    string
@@ -79,16 +84,23 @@
 	return f.epoch.Add(time.Duration(s.lastHeard.Load()))
 }
 
+// HeardSince reports whether anything arrived from the server since a time.
+func (f *Fleet) HeardSince(s *Server, at time.Time) bool { return f.heardAt(s).After(at) }
+
 // Put takes over an entry of the list.
 func (f *Fleet) Put(now time.Time, e Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[e.ID]
 	if s != nil && s.Born == e.Born && s.Address == e.Address && s.Service == e.Service {
-		if e.Sequence > s.Sequence && now.Sub(s.lostAt) > lostFor {
-			s.lostUntil = time.Time{}
+		s.unlisted = false
+		if e.Sequence > s.Sequence {
+			s.reportAt = now
+			if now.Sub(s.lostAt) > reportLag {
+				s.lostUntil = time.Time{}
+			}
 		}
-		s.Draining, s.Sequence, s.listedAt, s.removedAt = e.Draining, e.Sequence, now, time.Time{}
+		s.Draining, s.Sequence, s.removedAt = e.Draining, e.Sequence, time.Time{}
 		return
 	}
 	if s != nil && e.Born < s.Born {
@@ -97,15 +109,61 @@
 	f.servers[e.ID] = &Server{
 		Entry:     e,
 		firstSeen: now,
-		listedAt:  now,
 		runs:      map[runKey]*run{},
 		copies:    map[runKey]int{},
 		prompts:   map[uint64]cached{},
 	}
 }
 
+// Found adds a server that is not on the list yet, which was found at the
+// address of one that was lost while the list could not be read.
+func (f *Fleet) Found(now time.Time, e Entry) bool {
+	f.mu.Lock()
+	known := f.servers[e.ID] != nil
+	f.mu.Unlock()
+	if known {
+		return false
+	}
+	f.Put(now, e)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servers[e.ID].unlisted = true
+	return true
+}
+
+// DropUnlisted removes servers that were found and have not been listed since
+// the list could be read again.
+func (f *Fleet) DropUnlisted() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, s := range f.servers {
+		if s.unlisted {
+			delete(f.servers, id)
+		}
+	}
+}
+
+// Missing returns the servers of a service that were found gone, or whose data
+// centre was lost, and for whose address no other server is known.
+func (f *Fleet) Missing(now time.Time, service string) []*Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	present := map[string]bool{}
+	var missing []*Server
+	for _, s := range f.servers {
+		switch {
+		case s.Service != service || s.Draining:
+		case s.gone && now.Sub(s.lostAt) < missingFor, f.inLostZone(s, now):
+			missing = append(missing, s)
+		default:
+			present[s.Address] = true
+		}
+	}
+	return slices.DeleteFunc(missing, func(s *Server) bool { return present[s.Address] })
+}
+
 // Remove takes a server off the list. With lapsed, the entry disappeared during
-// an outage of the store, and the server goes on getting work for lapseGrace.
+// an outage of the store, and the server goes on getting work for LapseGrace.
 func (f *Fleet) Remove(now time.Time, id ident.BackendID, lapsed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -125,7 +183,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.servers {
-		if !s.removedAt.IsZero() && now.Sub(s.removedAt) > lapseGrace {
+		if !s.removedAt.IsZero() && now.Sub(s.removedAt) > LapseGrace {
 			delete(f.servers, id)
 		}
 		for part, c := range s.prompts {
@@ -174,24 +232,32 @@
 	if s == nil {
 		return false
 	}
-	known := now.Before(s.lostUntil)
-	repeated := now.Sub(s.lostAt) < zoneLossWindow
-	wait := lostFor
-	if how == LossReset && !repeated {
-		wait = resetFor
+	first := !now.Before(s.lostUntil) || how != LossReset && !s.gone
+	wait := resetFor
+	if how != LossReset {
+		wait = goneFor
+		if !s.gone || !now.Before(s.lostUntil) {
+			s.unreachable.Add(1)
+		}
+		s.prompts = map[uint64]cached{}
 	}
+	s.gone = how != LossReset || s.gone && now.Before(s.lostUntil)
 	if until := now.Add(wait); until.After(s.lostUntil) {
 		s.lostUntil = until
 	}
 	s.lostAt = now
-	if how != LossReset && !known {
-		s.unreachable.Add(1)
-	}
-	if how != LossReset {
-		s.prompts = map[uint64]cached{}
-	}
 	f.noteZone(now, s)
-	return !known
+	return first
+}
+
+// Verified records that a server whose connection was reset has answered.
+func (f *Fleet) Verified(now time.Time, s *Server) {
+	f.Heard(s, now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !s.gone {
+		s.lostUntil = time.Time{}
+	}
 }
 
 // noteZone records the loss of the data centre of s if enough of its servers
@@ -209,7 +275,7 @@
 }
 
 // ZoneLost reports whether the data centre of s was lost a moment ago and s has
-// not been heard from since.
+// not shown since that it lives.
 func (f *Fleet) ZoneLost(s *Server, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -218,10 +284,11 @@
 
 func (f *Fleet) inLostZone(s *Server, now time.Time) bool {
 	at, ok := f.zoneLost[zoneKey{s.Service, s.DataCentre}]
-	if !ok || now.Sub(at) > zoneLossFor {
+	if !ok || now.Sub(at) > goneFor {
 		return false
 	}
-	return s.firstSeen.Before(at) && f.heardAt(s).Before(at)
+	shown := s.firstSeen.After(at) || f.heardAt(s).After(at) || s.reportAt.Sub(at) > reportLag
+	return !shown
 }
 
 // Full records that a server refused a request as full.
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -59,6 +59,9 @@
 	if r := s.runs[runKey{host, p.Run}]; r != nil && r.waiting {
 		r.waiting = false
 		s.settle(now)
+		if r.part != 0 {
+			s.prompts[r.part] = cached{tokens: r.tokens, at: now}
+		}
 	}
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -66,12 +66,17 @@
 	unreachable atomic.Uint32
 
 	firstSeen time.Time
-	// listedAt is the time at which the newest entry was read.
-	listedAt time.Time
+	// unlisted servers were found at the address of a lost one, see Fleet.Found.
+	unlisted bool
+	// reportAt is the time at which the server's newest report was read.
+	reportAt time.Time
 	// lostAt is the time of the newest sign of loss; until lostUntil the server
 	// gets no work.
 	lostAt    time.Time
 	lostUntil time.Time
+	// gone tells a server that was found gone from one whose connection was
+	// reset, while lostUntil has not passed.
+	gone bool
 	// fullUntil ends the time after a refusal in which other servers go first.
 	fullUntil time.Time
 	// removedAt is set when the entry has gone from the list while the
@@ -115,16 +120,6 @@
 	return max(0, s.queueEnd.Sub(now))
 }
 
-func (s *Server) waitingRuns() int {
-	n := 0
-	for _, r := range s.runs {
-		if r.waiting {
-			n++
-		}
-	}
-	return n
-}
-
 // addRun puts a run at the end of the queue of prompts.
 func (s *Server) addRun(now time.Time, key runKey, r *run) {
 	s.runs[key] = r
@@ -135,9 +130,6 @@
 		}
 		s.queueEnd = start.Add(r.prefill)
 	}
-	if r.part != 0 {
-		s.prompts[r.part] = cached{tokens: r.tokens, at: now}
-	}
 }
 
 // settle recomputes the end of the queue after a run has left it.
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -59,10 +59,17 @@
 	config  *follower
 	servers *follower
 
+	// Settings that a reload may change, in nanoseconds.
+	addressTTL atomic.Int64
+	grace      atomic.Int64
+
 	leaving  atomic.Bool
 	listed   atomic.Bool // the servers have been read once
 	inFlight atomic.Int64
-	fetching atomic.Bool // a peer's state is being read
+	// storeBackAt is the time at which an outage of the store ended, in Unix
+	// nanoseconds.
+	storeBackAt atomic.Int64
+	fetching    atomic.Bool // a peer's state is being read
 
 	mu sync.Mutex
 	// mu guards what peers may ask for.
@@ -92,6 +99,8 @@
 		fleet: fleet.New(s.Host, now), pool: backendconn.NewPool(),
 		rawServers: map[string][]byte{},
 	}
+	n.addressTTL.Store(int64(s.AddressTTL))
+	n.grace.Store(int64(s.Grace))
 	n.mesh, err = mesh.New(s.Mesh, n.fleet, n.member, n.heard)
 	if err != nil {
 		return nil, err
@@ -101,7 +110,7 @@
 		Announce: n.mesh, Log: log, Metrics: gateway.NewMetrics(scope),
 		Budgets: &gateway.Budgets{
 			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window,
-			Hosts: func() int { return 1 + len(n.mesh.Alive(time.Now())) },
+			Others: func(service string) (gateway.Usage, int) { return n.mesh.Usage(time.Now(), service) },
 		},
 		Leaving: n.leaving.Load,
 	}
@@ -122,9 +131,9 @@
 	return !n.leaving.Load() && n.routes.Current() != nil && n.listed.Load()
 }
 
-// addressTTL is how long clients keep a list of addresses. A short time lets
+// listTTL is how long clients keep a list of addresses. A short time lets
 // them leave a host that is about to stop before it stops.
-const addressTTL = time.Second
+const listTTL = time.Second
 
 // Addresses returns the addresses that clients may use, and for how long.
 func (n *Node) Addresses() ([]string, time.Duration) {
@@ -140,7 +149,7 @@
 	if len(list) == 0 {
 		list = append(list, n.settings.Clients)
 	}
-	return list, min(addressTTL, max(n.settings.AddressTTL, time.Millisecond))
+	return list, min(listTTL, max(time.Duration(n.addressTTL.Load()), time.Millisecond))
 }
 
 // member describes this node to its peers.
@@ -150,7 +159,8 @@
 		Mesh: n.settings.Mesh, Clients: n.settings.Clients, State: mesh.Starting,
 		ConfigVersion: n.routes.Version(),
 	}
-	if n.servers != nil {
+	if n.gateway != nil {
+		m.Usage = n.gateway.Budgets.Own(now)
 		m.StoreAgeMs = n.servers.age(now).Milliseconds()
 	}
 	switch {
@@ -190,6 +200,20 @@
 	}, "configuration in force")
 }
 
+// noteOutage remembers when an outage of the store ended. Servers that live are
+// listed again a little later.
+func (n *Node) noteOutage(outage bool) {
+	if outage {
+		n.storeBackAt.Store(time.Now().UnixNano())
+	}
+}
+
+// mayLapse reports whether an entry that has disappeared may have lapsed during
+// an outage of the store.
+func (n *Node) mayLapse(now time.Time) bool {
+	return now.UnixNano()-n.storeBackAt.Load() < int64(fleet.LapseGrace)
+}
+
 // replaceServers takes over the whole list of servers.
 func (n *Node) replaceServers(rows []Row, outage bool) {
 	listed := make(map[ident.BackendID]bool, len(rows))
@@ -198,19 +222,21 @@
 	}
 	now := time.Now()
 	n.applyServers(rows, outage)
+	lapsed := n.mayLapse(now)
 	for _, id := range n.fleet.IDs() {
 		if !listed[id] {
-			n.removeServer(now, id, outage)
+			n.removeServer(now, id, lapsed)
 		}
 	}
 	n.listed.Store(true)
 }
 
 func (n *Node) applyServers(rows []Row, outage bool) {
+	n.noteOutage(outage)
 	now := time.Now()
 	for _, r := range rows {
 		if r.Removed {
-			n.removeServer(now, ident.BackendID(r.Key), outage)
+			n.removeServer(now, ident.BackendID(r.Key), n.mayLapse(now))
 			continue
 		}
 		e, err := n.decoder.DecodeEntry(r.Key, r.Value)
@@ -243,6 +269,7 @@
 
 // register tells other nodes of this one through the store, and learns of them.
 func (n *Node) register(ctx context.Context) {
+	n.mesh.Seed(n.settings.Seeds)
 	raw, err := json.Marshal(n.member(time.Now()))
 	if err != nil {
 		panic(err) // the type always encodes
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -66,12 +66,18 @@
 // readPeers reads the list of servers from a peer while the store does not
 // answer this node but does answer that one.
 func (n *Node) readPeers(ctx context.Context, now time.Time) {
-	if n.servers.age(now) < storeStale {
+	age := n.servers.age(now)
+	if age < storeStale {
 		return
 	}
+	// A node that has read nothing yet takes what any peer has.
+	limit := peerFresh
+	if !n.Ready() {
+		limit = age
+	}
 	var best *mesh.Member
 	for _, m := range n.mesh.Alive(now) {
-		if m.StoreAgeMs < peerFresh.Milliseconds() && (best == nil || m.StoreAgeMs < best.StoreAgeMs) {
+		if m.ConfigVersion > 0 && m.StoreAgeMs < limit.Milliseconds() && (best == nil || m.StoreAgeMs < best.StoreAgeMs) {
 			best = &m
 		}
 	}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -21,7 +21,7 @@
 	streamsUntil = 0.25
 	// leaveAtLeast is how long a leaving node goes on listening: clients keep a
 	// list of addresses up to three times as long as told.
-	leaveAtLeast = 3*addressTTL + 200*time.Millisecond
+	leaveAtLeast = 3*listTTL + 200*time.Millisecond
 	// leaveMargin is left between the end and the kill.
 	leaveMargin = 500 * time.Millisecond
 	// headerTimeout applies until a configuration sets one.
@@ -40,7 +40,7 @@
 	defer cancel()
 	n.log.Log(logrus.InfoLevel, telemetry.EventNodeStarted, logrus.Fields{"clients": n.settings.Clients, "incarnation": n.incarnation}, "node started")
 	var wg sync.WaitGroup
-	for _, worker := range []func(context.Context){n.mesh.Run, n.config.run, n.servers.run, n.register, n.housekeep} {
+	for _, worker := range []func(context.Context){n.mesh.Run, n.config.run, n.servers.run, n.register, n.housekeep, n.rediscover} {
 		wg.Go(func() { worker(ctx) })
 	}
 	servers, err := n.listen(h)
@@ -77,8 +77,9 @@
 	n.leaving.Store(true)
 	n.mesh.Announce()
 	n.log.Log(logrus.InfoLevel, telemetry.EventNodeLeaving, logrus.Fields{"in_flight": n.inFlight.Load()}, "node is leaving")
-	end := started.Add(max(n.settings.Grace-leaveMargin, 0))
-	if n.settings.Grace == 0 {
+	grace := time.Duration(n.grace.Load())
+	end := started.Add(max(grace-leaveMargin, 0))
+	if grace == 0 {
 		end = started.Add(time.Hour)
 	}
 	for time.Now().Before(end) && ctx.Err() == nil {
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -11,7 +11,10 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
 // RetryLimits bound the repeats that all hosts together send to one service.
@@ -28,11 +31,30 @@
 	// Addresses to listen on, IP:port. Directory is empty if the node does not
 	// serve it. Mesh carries datagrams and state calls between nodes.
 	Clients, Readiness, Directory, Mesh, Operators string
-	StoreAddress                                   string
-	MemoryMB                                       int
+	// Seeds are mesh addresses of some nodes, which may be gone.
+	Seeds        []string
+	StoreAddress string
+	MemoryMB     int
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// AddressTTL is the longest time for which clients keep a list of addresses.
 	AddressTTL time.Duration
 	Retry      RetryLimits
 }
+
+// Reload takes over settings that were read again. Addresses, the host's name
+// and the store's address stay until the next start. With an error the present
+// settings stay in force.
+func (n *Node) Reload(s Settings, err error, why string) {
+	if err != nil {
+		n.log.LogError(logrus.ErrorLevel, telemetry.EventSettingsReloaded, err, logrus.Fields{"why": why}, "settings refused, the present ones stay in force")
+		return
+	}
+	n.gateway.Budgets.SetLimits(s.Retry.Ratio, s.Retry.Slack)
+	n.addressTTL.Store(int64(s.AddressTTL))
+	n.grace.Store(int64(s.Grace))
+	n.mesh.Seed(s.Seeds)
+	n.log.Log(logrus.InfoLevel, telemetry.EventSettingsReloaded, logrus.Fields{
+		"why": why, "retry_ratio": s.Retry.Ratio, "retry_slack": s.Retry.Slack, "grace": s.Grace.String(), "address_ttl": s.AddressTTL.String(),
+	}, "settings read again")
+}
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -3,64 +3,124 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/yuccahatch/yuccahatch/internal/retrybudget"
 )
 
-// Budgets bounds the repeats to each service. All hosts share the limit of a
-// service, so each takes an equal part of its fixed share.
-type Budgets struct {
-	mu       sync.Mutex
-	services map[string]*retrybudget.Budget // guarded by mu
+// Usage is what one host sent to one service in the last window.
+type Usage struct {
+	Requests int `json:"q"` // of clients, on routes to the service
+	Repeats  int `json:"r"` // arrivals beyond the first of a request
+}
+
+// budgetSlots divide the window; older slots leave it one by one.
+const budgetSlots = 10
 
-	// Ratio is the number of repeats for each request, Slack the fixed number
-	// in a window of all hosts together.
-	Ratio float64
-	Slack float64
-	// Window is the length in which Slack is spent.
+// budgetMargin is the part of the limit that hosts use. What they know of each
+// other is some hundred milliseconds old, and a lost data centre makes all of
+// them repeat at once.
+const budgetMargin = 0.7
+
+// usageSlots counts one host's usage of a service in slots of a window.
+type usageSlots struct {
+	slots  [budgetSlots]Usage
+	newest int64 // number of the newest slot since 1970
+}
+
+func (u *usageSlots) at(number int64) *Usage {
+	if number-u.newest >= budgetSlots {
+		u.slots = [budgetSlots]Usage{}
+		u.newest = number
+	}
+	for u.newest < number {
+		u.newest++
+		u.slots[u.newest%budgetSlots] = Usage{}
+	}
+	return &u.slots[number%budgetSlots]
+}
+
+func (u *usageSlots) sum(number int64) Usage {
+	u.at(number)
+	var total Usage
+	for _, s := range u.slots {
+		total.Requests += s.Requests
+		total.Repeats += s.Repeats
+	}
+	return total
+}
+
+// Budgets bounds the repeats that all hosts together send to a service: a
+// fraction of its requests and a fixed number besides, in each window. Hosts
+// tell each other what they used, so that a host whose streams were lost may
+// use what others do not need.
+type Budgets struct {
+	// Ratio is the number of repeats for each request, Slack the fixed number.
+	// Both are guarded by mu once requests are served.
+	Ratio  float64
+	Slack  float64
 	Window time.Duration
-	// Hosts returns the number of hosts that share the slack.
-	Hosts func() int
+	// Others returns what the other hosts used of a service, and their number.
+	Others func(service string) (Usage, int)
+
+	mu  sync.Mutex
+	own map[string]*usageSlots // guarded by mu
 }
 
-// safety is the part of the limit that is used. Hosts see requests and repeats
-// of one window at different times.
-const safety = 0.6
+// SetLimits replaces the limits.
+func (b *Budgets) SetLimits(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Ratio, b.Slack = ratio, slack
+}
 
-func (b *Budgets) of(now time.Time, service string) *retrybudget.Budget {
-	if b.services == nil {
-		b.services = map[string]*retrybudget.Budget{}
+func (b *Budgets) slot(now time.Time) int64 {
+	return now.UnixNano() / max(1, int64(b.Window)/budgetSlots)
+}
+
+func (b *Budgets) of(service string) *usageSlots {
+	if b.own == nil {
+		b.own = map[string]*usageSlots{}
 	}
-	budget := b.services[service]
-	if budget == nil {
-		part := max(1, b.Slack*safety/float64(max(1, b.Hosts())))
-		var err error
-		budget, err = retrybudget.New(retrybudget.Config{
-			Base:          part,
-			PerGeneration: b.Ratio * safety,
-			PerSecond:     part / max(1, b.Window.Seconds()),
-		}, now)
-		if err != nil {
-			panic(err) // the configuration above is always valid
-		}
-		b.services[service] = budget
+	u := b.own[service]
+	if u == nil {
+		u = &usageSlots{}
+		b.own[service] = u
 	}
-	return budget
+	return u
 }
 
 // Started counts a new request.
 func (b *Budgets) Started(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	budget := b.of(now, service)
-	budget.Started(now)
-	budget.Ended(now)
+	b.of(service).at(b.slot(now)).Requests++
+}
+
+// Own returns what this host used in the last window.
+func (b *Budgets) Own(now time.Time) map[string]Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	usage := make(map[string]Usage, len(b.own))
+	for service, u := range b.own {
+		if sum := u.sum(b.slot(now)); sum != (Usage{}) {
+			usage[service] = sum
+		}
+	}
+	return usage
 }
 
 // Take spends one repeat and reports whether it may be made.
 func (b *Budgets) Take(now time.Time, service string) bool {
+	others, hosts := b.Others(service)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ok, _ := b.of(now, service).Take(now)
-	return ok
+	own := b.of(service)
+	sum := own.sum(b.slot(now))
+	limit := budgetMargin * (b.Ratio*float64(sum.Requests+others.Requests) + b.Slack)
+	// A host always has its equal part, so that one that others fill up is not
+	// starved; the margin covers it.
+	part := budgetMargin / 2 * (b.Ratio*float64(sum.Requests) + b.Slack/float64(hosts+1))
+	if float64(sum.Repeats+others.Repeats) >= limit && float64(sum.Repeats) >= part {
+		return false
+	}
+	own.at(b.slot(now)).Repeats++
+	return true
 }
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -59,6 +59,8 @@
 type Answer struct {
 	// NotRun is a server's statement that it did not and will not run the call.
 	NotRun bool
+	// Replaced is a server's statement that it is not the one that was asked.
+	Replaced bool
 	// Whole reports that the head bears the server's proof and that its body is
 	// not encoded, so that it may be passed on.
 	Whole bool
@@ -78,4 +80,15 @@
 	Answer(status int, header http.Header) Answer
 	// Probe returns the call that asks an engine for its state without a slot.
 	Probe() (method, target string)
+	// EngineState reads the answer to a probe; false if it is none of an engine.
+	EngineState(probe []byte) (EngineState, bool)
+	// Identity reads the id of the server that answered a status check.
+	Identity(h http.Header) ident.BackendID
+}
+
+// EngineState is what an engine says of itself.
+type EngineState struct {
+	Born         int64 // Unix millisecond of its start; 0 if not said
+	MemoryTokens int
+	Leaving      bool
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,9 +61,11 @@
 	team    string
 	end     time.Time // when the client or the route gives the request up
 
-	// sent counts attempts that may have run, refused those that did not.
+	// sent counts attempts that may have run, refused those that did not, and
+	// absent those of the latter whose server was gone or replaced.
 	sent    int
 	refused int
+	absent  int
 	exclude fleet.Exclude
 	// history is the list of attempts for the log, oldest first.
 	history []string
@@ -245,14 +247,26 @@
 	case backendconn.CodeSilent:
 		how = fleet.LossSilent
 	}
+	g.lostBy(s, how, err)
+}
+
+func (g *Gateway) lostBy(s *fleet.Server, how fleet.Loss, err error) {
 	if g.Fleet.Lost(time.Now(), s.ID, how) {
 		g.Announce.Lost(s.ID, how)
 		g.Log.LogError(logrus.WarnLevel, telemetry.EventBackendLost, err, logrus.Fields{
 			telemetry.FieldBackend: s.ID, "how": how.String(), "address": s.Address,
 		}, "backend server lost")
+		if t := g.Routes.Current(); how == fleet.LossReset && t != nil {
+			if service := t.Service(s.Service); service != nil && service.Engine != nil {
+				go g.verify(s)
+			}
+		}
 	}
 }
 
+// errReplaced is the answer of another server at the address.
+var errReplaced = errors.New("another server has the address")
+
 func addressOf(s *fleet.Server) backendconn.Server {
 	return backendconn.Server{ID: s.ID, Born: s.Born, Address: s.Address}
 }
@@ -276,29 +290,75 @@
 // probeTimeout is far above the time that an engine takes to tell its state.
 const probeTimeout = 120 * time.Millisecond
 
-// probe asks an engine for its state over a new connection.
-func (g *Gateway) probe(s *fleet.Server) bool {
+// ask makes one call without a slot to the server at an address over a new
+// connection.
+func (g *Gateway) ask(address backendconn.Server, method, target string) (*http.Response, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	g.Metrics.probes.Inc(1)
-	c, err := g.Pool.Get(ctx, addressOf(s), 0)
+	c, err := g.Pool.Get(ctx, address, 0)
 	if err != nil {
-		return false
+		return nil, nil, err
 	}
 	defer g.Pool.Close(c)
-	method, target := g.Codec.Probe()
 	response, err := c.Exchange(ctx, &backendconn.Request{
-		Method: method, Target: target, Host: s.Address, Header: http.Header{},
-		Owns: func(http.Header) bool { return true },
-		Watch: func(time.Time, time.Duration) error {
-			return ctx.Err()
-		},
+		Method: method, Target: target, Host: address.Address, Header: http.Header{},
+		Owns:  func(http.Header) bool { return true },
+		Watch: func(time.Time, time.Duration) error { return ctx.Err() },
 	})
 	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+	return response, body, err
+}
+
+// probe asks an engine for its state and reports whether it is the same one.
+func (g *Gateway) probe(s *fleet.Server) bool {
+	method, target := g.Codec.Probe()
+	response, body, err := g.ask(addressOf(s), method, target)
+	if err != nil || response.StatusCode >= http.StatusInternalServerError {
 		return false
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, 1<<20))
-	return err == nil && response.StatusCode < http.StatusInternalServerError
+	state, _ := g.Codec.EngineState(body)
+	return state.Born == 0 || s.Born == 0 || state.Born == s.Born
+}
+
+// Successor looks for the engine that has taken the address of a lost one. It
+// is taken for one of the same service only if it is an engine with that
+// service's memory, and no other service has engines: another service may use
+// the address of a server that is gone.
+func (g *Gateway) Successor(s *fleet.Server, service *routing.Service) (fleet.Entry, bool) {
+	method, target := g.Codec.Probe()
+	response, body, err := g.ask(addressOf(s), method, target)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return fleet.Entry{}, false
+	}
+	state, ok := g.Codec.EngineState(body)
+	if !ok || state.Leaving || service.Engine == nil || state.MemoryTokens != service.Engine.CacheTokens {
+		return fleet.Entry{}, false
+	}
+	if state.Born == s.Born {
+		g.Fleet.Heard(s, time.Now())
+		return fleet.Entry{}, false
+	}
+	response, _, err = g.ask(addressOf(s), http.MethodGet, service.HealthPath)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return fleet.Entry{}, false
+	}
+	e := s.Entry
+	e.ID, e.Born, e.Draining, e.Sequence = g.Codec.Identity(response.Header), state.Born, false, 0
+	return e, e.ID != "" && e.ID != s.ID
+}
+
+// verify asks an engine whose connection was reset whether it is still there. A
+// crash resets connections, and so does an answer that is lost on the way.
+func (g *Gateway) verify(s *fleet.Server) {
+	if g.probe(s) {
+		g.Fleet.Verified(time.Now(), s)
+		return
+	}
+	g.lost(s, backendconn.SilentError(probeTimeout, "no answer after a reset"))
 }
 
 // errGivenUp ends the wait for a server when the request is out of time.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -135,6 +135,7 @@
 			}
 			if r.answered() {
 				last = r
+				e.note("%s answered status %d", r.server.ID, r.status)
 			} else if r.err != nil {
 				e.note("%s: %v", r.server.ID, r.err)
 			}
@@ -210,6 +211,7 @@
 	now := time.Now()
 	started := now
 	mark := s.Mark()
+	replaced := false
 	response, err := c.Exchange(ctx, &backendconn.Request{
 		Method: e.call.Method, Target: e.call.Target, Host: e.call.Host,
 		Header: g.Codec.Encode(e.call, Attempt{Server: s.ID, Team: e.team, Timeout: e.left(now)}),
@@ -229,7 +231,7 @@
 	if err == nil {
 		r.status, r.header = response.StatusCode, response.Header
 		answer := g.Codec.Answer(response.StatusCode, response.Header)
-		r.notRun = answer.NotRun
+		r.notRun, replaced = answer.NotRun, answer.Replaced
 		r.body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 		if err != nil {
 			err = c.BodyError(err)
@@ -252,7 +254,11 @@
 	}
 	g.Pool.Put(addressOf(s), c, response)
 	if r.notRun {
-		g.Fleet.Full(s, time.Now())
+		if replaced {
+			g.lostBy(s, fleet.LossReplaced, errReplaced)
+		} else {
+			g.Fleet.Full(s, time.Now())
+		}
 		return r
 	}
 	g.Fleet.Result(s, r.status < 500)
@@ -262,7 +268,7 @@
 // tryFailed records a failed attempt. One that was cancelled says nothing of
 // its server unless the server had been silent for long.
 func (e *exchange) tryFailed(ctx context.Context, s *fleet.Server, started time.Time, err error) {
-	silent := time.Since(started) > silentCall
+	silent := time.Since(started) > silentCall && !e.g.Fleet.HeardSince(s, started)
 	switch {
 	case errors.Is(err, errGivenUp), ctx.Err() != nil && silent:
 		e.g.Fleet.Result(s, false)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -19,6 +19,8 @@
 	enginePoll = 50 * time.Millisecond
 	// maxRefusals bounds the engines that may refuse one request as full.
 	maxRefusals = 3
+	// maxAbsent bounds the engines that may turn out to be gone or replaced.
+	maxAbsent = 8
 	// maxLosses bounds the engines that a stream may lose. Engines that died do
 	// not count as attempts of the route, but a stream that loses so many is
 	// likely to be the cause.
@@ -92,7 +94,7 @@
 			return
 		case resultNotRun:
 			e.refused++
-			if e.refused >= maxRefusals+losses {
+			if e.refused-e.absent >= maxRefusals+losses || e.absent >= maxAbsent {
 				st.fail("engines refuse the request as full")
 				return
 			}
@@ -219,17 +221,23 @@
 	})
 	if err != nil {
 		g.Pool.Close(c)
-		return st.broke(s, backup, err)
+		return st.broke(s, nil, err) // there is no copy before the first event
 	}
 	answer := g.Codec.Answer(response.StatusCode, response.Header)
 	if answer.NotRun {
 		_, _ = io.CopyN(io.Discard, response.Body, 4<<10) // a short text; the connection is not kept if it is longer
 		g.Pool.Put(addressOf(s), c, response)
 		e.note("not run, status %d", response.StatusCode)
-		if a.CopyOf == "" {
+		switch {
+		case answer.Replaced:
+			e.absent++
+			g.lostBy(s, fleet.LossReplaced, errReplaced)
+		case a.CopyOf == "":
 			g.Fleet.Full(s, time.Now())
-			e.exclude = append(e.exclude, s.ID)
+		default:
+			return resultNotRun // the copy is not there, but the engine is
 		}
+		e.exclude = append(e.exclude, s.ID)
 		return resultNotRun
 	}
 	if response.StatusCode >= 300 || !answer.Whole {
@@ -243,6 +251,7 @@
 	if st.clientGone() {
 		return resultGone
 	}
+	st.absent++
 	st.note("connect %s: %v", s.ID, err)
 	st.g.lost(s, err)
 	st.exclude = append(st.exclude, s.ID)
@@ -319,6 +328,9 @@
 			return resultEnded
 		default:
 			st.g.Pool.Close(c)
+			if !watch.flowing {
+				backup = nil // there is no copy before the first event
+			}
 			return st.broke(s, backup, c.BodyError(err))
 		}
 	}
--- a/internal/peer/mesh/members.go
+++ b/internal/peer/mesh/members.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
@@ -89,6 +90,24 @@
 	return list
 }
 
+// usageFor is how long the usage of a node that is gone counts.
+const usageFor = 10 * time.Second
+
+// usage sums up what the nodes sent to a service in the last window.
+func (m *members) usage(now time.Time, service string) (total gateway.Usage, nodes int) {
+	for _, p := range m.peers {
+		silent := now.Sub(p.heard)
+		if silent < usageFor {
+			total.Requests += p.Usage[service].Requests
+			total.Repeats += p.Usage[service].Repeats
+		}
+		if silent < aliveFor {
+			nodes++
+		}
+	}
+	return total, nodes
+}
+
 func (m *members) addresses() []string {
 	list := make([]string, 0, len(m.peers))
 	for _, p := range m.peers {
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/ring"
 )
@@ -106,6 +107,16 @@
 	m.push(Event{Kind: EventLost, Server: server, Loss: how}, true)
 }
 
+// Found tells peers of a server that the list does not have yet.
+func (m *Mesh) Found(e fleet.Entry) { m.push(Event{Kind: EventFound, Found: &e}, true) }
+
+// Usage returns what the other nodes used of a service, and their number.
+func (m *Mesh) Usage(now time.Time, service string) (total gateway.Usage, nodes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.usage(now, service)
+}
+
 func (m *Mesh) push(e Event, urgent bool) {
 	m.news.TryPush(e)
 	signal := m.pending
@@ -233,6 +244,8 @@
 
 func (m *Mesh) apply(now time.Time, host ident.HostID, e Event) {
 	switch {
+	case e.Kind == EventFound && e.Found != nil:
+		m.fleet.Found(now, *e.Found)
 	case e.Kind == EventLost:
 		m.fleet.Lost(now, e.Server, e.Loss)
 	case e.Placed == nil:
@@ -253,3 +266,14 @@
 
 // Hello tells all peers of this node and asks for an answer.
 func (m *Mesh) Hello() { m.broadcast(time.Now(), nil, true) }
+
+// Seed asks nodes of which only the address is known to make themselves known.
+func (m *Mesh) Seed(addresses []string) {
+	p, err := encode(message{Member: m.self(time.Now()), Hello: true})
+	if err != nil {
+		panic(err) // the types above always encode
+	}
+	for _, address := range addresses {
+		m.sendTo(address, p)
+	}
+}
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
@@ -43,6 +44,8 @@
 	// StoreAgeMs is the age of the node's newest answer from the platform's
 	// store in milliseconds.
 	StoreAgeMs int64 `json:"a"`
+	// Usage is what the node sent to each service in the last window.
+	Usage map[string]gateway.Usage `json:"u,omitempty"`
 }
 
 // EventKind says what an Event is about.
@@ -54,6 +57,7 @@
 	EventFirst  EventKind = "first"
 	EventEnded  EventKind = "ended"
 	EventLost   EventKind = "lost"
+	EventFound  EventKind = "found"
 )
 
 // Event is news of one node for the placement of its peers.
@@ -62,6 +66,8 @@
 	Placed *fleet.Placed   `json:"p,omitempty"`
 	Server ident.BackendID `json:"b,omitempty"`
 	Loss   fleet.Loss      `json:"l,omitempty"`
+	// Found is a server that was found at the address of one that was lost.
+	Found *fleet.Entry `json:"f,omitempty"`
 }
 
 // message is the content of one datagram.
