--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -16,7 +16,7 @@
 	// host finds the engine that has read its prompt.
 	waitStep = 150 * time.Millisecond
 	// runCost is the expected slow-down by one more running request.
-	runCost = 4 * time.Millisecond
+	runCost = 150 * time.Millisecond
 	// failCost is the cost of a failure rate of 1.
 	failCost = 3 * time.Second
 	// fullCost is the cost of a server that refused a request a moment ago.
