--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -11,11 +11,15 @@
 )
 
 const (
-	// waitStep is the precision of expected waits. Within one step the choice
-	// follows the hash of the prompt, so that a request that comes back to any
-	// host finds the engine that has read its prompt.
-	waitStep = 150 * time.Millisecond
-	// runCost is the expected slow-down by one more running request.
+	// equalWait is the difference of expected waits within which engines count as
+	// equal. Among equals the choice follows the hash of the prompt, which
+	// spreads requests that hosts place in the same moment.
+	equalWait = 150 * time.Millisecond
+	// equalAfterLoss is the same for a request that has lost an engine: when a
+	// data centre is lost, all hosts place such requests at once.
+	equalAfterLoss = 500 * time.Millisecond
+	// runCost is the cost of reading a prompt beside one running request, whose
+	// tokens it slows.
 	runCost = 150 * time.Millisecond
 	// failCost is the cost of a failure rate of 1.
 	failCost = 3 * time.Second
@@ -73,29 +77,42 @@
 	return gone
 }
 
-// Engine chooses the engine for a prompt: the least expected time to the first
-// token, and among equals the first by the hash of the prompt.
+// Engine chooses the engine for a prompt: of those with nearly the least expected
+// time to the first token the first by the hash of the prompt.
 func (f *Fleet) Engine(now time.Time, service string, memory int, p Prompt, exclude Exclude) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var best Choice
-	var bestCost time.Duration
-	var bestHash uint64
 	candidates := f.candidates(service, now, exclude)
-	for _, s := range candidates {
-		prefill := s.prefillOn(p)
-		wait := s.queueWait(now)
-		cost := (wait + prefill + time.Duration(len(s.runs))*runCost + f.faultCost(s, now)).Truncate(waitStep)
-		if memory > 0 && s.usedTokens()+p.Tokens+p.Output > memory {
-			cost += noRoomCost
-		}
-		hash := preference(p.Part, s)
-		if best.Server == nil || cost < bestCost || cost == bestCost && hash > bestHash {
-			best, bestCost, bestHash = Choice{Server: s, Wait: wait, Prefill: prefill}, cost, hash
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	costs := make([]time.Duration, len(candidates))
+	for i, s := range candidates {
+		costs[i] = f.engineCost(s, now, memory, p)
+	}
+	limit := slices.Min(costs) + equalWait
+	if len(exclude) > 0 {
+		limit += equalAfterLoss - equalWait
+	}
+	best := Choice{Candidates: len(candidates)}
+	var rank uint64
+	for i, s := range candidates {
+		if hash := preference(p.Part, s); costs[i] <= limit && (best.Server == nil || hash > rank) {
+			best.Server, rank = s, hash
 		}
 	}
-	best.Candidates = len(candidates)
-	return best, best.Server != nil
+	best.Wait, best.Prefill = best.Server.queueWait(now), best.Server.prefillOn(p)
+	return best, true
+}
+
+// engineCost is the expected time to the first token, and the time by which the
+// prompt slows other requests.
+func (f *Fleet) engineCost(s *Server, now time.Time, memory int, p Prompt) time.Duration {
+	cost := s.queueWait(now) + s.prefillOn(p) + time.Duration(len(s.runs))*runCost + f.faultCost(s, now)
+	if memory > 0 && s.usedTokens()+p.Tokens+p.Output > memory {
+		cost += noRoomCost
+	}
+	return cost
 }
 
 // Backup chooses the engine that holds the copy of a run: in another data
@@ -171,19 +188,6 @@
 	return cost
 }
 
-// Usable reports whether a service has a server that may get work.
-func (f *Fleet) Usable(now time.Time, service string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, s := range f.servers {
-		if f.usable(s, service, now) {
-			n++
-		}
-	}
-	return n
-}
-
 // preference ranks servers for a prompt in the same way on every host.
 func preference(part uint64, s *Server) uint64 {
 	return xxh3.HashStringSeed(string(s.ID), part)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -125,3 +125,38 @@
 	}
 	return time.Duration(max(tokens, 1)) * prefillPerToken
 }
+
+// Holds records that an engine holds the prompt parts of the given hashes.
+func (f *Fleet) Holds(now time.Time, s *Server, parts map[uint64]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for part, tokens := range parts {
+		s.prompts[part] = cached{tokens: tokens, at: now}
+	}
+}
+
+// Held reports whether a usable engine of the service is known to hold the last
+// part of a prompt.
+func (f *Fleet) Held(now time.Time, service string, part uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if _, ok := s.prompts[part]; ok && f.usable(s, service, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Usable returns the servers of a service that may get work.
+func (f *Fleet) Usable(now time.Time, service string) []*Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*Server
+	for _, s := range f.servers {
+		if f.usable(s, service, now) {
+			list = append(list, s)
+		}
+	}
+	return list
+}
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -82,6 +82,10 @@
 	Probe() (method, target string)
 	// EngineState reads the answer to a probe; false if it is none of an engine.
 	EngineState(probe []byte) (EngineState, bool)
+	// HeldCall returns the call that asks an engine for the prompts that it holds.
+	HeldCall() (method, target string)
+	// Held reads the answer to it: the tokens held by the hash of the part.
+	Held(body []byte) map[uint64]int
 	// Identity reads the id of the server that answered a status check.
 	Identity(h http.Header) ident.BackendID
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,8 @@
 	// Leaving reports whether the node is about to stop.
 	Leaving func() bool
 
+	locating locator
+
 	mu      sync.Mutex
 	nextRun uint64 // guarded by mu
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -66,6 +66,9 @@
 func (e *exchange) stream() {
 	st := &streamState{exchange: e, last: e.call.After, write: http.NewResponseController(e.w)}
 	losses := 0
+	if st.last > 0 {
+		e.g.locate(e.ctx, e.service.Name, e.call.Prompt.Part)
+	}
 	for {
 		now := time.Now()
 		if e.left(now) <= 0 {
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -17,7 +17,7 @@
 	// heartbeat is how often a node tells all others of itself.
 	heartbeat = 300 * time.Millisecond
 	// batch is how long news of placements wait for others to share a datagram.
-	batch = 15 * time.Millisecond
+	batch = 5 * time.Millisecond
 	// ringSize bounds the news that wait. The oldest lose their worth first, and
 	// a refused one only makes the peers' estimates worse.
 	ringSize = 512
