--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -120,8 +120,8 @@
 // prefillOn estimates the time that s needs to read the prompt.
 func (s *Server) prefillOn(p Prompt) time.Duration {
 	tokens := p.Tokens - p.Done
-	if _, ok := s.prompts[p.Part]; ok && p.Part != 0 {
-		tokens = min(tokens, cachedTokens)
+	if c, ok := s.prompts[p.Part]; ok && p.Part != 0 {
+		tokens = min(tokens, max(cachedTokens, p.Tokens-c.tokens))
 	}
 	return time.Duration(max(tokens, 1)) * prefillPerToken
 }
