--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,10 +22,11 @@
 	// many servers of one service lost within the window.
 	zoneLossWindow  = 500 * time.Millisecond
 	zoneLossServers = 3
-	// LapseGrace is how long a server whose entry disappeared during an outage
-	// of the platform's store may still get work. Live servers are listed again
-	// within two seconds of the store's return.
-	LapseGrace = 2 * time.Second
+	// lapseGrace is how long a server whose entry disappeared right after an
+	// outage of the platform's store may still get work. Live servers are listed
+	// again soon; one that left must get no work two seconds after its entry was
+	// removed, of which the read of the list takes up to 600 ms.
+	lapseGrace = 1200 * time.Millisecond
 	// missingFor is how long the successor of a lost server is looked for.
 	missingFor = 10 * time.Second
 	// fullFor keeps new work from a server that refused one as full.
@@ -163,7 +164,7 @@
 }
 
 // Remove takes a server off the list. With lapsed, the entry disappeared during
-// an outage of the store, and the server goes on getting work for LapseGrace.
+// an outage of the store, and the server goes on getting work for lapseGrace.
 func (f *Fleet) Remove(now time.Time, id ident.BackendID, lapsed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -183,7 +184,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.servers {
-		if !s.removedAt.IsZero() && now.Sub(s.removedAt) > LapseGrace {
+		if !s.removedAt.IsZero() && now.Sub(s.removedAt) > lapseGrace {
 			delete(f.servers, id)
 		}
 		for part, c := range s.prompts {
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -14,7 +14,7 @@
 const (
 	// retryFirst and retryMost are the pauses after failed calls of the store.
 	retryFirst = 60 * time.Millisecond
-	retryMost  = 500 * time.Millisecond
+	retryMost  = 250 * time.Millisecond
 	// outageAfter is the time without an answer after which the store counts as
 	// lost. Rows that vanish right after an outage may have lapsed.
 	outageAfter = 1500 * time.Millisecond
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -32,6 +32,9 @@
 	serversPause = 600 * time.Millisecond
 	// housekeeping is how often expired state is dropped.
 	housekeeping = 500 * time.Millisecond
+	// lapseWindow is the time after an outage of the store in which entries of
+	// live servers may still be missing.
+	lapseWindow = 2 * time.Second
 	// logBuffer is the number of log lines that may wait for a slow reader.
 	logBuffer = 1024
 	// memoryShare is the part of the host's memory at which the collector works
@@ -66,10 +69,14 @@
 	leaving  atomic.Bool
 	listed   atomic.Bool // the servers have been read once
 	inFlight atomic.Int64
-	// storeBackAt is the time at which an outage of the store ended, in Unix
+	// storeBackAt is the time at which this node's newest outage of the store
+	// ended, and lapsesAt the same for outages that all nodes saw, in Unix
 	// nanoseconds.
 	storeBackAt atomic.Int64
-	fetching    atomic.Bool // a peer's state is being read
+	lapsesAt    atomic.Int64
+	// peersFresh is set while peers read the store and this node does not.
+	peersFresh atomic.Bool
+	fetching   atomic.Bool // a peer's state is being read
 
 	mu sync.Mutex
 	// mu guards what peers may ask for.
@@ -200,18 +207,23 @@
 	}, "configuration in force")
 }
 
-// noteOutage remembers when an outage of the store ended. Servers that live are
-// listed again a little later.
+// noteOutage remembers when an outage of the store ended. Entries lapse only if
+// the store itself was away: while peers could read it, servers could report.
 func (n *Node) noteOutage(outage bool) {
-	if outage {
-		n.storeBackAt.Store(time.Now().UnixNano())
+	if !outage {
+		return
+	}
+	now := time.Now().UnixNano()
+	n.storeBackAt.Store(now)
+	if !n.peersFresh.Swap(false) {
+		n.lapsesAt.Store(now)
 	}
 }
 
 // mayLapse reports whether an entry that has disappeared may have lapsed during
 // an outage of the store.
 func (n *Node) mayLapse(now time.Time) bool {
-	return now.UnixNano()-n.storeBackAt.Load() < int64(fleet.LapseGrace)
+	return now.UnixNano()-n.lapsesAt.Load() < int64(lapseWindow)
 }
 
 // replaceServers takes over the whole list of servers.
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -22,6 +22,9 @@
 	// asking.
 	storeStale = 1200 * time.Millisecond
 	peerFresh  = 1000 * time.Millisecond
+	// outageShared is the age above which an outage that all nodes see makes the
+	// answers of all peers old too.
+	outageShared = 2200 * time.Millisecond
 	// newerAfter is how long a node waits for a version from the store that a
 	// peer already has.
 	newerAfter = 150 * time.Millisecond
@@ -82,6 +85,9 @@
 		}
 	}
 	if best != nil {
+		if age > outageShared && best.StoreAgeMs < peerFresh.Milliseconds() {
+			n.peersFresh.Store(true)
+		}
 		n.readPeer(ctx, *best, true)
 	}
 }
--- a/internal/front/rediscover.go
+++ b/internal/front/rediscover.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/xxh3"
 
-	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/routing"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
@@ -35,7 +34,7 @@
 		}
 		now := time.Now()
 		if n.servers.age(now) < storeStale {
-			if back := n.storeBackAt.Load(); back != 0 && now.UnixNano()-back > int64(2*fleet.LapseGrace) {
+			if back := n.storeBackAt.Load(); back != 0 && now.UnixNano()-back > int64(2*lapseWindow) {
 				n.fleet.DropUnlisted()
 			}
 			continue
