Let one node read the servers' reports for all

Cause: each host read the feed of servers every 600 ms, and every 250 ms each of two tables while the store was away. The others now read only when a heartbeat tells of a change or no peer proves the list current.

--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -12,9 +12,11 @@
 )
 
 const (
-	// retryFirst and retryMost are the pauses after failed calls of the store.
+	// retryFirst is the first pause after a failed call of the store. It doubles
+	// up to retryMost, or to retryEager where others wait for this node.
 	retryFirst = 60 * time.Millisecond
-	retryMost  = 250 * time.Millisecond
+	retryEager = 250 * time.Millisecond
+	retryMost  = time.Second
 	// outageAfter is the time without an answer after which the store counts as
 	// lost. Rows that vanish right after an outage may have lapsed.
 	outageAfter = 1500 * time.Millisecond
@@ -27,15 +29,26 @@
 	log   *telemetry.EventLog
 	// wait is how long the store may hold a call back until there is news.
 	wait time.Duration
-	// pause is the time between calls, for tables that always have news.
-	pause time.Duration
+	// due reports whether the table should be read now, and if not, when to ask
+	// again. It is nil for tables that are always followed.
+	due func(now time.Time, revision int64) (bool, time.Duration)
 	// replace takes over a whole table; apply takes over changes. outage is
 	// true for the first answer after the store was lost.
-	replace func(rows []Row, outage bool)
-	apply   func(rows []Row, outage bool)
+	replace func(rows Rows, outage bool)
+	apply   func(rows Rows, outage bool)
+	// onRead is called after each answer; may be nil.
+	onRead func()
+	// eager reports whether other nodes wait for this one's answers.
+	eager func(now time.Time) bool
 	// wake asks for a call now.
 	wake chan struct{}
+	// retry ends a pause.
+	retry chan struct{}
 
+	// revision is how far the table has been read.
+	revision atomic.Int64
+	// failing is set while calls fail.
+	failing atomic.Bool
 	// answered is the time of the newest answer in Unix nanoseconds.
 	answered atomic.Int64
 }
@@ -58,44 +71,66 @@
 }
 
 func (f *follower) run(ctx context.Context) {
-	revision := int64(0)
 	backoff := retryFirst
-	last := time.Now()
+	var since time.Time // start of the present series of failed calls
 	lost := false
 	for ctx.Err() == nil {
+		if wait, ok := f.mustRead(time.Now()); !ok {
+			f.sleep(ctx, wait)
+			continue
+		}
+		revision := f.revision.Load()
 		rows, err := f.read(ctx, revision)
 		now := time.Now()
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryGone):
-			revision = 0
+			f.revision.Store(0)
 			continue
 		case err != nil:
-			if !lost && now.Sub(last) > outageAfter {
+			if since.IsZero() {
+				since = now
+				f.failing.Store(true)
+			}
+			if !lost && now.Sub(since) > outageAfter {
 				lost = true
 				f.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": f.table}, "the store does not answer")
 			}
-			f.sleep(ctx, backoff)
-			backoff = min(2*backoff, retryMost)
+			f.pause(ctx, backoff)
+			most := retryMost
+			if f.eager != nil && f.eager(now) {
+				most = retryEager
+			}
+			backoff = min(2*backoff, most)
 			continue
 		}
-		outage := lost || now.Sub(last) > outageAfter+f.wait
 		if lost {
-			f.log.Log(logrus.InfoLevel, telemetry.EventStoreBack, logrus.Fields{"table": f.table, "outage_ms": now.Sub(last).Milliseconds()}, "the store answers again")
+			f.log.Log(logrus.InfoLevel, telemetry.EventStoreBack, logrus.Fields{"table": f.table, "outage_ms": now.Sub(since).Milliseconds()}, "the store answers again")
 		}
-		last, lost, backoff = now, false, retryFirst
 		if revision == 0 {
-			f.replace(rows.Rows, outage)
+			f.replace(rows, lost)
 		} else if len(rows.Rows) > 0 {
-			f.apply(rows.Rows, outage)
+			f.apply(rows, lost)
 		}
-		revision = max(rows.Revision, revision)
+		since, lost, backoff = time.Time{}, false, retryFirst
+		f.failing.Store(false)
+		f.revision.Store(max(rows.Revision, revision))
 		f.answered.Store(now.UnixNano())
-		f.sleep(ctx, f.pause)
+		if f.onRead != nil {
+			f.onRead()
+		}
 	}
 }
 
+func (f *follower) mustRead(now time.Time) (time.Duration, bool) {
+	if f.due == nil || f.revision.Load() == 0 {
+		return 0, true
+	}
+	ok, wait := f.due(now, f.revision.Load())
+	return wait, ok
+}
+
 func (f *follower) read(ctx context.Context, revision int64) (Rows, error) {
 	if revision == 0 {
 		return f.store.List(ctx, f.table)
@@ -103,6 +138,24 @@
 	return f.store.Follow(ctx, f.table, revision, f.wait)
 }
 
+// pause waits after a failed call. News of changes do not shorten it, but an
+// answer to another call of this node does.
+func (f *follower) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-f.retry:
+	case <-ctx.Done():
+	}
+}
+
+// retryNow ends a pause, since the store answers again.
+func (f *follower) retryNow() {
+	select {
+	case f.retry <- struct{}{}:
+	default:
+	}
+}
+
 func (f *follower) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -25,11 +25,7 @@
 const (
 	// configWait is how long the store holds the call for the configuration. A
 	// connection that went silent is found by then, or by a peer's heartbeat.
-	configWait = 5 * time.Second
-	// serversPause is the time between reads of the servers' reports, which
-	// change many times a second. A server must be left two seconds after it
-	// reported that it leaves.
-	serversPause = 600 * time.Millisecond
+	configWait = 15 * time.Second
 	// housekeeping is how often expired state is dropped.
 	housekeeping = 500 * time.Millisecond
 	// lapseWindow is the time after an outage of the store in which entries of
@@ -74,6 +70,9 @@
 	// nanoseconds.
 	storeBackAt atomic.Int64
 	lapsesAt    atomic.Int64
+	// serversChanged is the revision of the newest change of a server that is
+	// more than a sign of life.
+	serversChanged atomic.Int64
 	// peersFresh is set while peers read the store and this node does not.
 	peersFresh atomic.Bool
 	fetching   atomic.Bool // a peer's state is being read
@@ -121,15 +120,17 @@
 		},
 		Leaving: n.leaving.Load,
 	}
-	n.config = n.newFollower(TableConfig, configWait, 0, n.replaceConfig, n.applyConfig)
-	n.servers = n.newFollower(TableServers, 0, serversPause, n.replaceServers, n.applyServers)
+	n.config = n.newFollower(TableConfig, configWait, n.applyConfig, n.applyConfig)
+	n.servers = n.newFollower(TableServers, 0, n.replaceServers, n.applyServers)
+	n.servers.due = n.serversDue
+	n.servers.onRead, n.servers.eager = n.tellRead, n.isReader
 	return n, nil
 }
 
-func (n *Node) newFollower(t Table, wait, pause time.Duration, replace, apply func([]Row, bool)) *follower {
+func (n *Node) newFollower(t Table, wait time.Duration, replace, apply func(Rows, bool)) *follower {
 	return &follower{
-		store: n.store, table: t, log: n.log, wait: wait, pause: pause,
-		replace: replace, apply: apply, wake: make(chan struct{}, 1),
+		store: n.store, table: t, log: n.log, wait: wait,
+		replace: replace, apply: apply, wake: make(chan struct{}, 1), retry: make(chan struct{}, 1),
 	}
 }
 
@@ -168,6 +169,7 @@
 	}
 	if n.gateway != nil {
 		m.Usage = n.gateway.Budgets.Own(now)
+		m.ServersChanged = n.serversChanged.Load()
 		m.StoreAgeMs = n.servers.age(now).Milliseconds()
 	}
 	switch {
@@ -179,10 +181,8 @@
 	return m
 }
 
-func (n *Node) replaceConfig(rows []Row, outage bool) { n.applyConfig(rows, outage) }
-
-func (n *Node) applyConfig(rows []Row, _ bool) {
-	for _, r := range rows {
+func (n *Node) applyConfig(rows Rows, _ bool) {
+	for _, r := range rows.Rows {
 		if r.Key == configKey && !r.Removed {
 			n.offerConfig(r.Value, "store")
 		}
@@ -226,50 +226,90 @@
 	return now.UnixNano()-n.lapsesAt.Load() < int64(lapseWindow)
 }
 
+// tellRead lets the other nodes know at once that this one has read the list.
+// The configuration is read again too if the store was away.
+func (n *Node) tellRead() {
+	n.mesh.Announce()
+	if n.config.failing.Load() {
+		n.config.retryNow()
+	}
+}
+
 // replaceServers takes over the whole list of servers.
-func (n *Node) replaceServers(rows []Row, outage bool) {
-	listed := make(map[ident.BackendID]bool, len(rows))
-	for _, r := range rows {
+func (n *Node) replaceServers(rows Rows, outage bool) {
+	listed := make(map[ident.BackendID]bool, len(rows.Rows))
+	for _, r := range rows.Rows {
 		listed[ident.BackendID(r.Key)] = true
 	}
+	first := !n.listed.Load()
 	now := time.Now()
 	n.applyServers(rows, outage)
 	lapsed := n.mayLapse(now)
 	for _, id := range n.fleet.IDs() {
 		if !listed[id] {
 			n.removeServer(now, id, lapsed)
+			n.serverChanged(rows.Revision, rows.Revision)
 		}
 	}
+	if first {
+		n.serversChanged.Store(0) // what a start reads is no change
+	}
 	n.listed.Store(true)
 }
 
-func (n *Node) applyServers(rows []Row, outage bool) {
+// applyServers takes over changes of the list of servers.
+func (n *Node) applyServers(rows Rows, outage bool) {
 	n.noteOutage(outage)
 	now := time.Now()
-	for _, r := range rows {
-		if r.Removed {
-			n.removeServer(now, ident.BackendID(r.Key), n.mayLapse(now))
-			continue
-		}
-		e, err := n.decoder.DecodeEntry(r.Key, r.Value)
-		if err != nil {
-			n.log.LogError(logrus.WarnLevel, telemetry.EventBackendListed, err, nil, "entry names no usable server")
-			n.removeServer(now, ident.BackendID(r.Key), false)
-			continue
-		}
-		if old := n.fleet.Server(e.ID); old == nil || old.Born != e.Born || old.Draining != e.Draining {
-			n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
-				telemetry.FieldBackend: e.ID, "address": e.Address, "service": e.Service, "leaving": e.Draining, "sequence": e.Sequence,
-			}, "backend server listed")
+	for _, r := range rows.Rows {
+		if n.applyServer(now, r) {
+			n.serverChanged(r.Version, rows.Revision)
 		}
-		n.fleet.Put(now, e)
-		n.mu.Lock()
-		n.rawServers[r.Key] = r.Value
-		n.mu.Unlock()
 	}
 }
 
-func (n *Node) removeServer(now time.Time, id ident.BackendID, lapsed bool) {
+// serverChanged notes the version of a change, or the revision by which it was
+// read if the version is unknown.
+func (n *Node) serverChanged(version, revision int64) {
+	if version == 0 {
+		version = revision
+	}
+	if version > n.serversChanged.Load() {
+		n.serversChanged.Store(version)
+	}
+}
+
+// applyServer takes over one row and reports whether it is more than a sign of
+// life.
+func (n *Node) applyServer(now time.Time, r Row) bool {
+	id := ident.BackendID(r.Key)
+	if r.Removed {
+		return n.removeServer(now, id, n.mayLapse(now))
+	}
+	e, err := n.decoder.DecodeEntry(r.Key, r.Value)
+	if err != nil {
+		n.log.LogError(logrus.WarnLevel, telemetry.EventBackendListed, err, nil, "entry names no usable server")
+		return n.removeServer(now, id, false)
+	}
+	old := n.fleet.Server(e.ID)
+	changed := old == nil || old.Born != e.Born || old.Draining != e.Draining
+	if changed {
+		n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
+			telemetry.FieldBackend: e.ID, "address": e.Address, "service": e.Service, "leaving": e.Draining, "sequence": e.Sequence,
+		}, "backend server listed")
+	}
+	n.fleet.Put(now, e)
+	n.mu.Lock()
+	n.rawServers[r.Key] = r.Value
+	n.mu.Unlock()
+	return changed
+}
+
+// removeServer takes a server off the list and reports whether it was on it.
+func (n *Node) removeServer(now time.Time, id ident.BackendID, lapsed bool) bool {
+	if n.fleet.Server(id) == nil {
+		return false
+	}
 	n.fleet.Remove(now, id, lapsed)
 	n.mu.Lock()
 	delete(n.rawServers, string(id))
@@ -277,6 +317,7 @@
 	n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
 		telemetry.FieldBackend: id, "lapsed": lapsed,
 	}, "backend server off the list")
+	return true
 }
 
 // register tells other nodes of this one through the store, and learns of them.
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -55,6 +55,9 @@
 
 // heard takes note of a peer's heartbeat.
 func (n *Node) heard(m mesh.Member) {
+	if m.ServersChanged > n.servers.revision.Load() {
+		n.servers.nudge()
+	}
 	if m.ConfigVersion > n.routes.Version() && n.fetching.CompareAndSwap(false, true) {
 		go func() {
 			defer n.fetching.Store(false)
@@ -69,7 +72,7 @@
 // readPeers reads the list of servers from a peer while the store does not
 // answer this node but does answer that one.
 func (n *Node) readPeers(ctx context.Context, now time.Time) {
-	age := n.servers.age(now)
+	age := n.serversAge(now)
 	if age < storeStale {
 		return
 	}
@@ -109,7 +112,7 @@
 	for key, value := range doc.Servers {
 		rows = append(rows, Row{Key: key, Value: value})
 	}
-	n.replaceServers(rows, false)
+	n.replaceServers(Rows{Rows: rows}, false)
 }
 
 func fetchState(ctx context.Context, address string, servers bool) (stateDocument, error) {
--- /dev/null
+++ b/internal/front/reader.go
@@ -0,0 +1,86 @@
+package front
+
+import (
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
+)
+
+// One node, the reader, reads the servers' reports for all. Its heartbeats say at
+// which revision a server last came, left or changed its state; the others read
+// the list themselves only when that is newer than what they have, or when no
+// peer proves that the list is current. The reports that only show that a server
+// lives, which are nearly all, then cost one call for the whole deployment.
+
+const (
+	// readEvery is how often the reader reads. A server must get no work two
+	// seconds after it reported that it leaves.
+	readEvery = 450 * time.Millisecond
+	// proofFor is the age up to which a peer's answer proves that the list is
+	// current.
+	proofFor = 900 * time.Millisecond
+	// dueCheck is how often a node that does not read looks whether it must.
+	dueCheck = 150 * time.Millisecond
+)
+
+// serversDue decides whether this node reads the list of servers now.
+func (n *Node) serversDue(now time.Time, revision int64) (bool, time.Duration) {
+	own := n.servers.age(now)
+	peers := n.mesh.Alive(now)
+	if n.settings.Host == readerOf(n.settings.Host, own, peers) {
+		return own >= readEvery, readEvery - own
+	}
+	return readDue(own, revision, peers), dueCheck
+}
+
+// readDue decides for a node that is not the reader. own is the age of its own
+// newest answer, revision how far it has read.
+func readDue(own time.Duration, revision int64, peers []mesh.Member) bool {
+	age := own
+	for _, m := range peers {
+		if m.ServersChanged > revision {
+			return true
+		}
+		age = min(age, time.Duration(m.StoreAgeMs)*time.Millisecond)
+	}
+	return age > proofFor
+}
+
+// readerOf returns the reader: the first host by id of those that read the
+// store, or of all when none does. All nodes come to the same result within a
+// heartbeat; when they do not, some reads are made twice.
+func readerOf(self ident.HostID, own time.Duration, peers []mesh.Member) ident.HostID {
+	reader, fresh := self, own < proofFor
+	for _, m := range peers {
+		if m.State == mesh.Leaving {
+			continue
+		}
+		peerFresh := time.Duration(m.StoreAgeMs)*time.Millisecond < proofFor
+		if peerFresh && !fresh || peerFresh == fresh && m.Host < reader {
+			reader, fresh = m.Host, peerFresh
+		}
+	}
+	return reader
+}
+
+// isReader reports whether other nodes wait for what this one reads.
+func (n *Node) isReader(now time.Time) bool {
+	return n.settings.Host == readerOf(n.settings.Host, n.servers.age(now), n.mesh.Alive(now))
+}
+
+// serversAge is the age of what this node knows of the list of servers: of its
+// own answer or of that of a peer that has read no change since.
+func (n *Node) serversAge(now time.Time) time.Duration {
+	age := n.servers.age(now)
+	revision := n.servers.revision.Load()
+	if revision == 0 {
+		return age
+	}
+	for _, m := range n.mesh.Alive(now) {
+		if m.ServersChanged <= revision {
+			age = min(age, time.Duration(m.StoreAgeMs)*time.Millisecond)
+		}
+	}
+	return age
+}
--- a/internal/front/rediscover.go
+++ b/internal/front/rediscover.go
@@ -33,7 +33,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if n.servers.age(now) < storeStale {
+		if n.serversAge(now) < storeStale {
 			if back := n.storeBackAt.Load(); back != 0 && now.UnixNano()-back > int64(2*lapseWindow) {
 				n.fleet.DropUnlisted()
 			}
@@ -86,7 +86,7 @@
 		}
 		n.mesh.Found(e)
 		n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
-			telemetry.FieldBackend: e.ID, "address": e.Address, "successor_of": s.ID, "store_age_ms": n.servers.age(now).Milliseconds(),
+			telemetry.FieldBackend: e.ID, "address": e.Address, "successor_of": s.ID, "store_age_ms": n.serversAge(now).Milliseconds(),
 		}, "backend server found without the list")
 	}
 }
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -34,6 +34,8 @@
 	Key     string
 	Value   []byte
 	Removed bool
+	// Version rises with every change of any row; 0 if unknown.
+	Version int64
 }
 
 // Rows is an answer of the store. Revision is where to read on.
--- a/internal/peer/mesh/members.go
+++ b/internal/peer/mesh/members.go
@@ -83,7 +83,10 @@
 	var list []Member
 	for _, p := range m.peers {
 		if now.Sub(p.heard) < aliveFor {
-			list = append(list, p.Member)
+			x := p.Member
+			// The age has grown since the heartbeat.
+			x.StoreAgeMs += now.Sub(p.heard).Milliseconds()
+			list = append(list, x)
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Host < list[j].Host })
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -44,6 +44,9 @@
 	// StoreAgeMs is the age of the node's newest answer from the platform's
 	// store in milliseconds.
 	StoreAgeMs int64 `json:"a"`
+	// ServersChanged is the newest revision at which a backend server came, left
+	// or changed its state, among those that the node has read.
+	ServersChanged int64 `json:"r"`
 	// Usage is what the node sent to each service in the last window.
 	Usage map[string]gateway.Usage `json:"u,omitempty"`
 }
