--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// Copied records that an engine holds a copy of a run that began without it.
+func (f *Fleet) Copied(host ident.HostID, p Placed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b := f.servers[p.Backup]; b != nil {
+		b.copies[runKey{host, p.Run}] = p.Tokens
+	}
+}
+
 // End records that a run is over and its copy freed.
 func (f *Fleet) End(now time.Time, host ident.HostID, p Placed) {
 	f.mu.Lock()
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -82,6 +82,12 @@
 	Probe() (method, target string)
 	// EngineState reads the answer to a probe; false if it is none of an engine.
 	EngineState(probe []byte) (EngineState, bool)
+	// CopyCall returns the call that orders an engine to copy a run to another.
+	CopyCall(run, to string) (method, target string, body []byte)
+	// CopyName reads the name of the copy from the answer.
+	CopyName(body []byte) (string, bool)
+	// FreeCall returns the call that frees a copy at the engine that made it.
+	FreeCall(name string) (method, target string)
 	// HeldCall returns the call that asks an engine for the prompts that it holds.
 	HeldCall() (method, target string)
 	// Held reads the answer to it: the tokens held by the hash of the part.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	Placed(p fleet.Placed)
 	First(p fleet.Placed)
 	Ended(p fleet.Placed)
+	Copied(p fleet.Placed)
 	Lost(server ident.BackendID, how fleet.Loss)
 }
 
@@ -303,11 +304,16 @@
 		return nil, nil, err
 	}
 	defer g.Pool.Close(c)
-	response, err := c.Exchange(ctx, &backendconn.Request{
+	return g.exchangeSmall(ctx, c, &backendconn.Request{
 		Method: method, Target: target, Host: address.Address, Header: http.Header{},
-		Owns:  func(http.Header) bool { return true },
-		Watch: func(time.Time, time.Duration) error { return ctx.Err() },
+		Owns: func(http.Header) bool { return true },
 	})
+}
+
+// exchangeSmall makes one exchange whose answer is small, until ctx ends.
+func (g *Gateway) exchangeSmall(ctx context.Context, c *backendconn.Conn, r *backendconn.Request) (*http.Response, []byte, error) {
+	r.Watch = func(time.Time, time.Duration) error { return ctx.Err() }
+	response, err := c.Exchange(ctx, r)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,7 +8,6 @@
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
-	"github.com/yuccahatch/yuccahatch/internal/routing"
 )
 
 const (
@@ -34,8 +33,8 @@
 	*exchange
 	last   int64 // id of the last event that the client has
 	opened bool  // the head has been passed on
-	// copyAt is the engine that holds a copy of the run, if any.
-	copyAt *fleet.Server
+	// copy is the copy of the run that was lost last, if there is one.
+	copy *runCopy
 	// lostAt is the time of the last event before a loss; zero while none is open.
 	lostAt time.Time
 	way    string
@@ -143,12 +142,12 @@
 
 // place chooses the engine of the next attempt and the one that holds its copy.
 func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, ok bool) {
-	if c := st.copyAt; c != nil {
-		st.copyAt = nil
-		if st.g.Fleet.Takes(c, now) {
-			a.CopyAt, a.CopyOf = c.Address, string(st.call.ID)
+	if c := st.copy; c != nil {
+		st.copy = nil
+		if st.g.Fleet.Takes(c.holder, now) {
+			a.CopyAt, a.CopyOf = c.source, c.name
 			st.way = wayCopy
-			return c, st.backupFor(now, c), a, true
+			return c.holder, st.backupFor(now, c.holder), a, true
 		}
 	}
 	st.way = wayAgain
@@ -224,7 +223,7 @@
 	})
 	if err != nil {
 		g.Pool.Close(c)
-		return st.broke(s, nil, err) // there is no copy before the first event
+		return st.broke(s, nil, err, false)
 	}
 	answer := g.Codec.Answer(response.StatusCode, response.Header)
 	if answer.NotRun {
@@ -246,7 +245,7 @@
 	if response.StatusCode >= 300 || !answer.Whole {
 		return st.failed(s, c, response, answer)
 	}
-	return st.forward(s, backup, c, response, placed, watch)
+	return st.forward(s, c, response, watch, newProtection(st, s, backup, placed))
 }
 
 // unsent handles a connection that could not be opened: nothing was sent.
@@ -263,7 +262,7 @@
 
 // broke handles an attempt whose connection failed, so that the engine may have
 // run the request.
-func (st *streamState) broke(s, backup *fleet.Server, err error) result {
+func (st *streamState) broke(s *fleet.Server, p *protection, err error, flowing bool) result {
 	st.sent++
 	if st.clientGone() || errors.Is(err, errGivenUp) {
 		return resultGone
@@ -271,7 +270,9 @@
 	st.note("lost %s: %v", s.ID, err)
 	st.g.lost(s, err)
 	st.exclude = append(st.exclude, s.ID)
-	st.copyAt = backup
+	if flowing { // there is no copy before the first event
+		st.copy = p.usable()
+	}
 	if st.lostAt.IsZero() {
 		st.lostAt = time.Now()
 	}
@@ -300,188 +301,3 @@
 	}
 	return resultFailed
 }
-
-// forward passes events on as they arrive until the answer ends or breaks off.
-func (st *streamState) forward(s, backup *fleet.Server, c *backendconn.Conn, response *http.Response, placed fleet.Placed, watch *streamWatch) result {
-	var events eventReader
-	buf := make([]byte, 4<<10)
-	for {
-		n, err := response.Body.Read(buf)
-		if n > 0 {
-			events.add(buf[:n])
-			if r, ok := st.deliver(&events, response.Header, placed, watch); !ok {
-				st.sent++
-				g := st.g
-				g.Pool.Close(c)
-				if r == resultFailed {
-					g.Fleet.Result(s, false)
-					st.exclude = append(st.exclude, s.ID)
-				}
-				return r
-			}
-		}
-		switch {
-		case err == nil:
-			continue
-		case errors.Is(err, io.EOF) && !events.partial():
-			st.sent++
-			st.open(response.Header)
-			st.g.Pool.Put(addressOf(s), c, response)
-			st.g.Fleet.Result(s, true)
-			return resultEnded
-		default:
-			st.g.Pool.Close(c)
-			if !watch.flowing {
-				backup = nil // there is no copy before the first event
-			}
-			return st.broke(s, backup, c.BodyError(err))
-		}
-	}
-}
-
-// open passes the head of the first run on.
-func (st *streamState) open(h http.Header) {
-	if st.opened {
-		return
-	}
-	st.opened = true
-	passHead(st.w, h)
-	st.w.WriteHeader(http.StatusOK)
-}
-
-// deliver writes the whole events that have arrived. The numbers of events rise
-// by one, so a number that does not follow is a fault of the engine.
-func (st *streamState) deliver(events *eventReader, head http.Header, placed fleet.Placed, watch *streamWatch) (result, bool) {
-	wrote := false
-	for {
-		ev, ok := events.next()
-		if !ok {
-			break
-		}
-		if ev.id != st.last+1 {
-			st.note("event %d after %d from %s", ev.id, st.last, placed.Server)
-			return resultFailed, false
-		}
-		st.open(head)
-		if _, err := st.w.Write(ev.raw); err != nil {
-			return resultGone, false
-		}
-		st.last = ev.id
-		st.events++
-		wrote = true
-	}
-	if !wrote {
-		return 0, true
-	}
-	if err := st.write.Flush(); err != nil {
-		return resultGone, false
-	}
-	st.progress(placed, watch)
-	return 0, true
-}
-
-// progress notes the first event of a run.
-func (st *streamState) progress(placed fleet.Placed, watch *streamWatch) {
-	if watch.flowing {
-		return
-	}
-	watch.flowing = true
-	now := time.Now()
-	st.g.Fleet.First(now, st.g.Self, placed)
-	st.g.Announce.First(placed)
-	if st.lostAt.IsZero() {
-		st.g.Metrics.first.RecordDuration(now.Sub(st.started))
-		st.note("first event")
-		return
-	}
-	resume := now.Sub(st.lostAt)
-	st.g.Metrics.resumes[st.way].Inc(1)
-	st.g.Metrics.resume.RecordDuration(resume)
-	st.note("resumed by %s in %dms", st.way, resume.Milliseconds())
-	st.lostAt = time.Time{}
-}
-
-// streamFresh is the longest silence of a connection that carries a stream. A
-// stream may be sent again, so a dead connection only costs time.
-const streamFresh = 10 * time.Second
-
-// streamWatch decides how long a stream waits for its engine.
-type streamWatch struct {
-	g        *Gateway
-	st       *streamState
-	server   *fleet.Server
-	mark     uint32
-	expected time.Duration // until the first event
-	flowing  bool
-	// checked is the silence at which the engine last proved to be alive.
-	checked time.Duration
-	probes  int
-}
-
-const (
-	// firstSlack is what the first event may be later than expected before the
-	// engine is asked for its state.
-	firstSlack = 900 * time.Millisecond
-	// quietGap is the silence after which a stream's engine is asked, if its
-	// route does not say how long a pause may be.
-	quietGap = 300 * time.Millisecond
-	// quietPart is the same as a part of the route's longest pause.
-	quietPart = 0.42
-	// stallParts is the number of longest pauses after which a stream goes on
-	// elsewhere though its engine answers.
-	stallParts = 2.0
-	// suspectGap is the silence after which an engine in a data centre that was
-	// just lost is asked.
-	suspectGap = 120 * time.Millisecond
-	// maxFirstProbes bounds the questions to an engine that does not begin.
-	maxFirstProbes = 5
-)
-
-// check implements backendconn.Watch.
-func (w *streamWatch) check(now time.Time, idle time.Duration) error {
-	if !now.Before(w.st.end) {
-		return errGivenUp
-	}
-	if idle <= w.checked {
-		w.checked = 0 // bytes have arrived since
-	}
-	if w.server.Gone(w.mark) {
-		return w.silent(idle, "found lost by another request")
-	}
-	limit := w.limit()
-	if w.g.Fleet.ZoneLost(w.server, now) {
-		limit = min(limit, suspectGap)
-	}
-	if w.flowing && idle > time.Duration(stallParts*float64(w.route().MaxGap)) && w.route().MaxGap > 0 {
-		return w.silent(idle, "stalled")
-	}
-	if idle-w.checked < limit {
-		return nil
-	}
-	w.probes++
-	if w.probes > maxFirstProbes && !w.flowing {
-		return w.silent(idle, "does not begin")
-	}
-	if !w.g.probe(w.server) {
-		return w.silent(idle, "does not answer")
-	}
-	w.checked = idle
-	w.g.Fleet.Heard(w.server, time.Now())
-	return nil
-}
-
-func (w *streamWatch) route() *routing.Route { return w.st.route }
-
-func (w *streamWatch) limit() time.Duration {
-	if !w.flowing {
-		return w.expected + w.expected/2 + firstSlack
-	}
-	if gap := w.route().MaxGap; gap > 0 {
-		return time.Duration(quietPart * float64(gap))
-	}
-	return quietGap
-}
-
-func (w *streamWatch) silent(idle time.Duration, why string) error {
-	return backendconn.SilentError(idle, why)
-}
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -102,6 +102,9 @@
 // Ended implements gateway.Announcer.
 func (m *Mesh) Ended(p fleet.Placed) { m.push(Event{Kind: EventEnded, Placed: &p}, false) }
 
+// Copied implements gateway.Announcer.
+func (m *Mesh) Copied(p fleet.Placed) { m.push(Event{Kind: EventCopied, Placed: &p}, false) }
+
 // Lost implements gateway.Announcer.
 func (m *Mesh) Lost(server ident.BackendID, how fleet.Loss) {
 	m.push(Event{Kind: EventLost, Server: server, Loss: how}, true)
@@ -253,6 +256,8 @@
 		m.fleet.Start(now, host, *e.Placed)
 	case e.Kind == EventFirst:
 		m.fleet.First(now, host, *e.Placed)
+	case e.Kind == EventCopied:
+		m.fleet.Copied(host, *e.Placed)
 	case e.Kind == EventEnded:
 		m.fleet.End(now, host, *e.Placed)
 	}
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -59,6 +59,7 @@
 	EventPlaced EventKind = "placed"
 	EventFirst  EventKind = "first"
 	EventEnded  EventKind = "ended"
+	EventCopied EventKind = "copied"
 	EventLost   EventKind = "lost"
 	EventFound  EventKind = "found"
 )
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -61,8 +61,10 @@
 	Slots         int
 	CacheTokens   int // memory for prompts and output, in tokens
 	BytesPerToken int
-	// Backups says whether an engine can copy the memory of a run to another.
+	// Backups says whether an engine can keep a copy of a run's memory on another
+	// engine, and Moves whether it copies a run by order.
 	Backups bool
+	Moves   bool
 	// CopyTTL is how long a copy outlives its last part.
 	CopyTTL time.Duration
 }
