--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -247,7 +247,10 @@
 		s.lostUntil = until
 	}
 	s.lostAt = now
-	f.noteZone(now, s)
+	if how != LossReset {
+		s.goneAt = now
+		f.noteZone(now, s)
+	}
 	return first
 }
 
@@ -262,11 +265,12 @@
 }
 
 // noteZone records the loss of the data centre of s if enough of its servers
-// were lost within the window.
+// were found gone within the window. Resets do not count: a fault of a host or a
+// link resets the connections to servers that live.
 func (f *Fleet) noteZone(now time.Time, s *Server) {
 	lost := 0
 	for _, other := range f.servers {
-		if other.Service == s.Service && other.DataCentre == s.DataCentre && now.Sub(other.lostAt) < zoneLossWindow {
+		if other.Service == s.Service && other.DataCentre == s.DataCentre && now.Sub(other.goneAt) < zoneLossWindow {
 			lost++
 		}
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -73,6 +73,7 @@
 	// lostAt is the time of the newest sign of loss; until lostUntil the server
 	// gets no work.
 	lostAt    time.Time
+	goneAt    time.Time // of the newest sign other than a reset
 	lostUntil time.Time
 	// gone tells a server that was found gone from one whose connection was
 	// reset, while lostUntil has not passed.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -259,11 +259,6 @@
 		g.Log.LogError(logrus.WarnLevel, telemetry.EventBackendLost, err, logrus.Fields{
 			telemetry.FieldBackend: s.ID, "how": how.String(), "address": s.Address,
 		}, "backend server lost")
-		if t := g.Routes.Current(); how == fleet.LossReset && t != nil {
-			if service := t.Service(s.Service); service != nil && service.Engine != nil {
-				go g.verify(s)
-			}
-		}
 	}
 }
 
@@ -359,14 +354,17 @@
 	return e, e.ID != "" && e.ID != s.ID
 }
 
-// verify asks an engine whose connection was reset whether it is still there. A
-// crash resets connections, and so does an answer that is lost on the way.
-func (g *Gateway) verify(s *fleet.Server) {
+// resetOnly finds out whether an engine whose connection was reset is still
+// there. A crash resets connections, and so do a fault of a link and an answer
+// that is lost on the way. An engine that lives still holds the prompt.
+func (g *Gateway) resetOnly(s *fleet.Server, err error) bool {
+	g.lost(s, err)
 	if g.probe(s) {
 		g.Fleet.Verified(time.Now(), s)
-		return
+		return true
 	}
 	g.lost(s, backendconn.SilentError(probeTimeout, "no answer after a reset"))
+	return false
 }
 
 // errGivenUp ends the wait for a server when the request is out of time.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -268,14 +268,19 @@
 		return resultGone
 	}
 	st.note("lost %s: %v", s.ID, err)
-	st.g.lost(s, err)
-	st.exclude = append(st.exclude, s.ID)
 	if flowing { // there is no copy before the first event
 		st.copy = p.usable()
 	}
 	if st.lostAt.IsZero() {
 		st.lostAt = time.Now()
 	}
+	switch {
+	case backendconn.CodeOf(err) == backendconn.CodeSilent:
+		st.g.lost(s, err)
+	case st.g.resetOnly(s, err):
+		return resultFailed // its engine may go on with the request
+	}
+	st.exclude = append(st.exclude, s.ID)
 	return resultFailed
 }
 
