--- a/internal/gateway/protect.go
+++ b/internal/gateway/protect.go
@@ -39,6 +39,8 @@
 	// there.
 	source string
 	name   string
+	// refusal is the status with which an order was refused; 0 if it got no answer.
+	refusal int
 }
 
 // protection keeps a copy of one run. It is used by the goroutine of the stream;
@@ -121,7 +123,7 @@
 	go func() {
 		c := &runCopy{holder: holder, source: server.Address}
 		var ok bool
-		if c.name, ok = g.copyRun(server, id, holder.Address); !ok {
+		if c.name, c.refusal, ok = g.copyRun(server, id, holder.Address); !ok {
 			c.name = ""
 		}
 		answer <- c
@@ -134,7 +136,7 @@
 	case c := <-p.ordered:
 		p.ordered = nil
 		if c.name == "" {
-			p.st.note("no copy on %s", c.holder.ID)
+			p.st.note("no copy on %s, status %d", c.holder.ID, c.refusal)
 			p.refused = append(p.refused, c.holder.ID)
 			if p.copy != nil && p.copy.holder == c.holder {
 				p.copy = nil
@@ -195,13 +197,13 @@
 }
 
 // copyRun orders an engine to copy a run to the engine at an address, and
-// returns the name of the copy.
-func (g *Gateway) copyRun(s *fleet.Server, run, to string) (string, bool) {
+// returns the name of the copy and the status of the answer.
+func (g *Gateway) copyRun(s *fleet.Server, run, to string) (name string, status int, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
 	defer cancel()
 	c, err := g.Pool.Get(ctx, addressOf(s), streamFresh)
 	if err != nil {
-		return "", false
+		return "", 0, false
 	}
 	method, target, body := g.Codec.CopyCall(run, to)
 	response, answer, err := g.exchangeSmall(ctx, c, &backendconn.Request{
@@ -210,11 +212,9 @@
 	})
 	if err != nil {
 		g.Pool.Close(c)
-		return "", false
+		return "", 0, false
 	}
 	g.Pool.Put(addressOf(s), c, response)
-	if response.StatusCode != http.StatusOK {
-		return "", false
-	}
-	return g.Codec.CopyName(answer)
+	name, ok = g.Codec.CopyName(answer)
+	return name, response.StatusCode, ok && response.StatusCode == http.StatusOK
 }
