--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -360,3 +360,7 @@
 	n.mesh.Hello()
 	return nil
 }
+
+// ConfigVersion returns the version of the configuration in force, 0 before the
+// first.
+func (n *Node) ConfigVersion() int64 { return n.routes.Version() }
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -84,3 +84,6 @@
 	}
 	return age
 }
+
+// IsReader reports whether this node reads the servers' reports for all.
+func (n *Node) IsReader() bool { return n.isReader(time.Now()) }
