--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,293 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+const (
+	service = "engines"
+	memory  = 88000
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// testFleet has count engines in each of three data centres, a to c.
+func testFleet(count int) *Fleet {
+	f := New("self", start)
+	for i := range 3 * count {
+		zone := string(rune('a' + i%3))
+		f.Put(start, Entry{
+			ID: ident.BackendID(fmt.Sprintf("%s%d", zone, i/3)), Born: 1, Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i),
+			DataCentre: ident.DataCentre(zone), Slots: 64, Sequence: 1,
+		})
+	}
+	return f
+}
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func (f *Fleet) takes(id ident.BackendID, now time.Time) bool { return f.Takes(f.Server(id), now) }
+
+// Guards against work for an engine that crashed and whose entry is still listed:
+// reports made before the crash keep arriving for more than a second.
+func TestGoneServerStaysOut(t *testing.T) {
+	f := testFleet(2)
+	e := f.Server("a0").Entry
+	f.Lost(at(0), "a0", LossRefused)
+	e.Sequence = 2
+	f.Put(at(800), e) // made before the loss
+	if f.takes("a0", at(4000)) {
+		t.Error("used though nothing shows that it lives")
+	}
+	e.Sequence = 3
+	f.Put(at(1600), e)
+	if !f.takes("a0", at(1600)) {
+		t.Error("not used though it reported after the loss")
+	}
+}
+
+// Guards against a server that is left out for seconds because one of its
+// answers was lost on the way.
+func TestResetIsNoLoss(t *testing.T) {
+	f := testFleet(2)
+	s := f.Server("a0")
+	mark := s.Mark()
+	f.Lost(at(0), "a0", LossReset)
+	if f.takes("a0", at(100)) || !f.takes("a0", at(400)) {
+		t.Error("a reset must keep work away for a moment only")
+	}
+	f.Lost(at(500), "a0", LossReset)
+	f.Verified(at(510), s)
+	if !f.takes("a0", at(510)) {
+		t.Error("not used though it answered after the reset")
+	}
+	if s.Gone(mark) {
+		t.Error("a reset ends the streams of other requests")
+	}
+}
+
+// Guards against the placement of new work and copies on engines of a data
+// centre that was just lost, and against taking resets on many connections for
+// the loss of a data centre.
+func TestLossOfDataCentre(t *testing.T) {
+	f := testFleet(6)
+	for i := range 3 {
+		f.Lost(at(i), ident.BackendID(fmt.Sprintf("a%d", i)), LossReset)
+	}
+	if !f.takes("a5", at(10)) {
+		t.Error("three resets count as the loss of a data centre")
+	}
+	for i := range 3 {
+		f.Lost(at(100+i), ident.BackendID(fmt.Sprintf("a%d", i)), LossSilent)
+	}
+	if f.takes("a5", at(110)) {
+		t.Error("engine of a lost data centre is used")
+	}
+	if !f.takes("b5", at(110)) {
+		t.Error("engine of another data centre is not used")
+	}
+	f.Heard(f.Server("a5"), at(120))
+	if !f.takes("a5", at(121)) {
+		t.Error("engine is not used though it was heard after the loss")
+	}
+	f.Put(at(1500), Entry{ID: "a9", Born: 2, Service: service, Address: "10.0.0.1:1", DataCentre: "a", Sequence: 1})
+	if !f.takes("a9", at(1500)) {
+		t.Error("engine that came after the loss is not used")
+	}
+	for range 50 {
+		if b := f.Backup(at(130), f.Server("b0"), memory, Prompt{Tokens: 8000, Output: 600}, nil); b.DataCentre == "b" || b.ID == "a4" {
+			t.Fatalf("copy on %s", b.ID)
+		}
+	}
+}
+
+// Guards against refusing all work when signs of loss cover every server.
+func TestSuspectsServeWhenNothingElseIsLeft(t *testing.T) {
+	f := testFleet(1)
+	for _, id := range f.IDs() {
+		f.Lost(at(0), id, LossReset)
+	}
+	if _, ok := f.Engine(at(10), service, memory, Prompt{Tokens: 8000}, nil); !ok {
+		t.Error("no engine although all are only suspected")
+	}
+	f.Lost(at(20), "a0", LossSilent)
+	c, ok := f.Engine(at(30), service, memory, Prompt{Tokens: 8000}, nil)
+	if !ok || c.Server.ID == "a0" {
+		t.Errorf("chosen %v", c.Server)
+	}
+}
+
+// Replays the loss of a data centre: within one datagram's delay 24 lost prompts
+// are placed by hosts that do not know of each other's choices. They must spread,
+// though one engine has no other work.
+func TestPlacementSpreadsAfterLoss(t *testing.T) {
+	f := testFleet(12)
+	for i, id := range f.IDs() {
+		if id != "b7" {
+			f.Start(at(0), "peer", Placed{Run: uint64(i), Server: id, Tokens: 8600, Prefill: time.Millisecond})
+			f.First(at(1), "peer", Placed{Run: uint64(i), Server: id})
+		}
+	}
+	counts := map[ident.BackendID]int{}
+	for i := range 24 {
+		c, ok := f.Engine(at(10), service, memory, Prompt{Tokens: 8000, Output: 600, Part: uint64(i + 1)}, Exclude{"a0"})
+		if !ok {
+			t.Fatal("no engine")
+		}
+		counts[c.Server.ID]++
+	}
+	for id, n := range counts {
+		if n > 6 {
+			t.Errorf("%d of 24 prompts on %s", n, id)
+		}
+	}
+}
+
+// Guards against a queue of prompts that placement does not see, of this host or
+// of a peer, and against one that is remembered after its host has gone.
+func TestQueueOfPrompts(t *testing.T) {
+	f := testFleet(1)
+	p := Prompt{Tokens: 8000, Output: 600, Part: 7}
+	first, _ := f.Engine(at(0), service, memory, p, nil)
+	placed := Placed{Run: 1, Server: first.Server.ID, Prefill: first.Prefill, Tokens: 8600, Part: 7}
+	f.Start(at(0), "peer", placed)
+	second, _ := f.Engine(at(1), service, memory, p, nil)
+	if second.Server == first.Server {
+		t.Error("a second prompt waits behind the first")
+	}
+	if f.QueueWait(first.Server, at(1)) < first.Prefill/2 {
+		t.Error("the queue is not counted")
+	}
+	f.ForgetHost(at(2), "peer")
+	if f.QueueWait(first.Server, at(2)) != 0 {
+		t.Error("the queue of a host that is gone is still counted")
+	}
+}
+
+// Guards against reading a prompt again that an engine holds, and against taking
+// a prompt for held whose reading was never finished.
+func TestHeldPrompt(t *testing.T) {
+	f := testFleet(4)
+	p := Prompt{Tokens: 8000, Output: 600, Part: 7}
+	placed := Placed{Run: 1, Server: "b2", Prefill: time.Second, Tokens: 8600, Part: 7}
+	f.Start(at(0), "peer", placed)
+	f.End(at(500), "peer", placed)
+	if f.Held(at(500), service, 7) {
+		t.Error("a prompt counts as held before its first event")
+	}
+	f.Start(at(600), "peer", placed)
+	f.First(at(1600), "peer", placed)
+	f.End(at(5000), "peer", placed)
+	if c, _ := f.Engine(at(6000), service, memory, p, nil); c.Server.ID != "b2" {
+		t.Errorf("the prompt is read again on %s", c.Server.ID)
+	}
+	f.Lost(at(7000), "b2", LossSilent)
+	if f.Held(at(7000), service, 7) {
+		t.Error("a prompt counts as held by an engine that is gone")
+	}
+}
+
+// Guards against a run on an engine whose memory would overflow, which preempts
+// another run.
+func TestMemory(t *testing.T) {
+	f := testFleet(1)
+	for run := range uint64(9) {
+		f.Start(at(0), "peer", Placed{Run: run, Server: "a0", Backup: "b0", Tokens: 9000, Prefill: time.Microsecond})
+	}
+	c, _ := f.Engine(at(100), service, memory, Prompt{Tokens: 8000, Output: 600}, nil)
+	if c.Server.ID != "c0" {
+		t.Errorf("chosen %s, whose memory is full", c.Server.ID)
+	}
+	if b := f.Backup(at(100), f.Server("c0"), memory, Prompt{Tokens: 8000, Output: 600}, nil); b != nil {
+		t.Errorf("copy on %s, whose memory is full", b.ID)
+	}
+}
+
+// Guards against requests to a server after its entry has gone, and against the
+// loss of live servers whose entries lapsed while the store was away.
+func TestRemovedEntries(t *testing.T) {
+	f := testFleet(1)
+	f.Remove(at(0), "a0", false)
+	if f.Server("a0") != nil {
+		t.Error("a server that left is kept")
+	}
+	f.Remove(at(0), "b0", true)
+	f.Expire(at(1000))
+	if !f.takes("b0", at(1000)) {
+		t.Error("a lapsed server is not used for a moment longer")
+	}
+	f.Expire(at(1300))
+	if f.Server("b0") != nil {
+		t.Error("a server that was not listed again is kept")
+	}
+	e := f.Server("c0").Entry
+	e.Draining = true
+	f.Put(at(0), e)
+	f.Remove(at(0), "c0", true)
+	if f.Server("c0") != nil {
+		t.Error("a server that said that it leaves is kept as lapsed")
+	}
+}
+
+// Guards against an identity by address or id alone: a server that starts again
+// under its id holds nothing, and an older report of it is void.
+func TestLivesOfOneID(t *testing.T) {
+	f := testFleet(1)
+	f.Start(at(0), "peer", Placed{Run: 1, Server: "a0", Tokens: 8600, Prefill: time.Second, Part: 7})
+	f.First(at(0), "peer", Placed{Run: 1, Server: "a0"})
+	old := f.Server("a0").Entry
+	next := old
+	next.Born, next.Sequence = 5, 1
+	f.Put(at(100), next)
+	if f.Held(at(100), service, 7) {
+		t.Error("a new life holds the prompts of the one before")
+	}
+	old.Sequence = 99
+	f.Put(at(200), old)
+	if f.Server("a0").Born != 5 {
+		t.Error("a report of an earlier life replaced the present one")
+	}
+}
+
+// Guards against servers that were found without the list and never appear on it.
+func TestFoundServers(t *testing.T) {
+	f := testFleet(1)
+	f.Lost(at(0), "a0", LossRefused)
+	if got := f.Missing(at(10), service); len(got) != 1 || got[0].ID != "a0" {
+		t.Fatalf("missing: %v", got)
+	}
+	e := f.Server("a0").Entry
+	e.ID, e.Born = "a9", 2
+	if !f.Found(at(20), e) || f.Found(at(30), e) {
+		t.Error("a server is found once")
+	}
+	if got := f.Missing(at(40), service); len(got) != 0 {
+		t.Errorf("still missing: %v", got)
+	}
+	f.DropUnlisted()
+	if f.Server("a9") != nil {
+		t.Error("a server that is not on the list is kept")
+	}
+}
+
+// Guards against a plain server that fails or is busy being chosen like others.
+func TestPlainChoice(t *testing.T) {
+	f := testFleet(1)
+	bad, busy := f.Server("a0"), f.Server("b0")
+	for range 10 {
+		f.Result(bad, false)
+	}
+	f.Reported(busy, at(0), Load{Running: 64, Waiting: 200, Slots: 64})
+	for range 20 {
+		if c, ok := f.Plain(at(10), service, nil); !ok || c.Server.ID != "c0" {
+			t.Fatalf("chosen %v", c.Server)
+		}
+	}
+	if c, ok := f.Plain(at(1000), service, Exclude{"c0", "a0"}); !ok || c.Server != busy {
+		t.Error("an old report keeps a server out")
+	}
+}
--- /dev/null
+++ b/internal/peer/backendconn/conn_test.go
@@ -0,0 +1,219 @@
+package backendconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// serve answers each connection with a script, which gets the bytes of the
+// request's head one request at a time.
+func serve(t *testing.T, script func(conn net.Conn, request *http.Request)) Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, request.Body); err != nil {
+						return
+					}
+					script(conn, request)
+				}
+			}()
+		}
+	}()
+	return Server{ID: "s", Address: listener.Addr().String()}
+}
+
+const answer = "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 2\r\n\r\nok"
+
+func owns(h http.Header) bool { return h.Get("Id") == "r" }
+
+func exchange(p *Pool, s Server, r *Request) (string, *Conn, error) {
+	c, err := p.Get(context.Background(), s, time.Minute)
+	if err != nil {
+		return "", nil, err
+	}
+	if r.Owns == nil {
+		r.Owns = owns
+	}
+	response, err := c.Exchange(context.Background(), r)
+	if err != nil {
+		p.Close(c)
+		return "", c, err
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		p.Close(c)
+		return "", c, c.BodyError(err)
+	}
+	p.Put(s, c, response)
+	return string(body), c, nil
+}
+
+// Guards against an answer to another request that arrives where the next answer
+// is expected.
+func TestAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	s := serve(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"+answer)
+	})
+	body, _, err := exchange(NewPool(), s, &Request{Method: "GET", Target: "/", Host: "h"})
+	if err != nil || body != "ok" {
+		t.Errorf("%q, %v", body, err)
+	}
+}
+
+// Guards against sending a request on an idle connection that was closed, or on
+// which unexpected bytes wait: its outcome would be unknown.
+func TestIdleConnections(t *testing.T) {
+	tests := []struct {
+		name   string
+		after  func(conn net.Conn)
+		head   string
+		reused bool
+	}{
+		{"open", func(net.Conn) {}, "", true},
+		{"closed", func(conn net.Conn) { conn.Close() }, "", false},
+		{"extra bytes", func(conn net.Conn) { _, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n") }, "", false},
+		{"server closes", func(net.Conn) {}, "Connection: close\r\n", false},
+		{"expired", func(net.Conn) {}, "Keep-Alive: timeout=0\r\n", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ready := make(chan struct{}, 4)
+			s := serve(t, func(conn net.Conn, _ *http.Request) {
+				_, _ = io.WriteString(conn, strings.Replace(answer, "Id:", test.head+"Id:", 1))
+				test.after(conn)
+				ready <- struct{}{}
+			})
+			p := NewPool()
+			if _, _, err := exchange(p, s, &Request{Method: "GET", Target: "/", Host: "h"}); err != nil {
+				t.Fatal(err)
+			}
+			<-ready
+			if !test.reused {
+				waitUntilDead(t, p, s)
+			}
+			_, c, err := exchange(p, s, &Request{Method: "GET", Target: "/", Host: "h"})
+			if err != nil || c.Reused() != test.reused {
+				t.Errorf("reused %t, error %v", c.Reused(), err)
+			}
+		})
+	}
+}
+
+// waitUntilDead waits until what the server did has reached the idle connection.
+func waitUntilDead(t *testing.T, p *Pool, s Server) {
+	t.Helper()
+	c := p.take(s)
+	if c == nil {
+		return
+	}
+	for range 1000 {
+		if !c.alive(time.Now()) {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	p.keep(s, c)
+}
+
+// Guards against an error that does not tell whether the request may have run.
+func TestErrors(t *testing.T) {
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone.Close()
+	giveUp := errors.New("no more time")
+	tests := []struct {
+		name   string
+		server Server
+		watch  Watch
+		check  func(err error) bool
+	}{
+		{"nothing listens", Server{Address: gone.Addr().String()}, nil, func(err error) bool { return CodeOf(err) == CodeConnect }},
+		{"closed without an answer", serve(t, func(conn net.Conn, _ *http.Request) { conn.Close() }), nil, func(err error) bool { return CodeOf(err) == CodeReceive }},
+		{"cut off in the answer", serve(t, func(conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, answer[:len(answer)-1])
+			conn.Close()
+		}), nil, func(err error) bool { return CodeOf(err) == CodeReceive }},
+		{"no answer at all", serve(t, func(conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "@@@@ not http\r\n\r\n")
+		}), nil, func(err error) bool { return CodeOf(err) == CodeProtocol }},
+		{"silent", serve(t, func(net.Conn, *http.Request) {}), func(_ time.Time, idle time.Duration) error {
+			return SilentError(idle, "test")
+		}, func(err error) bool { return CodeOf(err) == CodeSilent }},
+		{"out of time", serve(t, func(net.Conn, *http.Request) {}), func(time.Time, time.Duration) error { return giveUp }, func(err error) bool { return errors.Is(err, giveUp) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, _, err := exchange(NewPool(), test.server, &Request{Method: "POST", Target: "/", Host: "h", Body: []byte("x"), Watch: test.watch})
+			if !test.check(err) {
+				t.Errorf("%v (code %s)", err, CodeOf(err))
+			}
+		})
+	}
+}
+
+// Guards against a connection that is used again although the server answered
+// before it had read a long body: the rest would be read as a request.
+func TestEarlyAnswerEndsConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, answer) // the body is never read
+		}
+	}()
+	p := NewPool()
+	s := Server{ID: "s", Address: listener.Addr().String()}
+	body, _, err := exchange(p, s, &Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 32<<20)})
+	if err != nil || body != "ok" {
+		t.Fatalf("%q, %v", body, err)
+	}
+	if c := p.take(s); c != nil {
+		t.Error("the connection is kept")
+	}
+}
+
+// Guards against idle connections to servers that are gone.
+func TestRetain(t *testing.T) {
+	s := serve(t, func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, answer) })
+	p := NewPool()
+	if _, _, err := exchange(p, s, &Request{Method: "GET", Target: "/", Host: "h"}); err != nil {
+		t.Fatal(err)
+	}
+	p.Retain(time.Now(), func(Server) bool { return false })
+	if p.take(s) != nil {
+		t.Error("a connection to a server that is gone is kept")
+	}
+}
--- /dev/null
+++ b/internal/peer/mesh/members_test.go
@@ -0,0 +1,93 @@
+package mesh
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/gateway"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func member(host ident.HostID, incarnation ident.Incarnation) Member {
+	return Member{Host: host, Incarnation: incarnation, Mesh: "127.0.0.1:1", Clients: "127.0.0.1:2", State: Ready, StoreAgeMs: 100}
+}
+
+// Guards against naming a silent host to clients, and against a datagram of an
+// earlier life of a host that arrives late.
+func TestMembers(t *testing.T) {
+	m := newMembers("self")
+	m.know(at(0), member("a", 1))
+	if len(m.alive(at(0))) != 0 {
+		t.Error("a host that was never heard counts as alive")
+	}
+	if restarted, ok := m.hear(at(0), member("a", 1)); restarted || !ok {
+		t.Errorf("first heartbeat: restarted %t, taken %t", restarted, ok)
+	}
+	if restarted, ok := m.hear(at(100), member("a", 2)); !restarted || !ok {
+		t.Errorf("new life: restarted %t, taken %t", restarted, ok)
+	}
+	if _, ok := m.hear(at(200), member("a", 1)); ok {
+		t.Error("a heartbeat of an earlier life was taken")
+	}
+	if _, ok := m.hear(at(200), member("self", 1)); ok {
+		t.Error("the node's own heartbeat was taken")
+	}
+	if list := m.alive(at(600)); len(list) != 1 || list[0].StoreAgeMs != 600 {
+		t.Errorf("alive %+v; the age of its news grows with time", list)
+	}
+	if len(m.alive(at(1300))) != 0 {
+		t.Error("a silent host counts as alive")
+	}
+	if gone := m.expire(at(3200)); len(gone) != 1 || gone[0] != "a" {
+		t.Errorf("gone %v", gone)
+	}
+	if gone := m.expire(at(3300)); len(gone) != 0 {
+		t.Errorf("gone twice: %v", gone)
+	}
+}
+
+// Guards against a retry budget that forgets what a host that died has used.
+func TestUsageOfHostsThatAreGone(t *testing.T) {
+	m := newMembers("self")
+	x := member("a", 1)
+	x.Usage = map[string]gateway.Usage{"s": {Requests: 10, Repeats: 4}}
+	m.hear(at(0), x)
+	if u, n := m.usage(at(5000), "s"); u.Repeats != 4 || n != 0 {
+		t.Errorf("usage %+v of %d hosts", u, n)
+	}
+	if u, _ := m.usage(at(11_000), "s"); u.Repeats != 0 {
+		t.Errorf("usage %+v after the window", u)
+	}
+}
+
+// Guards against a datagram that does not fit into one packet.
+func TestDatagramSize(t *testing.T) {
+	x := member("front-some-data-centre-12", 1787316988019115878)
+	x.DataCentre, x.Mesh, x.Clients = "some-data-centre", "10.200.100.100:65000", "10.200.100.100:65001"
+	x.Usage = map[string]gateway.Usage{"service1a": {Requests: 1000, Repeats: 100}, "service2a": {Requests: 1000, Repeats: 100}}
+	var events []Event
+	for range eventsPerDatagram {
+		events = append(events, Event{Kind: EventPlaced, Placed: &fleet.Placed{
+			Run: 100_000, Server: "i-7f3a91c2aa", Backup: "i-7f3a91c2bb", Prefill: 1_234_567_890, Tokens: 12_000, Part: 1 << 63,
+		}})
+	}
+	p, err := json.Marshal(message{Member: x, Events: events})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(p) > 1400 {
+		t.Errorf("%d bytes", len(p))
+	}
+	if _, err := decode(p); err != nil {
+		t.Error(err)
+	}
+	if _, err := decode([]byte("{")); err == nil {
+		t.Error("half a datagram was read")
+	}
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,67 @@
+package routing
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a request that is served by a route of another host, by a
+// shorter prefix, or by a prefix of part of a path segment.
+func TestMatch(t *testing.T) {
+	table := NewTable(Config{Routes: []Route{
+		{Name: "root", Host: "A.example", Prefix: "/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}})
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "long"},
+		{"a.example:8080", "/x/y/", "long"},
+		{"A.EXAMPLE", "/x/yz", "short"},
+		{"a.example", "/xy", "root"},
+		{"b.example", "/x/y/z", "other"},
+		{"b.example", "/y", ""},
+		{"c.example", "/x/", ""},
+	}
+	for _, test := range tests {
+		got := ""
+		if r := table.Match(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		if got != test.want {
+			t.Errorf("%s%s: route %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+// Guards against a weight that gets no requests or more than its share.
+func TestPick(t *testing.T) {
+	r := Route{Shares: []Share{{"a", 90}, {"none", 0}, {"b", 10}}}
+	for point, want := range map[float64]string{0: "a", 0.899: "a", 0.901: "b", 0.999: "b"} {
+		if got := r.Pick(point); got != want {
+			t.Errorf("point %v: %q, want %q", point, got, want)
+		}
+	}
+	if got := (&Route{}).Pick(0.5); got != "" {
+		t.Errorf("route without services: %q", got)
+	}
+}
+
+// Guards against a node that goes back to an older version, whatever the order
+// in which the store and the peers deliver them.
+func TestHolderOnlyRises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var h Holder
+		newest := int64(0)
+		for _, version := range rapid.SliceOf(rapid.Int64Range(1, 20)).Draw(t, "versions") {
+			if installed := h.Offer(NewTable(Config{Version: version})); installed != (version > newest) {
+				t.Fatalf("version %d after %d: installed %t", version, newest, installed)
+			}
+			newest = max(newest, version)
+			if h.Version() != newest {
+				t.Fatalf("version %d in force, want %d", h.Version(), newest)
+			}
+		}
+	})
+}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -104,6 +104,8 @@
 	for _, m := range Metrics() {
 		want := "\nyuccahatch_" + m.Name
 		switch {
+		case m.Kind == Histogram && len(m.Labels) > 0:
+			want += "_count{"
 		case m.Kind == Histogram:
 			want += "_count 1\n"
 		case len(m.Labels) == 0:
@@ -127,3 +129,29 @@
 	g := goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md"))
 	g.Assert(t, "metrics", []byte(Markdown()))
 }
+
+// stalled is a reader of the log that takes nothing until it is released.
+type stalled struct{ release chan struct{} }
+
+func (s stalled) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// Guards against a request that waits for a reader of the log.
+func TestLogDoesNotWaitForItsReader(t *testing.T) {
+	release := make(chan struct{})
+	w := NewAsyncWriter(stalled{release}, 4)
+	for range 100 {
+		if n, err := w.Write([]byte("line")); n != 4 || err != nil {
+			t.Fatalf("write: %d, %v", n, err)
+		}
+	}
+	if w.Dropped() < 90 {
+		t.Errorf("%d lines dropped, want all that find the ring full", w.Dropped())
+	}
+	close(release)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
