Refuse a request that has crashed three servers on its own

Cause: nothing stopped a request that crashes each engine that runs it. A crash that comes with the loss of a data centre does not count.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -287,6 +287,18 @@
 	return f.inLostZone(s, now)
 }
 
+// zoneLossNear is how close to the loss of a data centre the end of one of its
+// servers counts as part of it.
+const zoneLossNear = 1500 * time.Millisecond
+
+// ZoneLostAt reports whether a data centre was lost near a time.
+func (f *Fleet) ZoneLostAt(service string, zone ident.DataCentre, at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lost, ok := f.zoneLost[zoneKey{service, zone}]
+	return ok && at.Sub(lost).Abs() < zoneLossNear
+}
+
 func (f *Fleet) inLostZone(s *Server, now time.Time) bool {
 	at, ok := f.zoneLost[zoneKey{s.Service, s.DataCentre}]
 	if !ok || now.Sub(at) > goneFor {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -107,7 +107,7 @@
 	}
 	n.addressTTL.Store(int64(s.AddressTTL))
 	n.grace.Store(int64(s.Grace))
-	n.mesh, err = mesh.New(s.Mesh, n.fleet, n.member, n.heard)
+	n.mesh, err = mesh.New(s.Mesh, n.fleet, n.member, n.heard, func(now time.Time, x gateway.Crash) { n.gateway.Crashed(now, x) })
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
+	"github.com/yuccahatch/yuccahatch/internal/quarantine"
 	"github.com/yuccahatch/yuccahatch/internal/routing"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
@@ -31,6 +32,7 @@
 	Ended(p fleet.Placed)
 	Copied(p fleet.Placed)
 	Lost(server ident.BackendID, how fleet.Loss)
+	Crashed(x Crash)
 }
 
 // Gateway serves the clients of a node.
@@ -48,6 +50,7 @@
 	Leaving func() bool
 
 	locating locator
+	crashes  crashes
 
 	mu      sync.Mutex
 	nextRun uint64 // guarded by mu
@@ -70,6 +73,7 @@
 	refused int
 	absent  int
 	exclude fleet.Exclude
+	print   quarantine.Fingerprint // set by fingerprint
 	// history is the list of attempts for the log, oldest first.
 	history []string
 	started time.Time
@@ -114,6 +118,11 @@
 	}
 	e := &exchange{g: g, w: w, ctx: r.Context(), call: call, route: route, service: service, team: team, started: now}
 	e.end = now.Add(timeoutOf(call, route))
+	if e.crashesServers(now) {
+		refuse(w, http.StatusServiceUnavailable, crashRetryAfter, "the request crashes backend servers")
+		e.done("refused", http.StatusServiceUnavailable, "the request crashes backend servers")
+		return
+	}
 	g.Budgets.Started(now, service.Name)
 	switch {
 	case route.Kind == routing.Stream:
@@ -200,6 +209,9 @@
 	e.done("failed", status, reason)
 }
 
+// crashRetryAfter is what a client is told whose request crashes servers.
+const crashRetryAfter = time.Minute
+
 // minRetryAfter spreads clients that are told to come back.
 const minRetryAfter = 150 * time.Millisecond
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -279,5 +279,18 @@
 	default:
 		e.g.Fleet.Result(s, false)
 		e.g.lost(s, err)
+		if e.g.refuses(ctx, s) {
+			e.crashed(s)
+		}
+	}
+}
+
+// refuses reports whether nothing listens at a server's address any more.
+func (g *Gateway) refuses(ctx context.Context, s *fleet.Server) bool {
+	c, err := g.Pool.Get(ctx, addressOf(s), streamFresh)
+	if err != nil {
+		return backendconn.CodeOf(err) == backendconn.CodeConnect
 	}
+	g.Pool.Close(c)
+	return false
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,6 +74,10 @@
 			st.fail("out of time")
 			return
 		}
+		if losses > 0 && e.crashesServers(now) {
+			st.fail("the request crashes backend servers")
+			return
+		}
 		server, backup, attempt, ok := st.place(now)
 		if !ok {
 			st.fail("no engine is available")
@@ -85,6 +89,9 @@
 		}
 		switch st.run(server, backup, attempt) {
 		case resultEnded:
+			if e.g.crashes.any() {
+				e.g.crashes.clear(e.fingerprint())
+			}
 			e.done("served", http.StatusOK, "")
 			return
 		case resultGone:
@@ -281,6 +288,9 @@
 		return resultFailed // its engine may go on with the request
 	}
 	st.exclude = append(st.exclude, s.ID)
+	if !flowing {
+		st.crashed(s)
+	}
 	return resultFailed
 }
 
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -36,14 +36,15 @@
 	pending chan struct{} // news wait that may share a datagram
 	urgent  chan struct{} // news wait that peers need at once
 	onHeard func(Member)
+	onCrash func(time.Time, gateway.Crash)
 
 	mu      sync.Mutex
 	members *members // guarded by mu
 }
 
 // New opens the node's datagram socket. self describes the node; onHeard is
-// called for each heartbeat of a peer.
-func New(listen string, f *fleet.Fleet, self func(now time.Time) Member, onHeard func(Member)) (*Mesh, error) {
+// called for each heartbeat of a peer, onCrash for each crash that a peer saw.
+func New(listen string, f *fleet.Fleet, self func(now time.Time) Member, onHeard func(Member), onCrash func(time.Time, gateway.Crash)) (*Mesh, error) {
 	address, err := net.ResolveUDPAddr("udp4", listen)
 	if err != nil {
 		return nil, newError(CodeAddress).Errorf("mesh address %q: %v", listen, err)
@@ -60,6 +61,7 @@
 		pending: make(chan struct{}, 1),
 		urgent:  make(chan struct{}, 1),
 		onHeard: onHeard,
+		onCrash: onCrash,
 		members: newMembers(self(time.Now()).Host),
 	}, nil
 }
@@ -113,6 +115,9 @@
 // Found tells peers of a server that the list does not have yet.
 func (m *Mesh) Found(e fleet.Entry) { m.push(Event{Kind: EventFound, Found: &e}, true) }
 
+// Crashed implements gateway.Announcer.
+func (m *Mesh) Crashed(x gateway.Crash) { m.push(Event{Kind: EventCrash, Crash: &x}, false) }
+
 // Usage returns what the other nodes used of a service, and their number.
 func (m *Mesh) Usage(now time.Time, service string) (total gateway.Usage, nodes int) {
 	m.mu.Lock()
@@ -249,6 +254,8 @@
 	switch {
 	case e.Kind == EventFound && e.Found != nil:
 		m.fleet.Found(now, *e.Found)
+	case e.Kind == EventCrash && e.Crash != nil:
+		m.onCrash(now, *e.Crash)
 	case e.Kind == EventLost:
 		m.fleet.Lost(now, e.Server, e.Loss)
 	case e.Placed == nil:
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -62,6 +62,7 @@
 	EventCopied EventKind = "copied"
 	EventLost   EventKind = "lost"
 	EventFound  EventKind = "found"
+	EventCrash  EventKind = "crash"
 )
 
 // Event is news of one node for the placement of its peers.
@@ -71,7 +72,8 @@
 	Server ident.BackendID `json:"b,omitempty"`
 	Loss   fleet.Loss      `json:"l,omitempty"`
 	// Found is a server that was found at the address of one that was lost.
-	Found *fleet.Entry `json:"f,omitempty"`
+	Found *fleet.Entry   `json:"f,omitempty"`
+	Crash *gateway.Crash `json:"c,omitempty"`
 }
 
 // message is the content of one datagram.
