--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -27,12 +27,12 @@
 
 // Placed is a run on an engine, as told to peers.
 type Placed struct {
-	Run     uint64 // unique among the runs of its host
-	Server  ident.BackendID
-	Backup  ident.BackendID // holds a copy; empty if none
-	Prefill time.Duration
-	Tokens  int
-	Part    uint64
+	Run     uint64          `json:"r"` // unique among the runs of its host
+	Server  ident.BackendID `json:"s"`
+	Backup  ident.BackendID `json:"b,omitempty"` // holds a copy; empty if none
+	Prefill time.Duration   `json:"p,omitempty"`
+	Tokens  int             `json:"t,omitempty"`
+	Part    uint64          `json:"h,omitempty"`
 }
 
 // Start records a run.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -20,16 +20,16 @@
 
 // Entry is what a backend server says of itself in the platform's list.
 type Entry struct {
-	ID ident.BackendID
+	ID ident.BackendID `json:"i"`
 	// Born tells apart lives under one id: the Unix millisecond of the start,
 	// or 0 if the server does not tell it.
-	Born       int64
-	Service    string
-	Address    string // IP:port; other servers use it again later
-	DataCentre ident.DataCentre
-	Slots      int
-	Draining   bool
-	Sequence   int64 // rises with each report of one life
+	Born       int64            `json:"b"`
+	Service    string           `json:"v"`
+	Address    string           `json:"a"` // IP:port; other servers use it again later
+	DataCentre ident.DataCentre `json:"d"`
+	Slots      int              `json:"n"`
+	Draining   bool             `json:"l,omitempty"`
+	Sequence   int64            `json:"q"` // rises with each report of one life
 }
 
 // runKey identifies a run across hosts.
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,9 @@
 	// retry ends a pause.
 	retry chan struct{}
 
+	// lock is held while changes are taken over, whether this follower or a peer
+	// has read them, and while revision is moved.
+	lock sync.Mutex
 	// revision is how far the table has been read.
 	revision atomic.Int64
 	// failing is set while calls fail.
@@ -108,14 +112,16 @@
 		if lost {
 			f.log.Log(logrus.InfoLevel, telemetry.EventStoreBack, logrus.Fields{"table": f.table, "outage_ms": now.Sub(since).Milliseconds()}, "the store answers again")
 		}
+		f.lock.Lock()
 		if revision == 0 {
 			f.replace(rows, lost)
 		} else if len(rows.Rows) > 0 {
 			f.apply(rows, lost)
 		}
+		f.revision.Store(max(rows.Revision, f.revision.Load()))
+		f.lock.Unlock()
 		since, lost, backoff = time.Time{}, false, retryFirst
 		f.failing.Store(false)
-		f.revision.Store(max(rows.Revision, revision))
 		f.answered.Store(now.UnixNano())
 		if f.onRead != nil {
 			f.onRead()
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -57,6 +57,11 @@
 	gateway *gateway.Gateway
 	config  *follower
 	servers *follower
+	listing listing
+	// changesFrom is the revision by which this node had read its newest change of
+	// the list of servers. A peer that has read as far needs only what comes later.
+	// It is guarded by the lock of servers.
+	changesFrom int64
 
 	// Settings that a reload may change, in nanoseconds.
 	addressTTL atomic.Int64
@@ -79,8 +84,7 @@
 
 	mu sync.Mutex
 	// mu guards what peers may ask for.
-	rawConfig  []byte
-	rawServers map[string][]byte
+	rawConfig []byte
 }
 
 // New prepares a node. Lines of the log go to out.
@@ -103,11 +107,14 @@
 		incarnation: ident.Incarnation(now.UnixNano()),
 		log:         log, scope: scope, metrics: page, closers: []io.Closer{closer, writer},
 		fleet: fleet.New(s.Host, now), pool: backendconn.NewPool(),
-		rawServers: map[string][]byte{},
 	}
 	n.addressTTL.Store(int64(s.AddressTTL))
 	n.grace.Store(int64(s.Grace))
-	n.mesh, err = mesh.New(s.Mesh, n.fleet, n.member, n.heard, func(now time.Time, x gateway.Crash) { n.gateway.Crashed(now, x) })
+	n.mesh, err = mesh.New(s.Mesh, n.fleet, n.member, mesh.Handlers{
+		Heard:  n.heard,
+		Crash:  func(now time.Time, x gateway.Crash) { n.gateway.Crashed(now, x) },
+		Listed: n.peerListed,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -261,11 +268,26 @@
 func (n *Node) applyServers(rows Rows, outage bool) {
 	n.noteOutage(outage)
 	now := time.Now()
+	from := n.changesFrom
+	var changed []mesh.Entry
 	for _, r := range rows.Rows {
-		if n.applyServer(now, r) {
-			n.serverChanged(r.Version, rows.Revision)
+		if !n.applyServer(now, r) {
+			continue
+		}
+		n.serverChanged(r.Version, rows.Revision)
+		if s := n.fleet.Server(ident.BackendID(r.Key)); s != nil && !r.Removed {
+			changed = append(changed, mesh.Entry{Server: s.Entry})
+		} else {
+			changed = append(changed, mesh.Entry{Removed: ident.BackendID(r.Key)})
 		}
 	}
+	if len(changed) == 0 {
+		return
+	}
+	n.changesFrom = rows.Revision
+	if from > 0 && !outage && n.isReader(now) {
+		n.mesh.Changed(from, rows.Revision, changed)
+	}
 }
 
 // serverChanged notes the version of a change, or the revision by which it was
@@ -299,9 +321,6 @@
 		}, "backend server listed")
 	}
 	n.fleet.Put(now, e)
-	n.mu.Lock()
-	n.rawServers[r.Key] = r.Value
-	n.mu.Unlock()
 	return changed
 }
 
@@ -311,9 +330,6 @@
 		return false
 	}
 	n.fleet.Remove(now, id, lapsed)
-	n.mu.Lock()
-	delete(n.rawServers, string(id))
-	n.mu.Unlock()
 	n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
 		telemetry.FieldBackend: id, "lapsed": lapsed,
 	}, "backend server off the list")
@@ -354,6 +370,7 @@
 			n.log.LogError(logrus.WarnLevel, telemetry.EventPeerState, err, logrus.Fields{telemetry.FieldPeer: r.Key}, "row of a node cannot be read")
 			continue
 		}
+		m.Host = ident.HostID(r.Key)
 		list = append(list, m)
 	}
 	n.mesh.Know(time.Now(), list)
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -4,12 +4,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"maps"
 	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
@@ -34,10 +35,11 @@
 	maxState = 16 << 20
 )
 
-// stateDocument is what a node knows from the store, in the store's own form.
+// stateDocument is what a node knows from the store. The configuration is in the
+// store's own form.
 type stateDocument struct {
-	Config  []byte            `json:"config,omitempty"`
-	Servers map[string][]byte `json:"servers,omitempty"`
+	Config  []byte        `json:"config,omitempty"`
+	Servers []fleet.Entry `json:"servers,omitempty"`
 }
 
 // serveState answers a peer that cannot read the store. The query says whether
@@ -45,10 +47,10 @@
 func (n *Node) serveState(w http.ResponseWriter, r *http.Request) {
 	n.mu.Lock()
 	doc := stateDocument{Config: n.rawConfig}
+	n.mu.Unlock()
 	if r.URL.Query().Has("servers") {
-		doc.Servers = maps.Clone(n.rawServers)
+		doc.Servers = n.fleet.Entries()
 	}
-	n.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(doc) // the peer asks again if it gets no answer
 }
@@ -108,11 +110,25 @@
 	if !servers || len(doc.Servers) == 0 {
 		return
 	}
-	rows := make([]Row, 0, len(doc.Servers))
-	for key, value := range doc.Servers {
-		rows = append(rows, Row{Key: key, Value: value})
+	n.takeServers(doc.Servers)
+}
+
+// takeServers takes over a peer's list of servers.
+func (n *Node) takeServers(list []fleet.Entry) {
+	n.servers.lock.Lock()
+	defer n.servers.lock.Unlock()
+	now := time.Now()
+	listed := make(map[ident.BackendID]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+		n.fleet.Put(now, e)
+	}
+	for _, id := range n.fleet.IDs() {
+		if !listed[id] {
+			n.removeServer(now, id, false)
+		}
 	}
-	n.replaceServers(Rows{Rows: rows}, false)
+	n.listed.Store(true)
 }
 
 func fetchState(ctx context.Context, address string, servers bool) (stateDocument, error) {
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -85,5 +85,56 @@
 	return age
 }
 
+// listing collects the parts of the changes that a peer has read. It is guarded
+// by the lock of the follower of the servers.
+type listing struct {
+	from  int64
+	to    int64
+	parts map[int]mesh.Listed
+}
+
+// add returns all changes once every part has arrived.
+func (l *listing) add(x mesh.Listed) ([]mesh.Entry, bool) {
+	if l.parts == nil || l.from != x.From || l.to != x.To {
+		l.from, l.to, l.parts = x.From, x.To, map[int]mesh.Listed{}
+	}
+	l.parts[x.Part] = x
+	if len(l.parts) < x.Parts {
+		return nil, false
+	}
+	var rows []mesh.Entry
+	for part := range x.Parts {
+		rows = append(rows, l.parts[part].Rows...)
+	}
+	l.parts = nil
+	return rows, true
+}
+
+// peerListed takes over changes that the reader has read. A node that lacks what
+// came before them reads the list itself, since the reader's next heartbeat tells
+// of a change that it does not have.
+func (n *Node) peerListed(x mesh.Listed) {
+	n.servers.lock.Lock()
+	defer n.servers.lock.Unlock()
+	revision := n.servers.revision.Load()
+	if revision < x.From || revision >= x.To {
+		return
+	}
+	rows, whole := n.listing.add(x)
+	if !whole {
+		return
+	}
+	now := time.Now()
+	for _, r := range rows {
+		if r.Removed != "" {
+			n.removeServer(now, r.Removed, n.mayLapse(now))
+		} else {
+			n.fleet.Put(now, r.Server)
+		}
+	}
+	n.servers.revision.Store(x.To)
+	n.changesFrom = x.To
+}
+
 // IsReader reports whether this node reads the servers' reports for all.
 func (n *Node) IsReader() bool { return n.isReader(time.Now()) }
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -17,7 +17,7 @@
 // budgetMargin is the part of the limit that hosts use. What they know of each
 // other is some hundred milliseconds old, and a lost data centre makes all of
 // them repeat at once.
-const budgetMargin = 0.7
+const budgetMargin = 0.8
 
 // usageSlots counts one host's usage of a service in slots of a window.
 type usageSlots struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,13 +67,15 @@
 	team    string
 	end     time.Time // when the client or the route gives the request up
 
-	// sent counts attempts that may have run, refused those that did not, and
-	// absent those of the latter whose server was gone or replaced.
-	sent    int
-	refused int
-	absent  int
-	exclude fleet.Exclude
-	print   quarantine.Fingerprint // set by fingerprint
+	// sent counts attempts that may have run, refused those that did not, absent
+	// those of the latter whose server was gone or replaced, and unreached those
+	// that no connection was opened for.
+	sent      int
+	refused   int
+	absent    int
+	unreached int
+	exclude   fleet.Exclude
+	print     quarantine.Fingerprint // set by fingerprint
 	// history is the list of attempts for the log, oldest first.
 	history []string
 	started time.Time
@@ -186,6 +188,10 @@
 
 func (e *exchange) clientGone() bool { return e.ctx.Err() != nil }
 
+// arrived is the number of attempts that reached a server. Further ones are
+// repeats, which the retry budget bounds.
+func (e *exchange) arrived() int { return e.sent + e.refused - e.unreached }
+
 // giveUp sends the final answer of a request that failed before any part of an
 // answer was passed on. Only a request that no server may have run is refused
 // as not run.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -33,10 +33,12 @@
 type reply struct {
 	server *fleet.Server
 	notRun bool
-	err    error
-	status int
-	header http.Header
-	body   []byte
+	// unreached replies come from a server that no connection was opened to.
+	unreached bool
+	err       error
+	status    int
+	header    http.Header
+	body      []byte
 }
 
 // good reports whether the reply is the server's own answer and no failure.
@@ -56,7 +58,7 @@
 			e.giveUp("no backend server is available", retryAfter(200*time.Millisecond))
 			return
 		}
-		if e.refused > 0 && !e.g.Budgets.Take(now, e.service.Name) {
+		if e.arrived() > 0 && !e.g.Budgets.Take(now, e.service.Name) {
 			e.giveUp("the retry budget is used up", retryAfter(300*time.Millisecond))
 			return
 		}
@@ -67,7 +69,7 @@
 			e.finish(r)
 			return
 		case r.notRun:
-			e.refused++
+			e.countRefusal(r)
 			e.exclude = append(e.exclude, s.ID)
 			if e.refused > maxRefusals {
 				e.giveUp("backend servers refuse the call", retryAfter(200*time.Millisecond))
@@ -98,7 +100,7 @@
 		if !ok {
 			return false
 		}
-		if e.sent+running+e.refused > 0 && !e.g.Budgets.Take(now, e.service.Name) {
+		if running+e.arrived() > 0 && !e.g.Budgets.Take(now, e.service.Name) {
 			return false
 		}
 		e.exclude = append(e.exclude, s.ID)
@@ -125,7 +127,7 @@
 			running--
 			switch {
 			case r.notRun:
-				e.refused++
+				e.countRefusal(r)
 			default:
 				e.sent++
 			}
@@ -160,6 +162,13 @@
 	e.giveUp("backend servers failed", retryAfter(200*time.Millisecond))
 }
 
+func (e *exchange) countRefusal(r *reply) {
+	e.refused++
+	if r.unreached {
+		e.unreached++
+	}
+}
+
 // plainServer chooses a server, waiting a little when none is usable.
 func (e *exchange) plainServer(now time.Time) (*fleet.Server, bool) {
 	until := now.Add(min(serverWait, e.left(now)))
@@ -201,7 +210,7 @@
 	r := &reply{server: s}
 	c, stop, err := e.open(ctx, s, fresh)
 	if err != nil {
-		r.notRun = true
+		r.notRun, r.unreached = true, true
 		if ctx.Err() == nil {
 			g.lost(s, err)
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,7 +83,7 @@
 			st.fail("no engine is available")
 			return
 		}
-		if e.sent+e.refused > 0 && !e.g.Budgets.Take(now, e.service.Name) {
+		if e.arrived() > 0 && !e.g.Budgets.Take(now, e.service.Name) {
 			st.fail("the retry budget is used up")
 			return
 		}
@@ -261,6 +261,7 @@
 		return resultGone
 	}
 	st.absent++
+	st.unreached++
 	st.note("connect %s: %v", s.ID, err)
 	st.g.lost(s, err)
 	st.exclude = append(st.exclude, s.ID)
--- a/internal/peer/mesh/members.go
+++ b/internal/peer/mesh/members.go
@@ -10,17 +10,20 @@
 )
 
 const (
-	// aliveFor is the silence after which a node is not named to clients.
-	aliveFor = 1100 * time.Millisecond
+	// aliveFor is the silence after which a node is not named to clients: three
+	// heartbeats and a margin for those of few nodes.
+	aliveBeats  = 3
+	aliveMargin = 200 * time.Millisecond
 	// goneFor is the silence after which a node's runs are forgotten.
-	goneFor = 3 * time.Second
+	goneFor = 4 * time.Second
 	// forgetFor is the silence after which a node gets no heartbeats.
 	forgetFor = 5 * time.Minute
 )
 
 type peer struct {
 	Member
-	heard time.Time // zero if only its address is known
+	heard time.Time // of the newest datagram; long ago if only its address is known
+	told  time.Time // of the newest heartbeat
 	gone  bool
 }
 
@@ -37,13 +40,34 @@
 
 // know adds a node whose address was read from the platform's store.
 func (m *members) know(now time.Time, x Member) {
-	if x.Host == m.self || x.Mesh == "" {
+	if x.Host == m.self || x.Host == "" || x.Mesh == "" {
 		return
 	}
-	p := m.peers[x.Host]
-	if p == nil || x.Incarnation > p.Incarnation {
-		m.peers[x.Host] = &peer{Member: x, heard: now.Add(-aliveFor), gone: true}
+	if m.peers[x.Host] == nil {
+		m.peers[x.Host] = &peer{Member: x, heard: now.Add(-m.aliveFor()), gone: true}
+	}
+}
+
+// aliveFor is the silence after which a node is not named to clients.
+func (m *members) aliveFor() time.Duration {
+	return aliveBeats*heartbeatFor(len(m.peers)) + aliveMargin
+}
+
+// accept takes a datagram unless it is of this node, of an earlier life of its
+// sender, or of a sender that is not known yet.
+func (m *members) accept(now time.Time, msg message) (restarted, ok bool) {
+	if msg.Member != nil {
+		x := *msg.Member
+		x.Host, x.Incarnation = msg.Host, msg.Incarnation
+		*msg.Member = x
+		return m.hear(now, x)
+	}
+	p := m.peers[msg.Host]
+	if p == nil || p.Incarnation != msg.Incarnation {
+		return false, false
 	}
+	p.heard = now
+	return false, true
 }
 
 // hear takes over what a node says of itself. It reports whether the node has
@@ -57,7 +81,7 @@
 		return false, false
 	}
 	restarted = p != nil && x.Incarnation > p.Incarnation
-	m.peers[x.Host] = &peer{Member: x, heard: now}
+	m.peers[x.Host] = &peer{Member: x, heard: now, told: now}
 	return restarted, true
 }
 
@@ -82,10 +106,10 @@
 func (m *members) alive(now time.Time) []Member {
 	var list []Member
 	for _, p := range m.peers {
-		if now.Sub(p.heard) < aliveFor {
+		if now.Sub(p.heard) < m.aliveFor() {
 			x := p.Member
 			// The age has grown since the heartbeat.
-			x.StoreAgeMs += now.Sub(p.heard).Milliseconds()
+			x.StoreAgeMs += now.Sub(p.told).Milliseconds()
 			list = append(list, x)
 		}
 	}
@@ -104,7 +128,7 @@
 			total.Requests += p.Usage[service].Requests
 			total.Repeats += p.Usage[service].Repeats
 		}
-		if silent < aliveFor {
+		if silent < m.aliveFor() {
 			nodes++
 		}
 	}
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// heartbeat is how often a node tells all others of itself.
-	heartbeat = 300 * time.Millisecond
+	// heartbeatLeast is how often a node tells all others of itself among few
+	// nodes. Each further node makes the interval longer by heartbeatPerNode, up
+	// to heartbeatMost, so that what a node sends and reads grows slower.
+	heartbeatLeast   = 300 * time.Millisecond
+	heartbeatPerNode = 12 * time.Millisecond
+	heartbeatMost    = time.Second
 	// batch is how long news of placements wait for others to share a datagram.
 	batch = 5 * time.Millisecond
 	// ringSize bounds the news that wait. The oldest lose their worth first, and
@@ -35,16 +39,24 @@
 	news    *ring.Ring[Event]
 	pending chan struct{} // news wait that may share a datagram
 	urgent  chan struct{} // news wait that peers need at once
-	onHeard func(Member)
-	onCrash func(time.Time, gateway.Crash)
+	Handlers
 
 	mu      sync.Mutex
 	members *members // guarded by mu
 }
 
-// New opens the node's datagram socket. self describes the node; onHeard is
-// called for each heartbeat of a peer, onCrash for each crash that a peer saw.
-func New(listen string, f *fleet.Fleet, self func(now time.Time) Member, onHeard func(Member), onCrash func(time.Time, gateway.Crash)) (*Mesh, error) {
+// Handlers are called by the receiver for what peers tell.
+type Handlers struct {
+	// Heard gets each heartbeat of a peer.
+	Heard func(Member)
+	// Crash gets each crash that a peer saw.
+	Crash func(time.Time, gateway.Crash)
+	// Listed gets changes of the list of servers that a peer has read.
+	Listed func(Listed)
+}
+
+// New opens the node's datagram socket. self describes the node.
+func New(listen string, f *fleet.Fleet, self func(now time.Time) Member, h Handlers) (*Mesh, error) {
 	address, err := net.ResolveUDPAddr("udp4", listen)
 	if err != nil {
 		return nil, newError(CodeAddress).Errorf("mesh address %q: %v", listen, err)
@@ -54,18 +66,31 @@
 		return nil, newError(CodeListen).Errorf("listening on %s: %v", listen, err)
 	}
 	return &Mesh{
-		fleet:   f,
-		conn:    conn,
-		self:    self,
-		news:    ring.New[Event](ringSize),
-		pending: make(chan struct{}, 1),
-		urgent:  make(chan struct{}, 1),
-		onHeard: onHeard,
-		onCrash: onCrash,
-		members: newMembers(self(time.Now()).Host),
+		fleet:    f,
+		conn:     conn,
+		self:     self,
+		news:     ring.New[Event](ringSize),
+		pending:  make(chan struct{}, 1),
+		urgent:   make(chan struct{}, 1),
+		Handlers: h,
+		members:  newMembers(self(time.Now()).Host),
 	}, nil
 }
 
+// rowsPerDatagram keeps a datagram with entries of servers below one packet.
+const rowsPerDatagram = 7
+
+// Changed tells peers of changes of the list of servers.
+func (m *Mesh) Changed(from, to int64, rows []Entry) {
+	parts := (len(rows) + rowsPerDatagram - 1) / rowsPerDatagram
+	for part := range parts {
+		first := part * rowsPerDatagram
+		m.broadcast(message{Listed: &Listed{
+			From: from, To: to, Part: part, Parts: parts, Rows: rows[first:min(len(rows), first+rowsPerDatagram)],
+		}})
+	}
+}
+
 // Run sends and receives until the context ends.
 func (m *Mesh) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { m.conn.Close() })
@@ -93,16 +118,20 @@
 }
 
 // Announce tells all peers of this node's state at once.
-func (m *Mesh) Announce() { m.broadcast(time.Now(), nil, false) }
+func (m *Mesh) Announce() { m.broadcast(message{Member: m.describe()}) }
 
 // Placed implements gateway.Announcer.
 func (m *Mesh) Placed(p fleet.Placed) { m.push(Event{Kind: EventPlaced, Placed: &p}, false) }
 
 // First implements gateway.Announcer.
-func (m *Mesh) First(p fleet.Placed) { m.push(Event{Kind: EventFirst, Placed: &p}, false) }
+func (m *Mesh) First(p fleet.Placed) {
+	m.push(Event{Kind: EventFirst, Placed: &fleet.Placed{Run: p.Run, Server: p.Server}}, false)
+}
 
 // Ended implements gateway.Announcer.
-func (m *Mesh) Ended(p fleet.Placed) { m.push(Event{Kind: EventEnded, Placed: &p}, false) }
+func (m *Mesh) Ended(p fleet.Placed) {
+	m.push(Event{Kind: EventEnded, Placed: &fleet.Placed{Run: p.Run, Server: p.Server, Backup: p.Backup}}, false)
+}
 
 // Copied implements gateway.Announcer.
 func (m *Mesh) Copied(p fleet.Placed) { m.push(Event{Kind: EventCopied, Placed: &p}, false) }
@@ -138,18 +167,18 @@
 }
 
 func (m *Mesh) send(ctx context.Context) {
-	beat := time.NewTicker(heartbeat)
+	beat := time.NewTimer(heartbeatLeast)
 	defer beat.Stop()
 	var due <-chan time.Time // set while news wait for the end of a batch
-	m.broadcast(time.Now(), nil, true)
+	m.broadcast(message{Member: m.describe(), Hello: true})
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-beat.C:
-			now := time.Now()
-			m.broadcast(now, m.news.TryPopAll(nil), false)
-			m.expire(now)
+			m.broadcast(message{Member: m.describe()})
+			m.expire(time.Now())
+			beat.Reset(m.interval())
 		case <-m.pending:
 			if due == nil {
 				due = time.After(batch)
@@ -163,9 +192,29 @@
 	}
 }
 
+// interval is the time between heartbeats among the present number of nodes.
+func (m *Mesh) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return heartbeatFor(len(m.members.peers))
+}
+
+func heartbeatFor(peers int) time.Duration {
+	return min(heartbeatMost, max(heartbeatLeast, time.Duration(peers)*heartbeatPerNode))
+}
+
+func (m *Mesh) describe() *Member {
+	x := m.self(time.Now())
+	return &x
+}
+
+// flush sends the news that wait.
 func (m *Mesh) flush() {
-	if m.news.Len() > 0 {
-		m.broadcast(time.Now(), m.news.TryPopAll(nil), false)
+	events := m.news.TryPopAll(nil)
+	for len(events) > 0 {
+		n := min(len(events), eventsPerDatagram)
+		m.broadcast(message{Events: events[:n]})
+		events = events[n:]
 	}
 }
 
@@ -178,28 +227,28 @@
 	}
 }
 
-// broadcast sends events, and this node's state, to all peers.
-func (m *Mesh) broadcast(now time.Time, events []Event, hello bool) {
+// broadcast sends a message to all peers.
+func (m *Mesh) broadcast(msg message) {
 	m.mu.Lock()
 	addresses := m.members.addresses()
 	m.mu.Unlock()
 	if len(addresses) == 0 {
 		return
 	}
-	for {
-		n := min(len(events), eventsPerDatagram)
-		p, err := encode(message{Member: m.self(now), Events: events[:n], Hello: hello})
-		if err != nil {
-			panic(err) // the types above always encode
-		}
-		for _, address := range addresses {
-			m.sendTo(address, p)
-		}
-		events = events[n:]
-		if len(events) == 0 {
-			return
-		}
+	p := m.encoded(msg)
+	for _, address := range addresses {
+		m.sendTo(address, p)
+	}
+}
+
+func (m *Mesh) encoded(msg message) []byte {
+	self := m.self(time.Now())
+	msg.Host, msg.Incarnation = self.Host, self.Incarnation
+	p, err := encode(msg)
+	if err != nil {
+		panic(err) // the types of a message always encode
 	}
+	return p
 }
 
 func (m *Mesh) sendTo(address string, p []byte) {
@@ -232,22 +281,27 @@
 
 func (m *Mesh) take(now time.Time, msg message) {
 	m.mu.Lock()
-	restarted, ok := m.members.hear(now, msg.Member)
+	restarted, ok := m.members.accept(now, msg)
 	m.mu.Unlock()
 	if !ok {
 		return
 	}
-	host := msg.Member.Host
 	if restarted {
-		m.fleet.ForgetHost(now, host)
+		m.fleet.ForgetHost(now, msg.Host)
 	}
 	for _, e := range msg.Events {
-		m.apply(now, host, e)
+		m.apply(now, msg.Host, e)
+	}
+	if msg.Listed != nil {
+		m.Listed(*msg.Listed)
+	}
+	if msg.Member == nil {
+		return
 	}
 	if msg.Hello {
-		m.reply(now, msg.Member.Mesh)
+		m.sendTo(msg.Member.Mesh, m.encoded(message{Member: m.describe()}))
 	}
-	m.onHeard(msg.Member)
+	m.Heard(*msg.Member)
 }
 
 func (m *Mesh) apply(now time.Time, host ident.HostID, e Event) {
@@ -255,7 +309,7 @@
 	case e.Kind == EventFound && e.Found != nil:
 		m.fleet.Found(now, *e.Found)
 	case e.Kind == EventCrash && e.Crash != nil:
-		m.onCrash(now, *e.Crash)
+		m.Crash(now, *e.Crash)
 	case e.Kind == EventLost:
 		m.fleet.Lost(now, e.Server, e.Loss)
 	case e.Placed == nil:
@@ -270,21 +324,12 @@
 	}
 }
 
-func (m *Mesh) reply(now time.Time, address string) {
-	if p, err := encode(message{Member: m.self(now)}); err == nil {
-		m.sendTo(address, p)
-	}
-}
-
 // Hello tells all peers of this node and asks for an answer.
-func (m *Mesh) Hello() { m.broadcast(time.Now(), nil, true) }
+func (m *Mesh) Hello() { m.broadcast(message{Member: m.describe(), Hello: true}) }
 
 // Seed asks nodes of which only the address is known to make themselves known.
 func (m *Mesh) Seed(addresses []string) {
-	p, err := encode(message{Member: m.self(time.Now()), Hello: true})
-	if err != nil {
-		panic(err) // the types above always encode
-	}
+	p := m.encoded(message{Member: m.describe(), Hello: true})
 	for _, address := range addresses {
 		m.sendTo(address, p)
 	}
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -33,8 +33,8 @@
 
 // Member is a node as its peers see it.
 type Member struct {
-	Host        ident.HostID      `json:"h"`
-	Incarnation ident.Incarnation `json:"i"`
+	Host        ident.HostID      `json:"-"` // stands in the message
+	Incarnation ident.Incarnation `json:"-"`
 	DataCentre  ident.DataCentre  `json:"d"`
 	Mesh        string            `json:"m"` // address for datagrams and state calls
 	Clients     string            `json:"c"` // address for clients
@@ -76,12 +76,32 @@
 	Crash *gateway.Crash `json:"c,omitempty"`
 }
 
-// message is the content of one datagram.
+// message is the content of one datagram. A heartbeat carries a Member; news are
+// sent without it, since they are many more.
 type message struct {
-	Member Member  `json:"m"`
-	Events []Event `json:"e,omitempty"`
+	Host        ident.HostID      `json:"h"`
+	Incarnation ident.Incarnation `json:"i"`
+	Member      *Member           `json:"m,omitempty"`
+	Events      []Event           `json:"e,omitempty"`
 	// Hello asks the receiver to answer, as a node does that has just started.
 	Hello bool `json:"q,omitempty"`
+	// Listed are changes of the list of servers that the sender has read.
+	Listed *Listed `json:"l,omitempty"`
+}
+
+// Listed is a part of the changes of the list of servers between two revisions.
+type Listed struct {
+	From  int64   `json:"f"`
+	To    int64   `json:"t"`
+	Part  int     `json:"p"` // from 0
+	Parts int     `json:"n"`
+	Rows  []Entry `json:"r"`
+}
+
+// Entry is a server that came, changed its state or left.
+type Entry struct {
+	Server  fleet.Entry     `json:"s,omitzero"`
+	Removed ident.BackendID `json:"x,omitempty"`
 }
 
 func encode(m message) ([]byte, error) { return json.Marshal(m) }
