--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/yuccahatch/yuccahatch/api/operatorapi"
+	"github.com/yuccahatch/yuccahatch/internal/explain"
 )
 
 func (a *app) statusCommand() *cobra.Command {
@@ -51,12 +53,21 @@
 }
 
 func (a *app) explainCommand() *cobra.Command {
-	return &cobra.Command{
+	var logs []string
+	cmd := &cobra.Command{
 		Use: "explain REQUEST", Short: "Show the decisions on one request",
-		Long:    "Show the decisions on one request. REQUEST is the value of the X-Request-Id header.",
-		Example: "  yuccahatch explain req-7f8f",
-		Args:    cobra.ExactArgs(1),
+		Long: `Show the decisions on one request. REQUEST is the value of the X-Request-Id header.
+
+With --log the logs of one or more hosts are read instead of asking the nodes. The
+lines of the request, and those by which its hosts learned of the backend servers
+that it met, are printed in the order of time.`,
+		Example: `  yuccahatch explain req-7f8f
+  yuccahatch explain --log host-1.log --log host-2.log 9c41d07be2a35f68`,
+		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(logs) > 0 {
+				return a.explainFromLogs(cmd, logs, args[0])
+			}
 			c, err := a.client()
 			if err != nil {
 				return err
@@ -74,6 +85,41 @@
 			})
 		},
 	}
+	cmd.Flags().StringArrayVar(&logs, "log", nil, "log file of a host, - for standard input; may be given more than once")
+	return cmd
+}
+
+// explainFromLogs prints the history of a request from the logs of hosts.
+func (a *app) explainFromLogs(cmd *cobra.Command, files []string, request string) error {
+	var lines []explain.LogLine
+	for _, name := range files {
+		part, err := readLogFile(cmd.InOrStdin(), name)
+		if err != nil {
+			return NewError(CodeUsage, "log %s: %v", name, err)
+		}
+		lines = append(lines, part...)
+	}
+	history := explain.History(lines, request)
+	if len(history) == 0 {
+		return NewError(CodeFailed, "no line of request %s in the logs", request)
+	}
+	return a.print(cmd.OutOrStdout(), history, func(w io.Writer) {
+		for _, l := range history {
+			fmt.Fprintf(w, "%s %s %s %s %s\n", l.At.Format(time.RFC3339Nano), l.Host, l.Event, l.Backend, l.Detail())
+		}
+	})
+}
+
+func readLogFile(stdin io.Reader, name string) ([]explain.LogLine, error) {
+	if name == "-" {
+		return explain.ReadLog(stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return explain.ReadLog(f)
 }
 
 func (a *app) auditCommand() *cobra.Command {
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -52,19 +52,21 @@
 	return s.Service == service && !s.Draining && !now.Before(s.lostUntil) && !f.inLostZone(s, now)
 }
 
-// candidates returns the usable servers of a service. When there is none, it
-// returns those that are only suspected, and else those that were found gone:
-// the signs of loss may be wrong, and trying a server is better than refusing.
-func (f *Fleet) candidates(service string, now time.Time, exclude Exclude) []*Server {
+// candidates returns the usable servers of a service, or, when there is none,
+// those that are only suspected: the signs of loss may be wrong, and trying a
+// server is better than refusing. Servers that were found gone are the last
+// resort, if evenGone allows it; engines come back under new identities, so that
+// waiting for those is better.
+func (f *Fleet) candidates(service string, now time.Time, exclude Exclude, evenGone bool) []*Server {
 	var usable, suspected, gone []*Server
 	for _, s := range f.servers {
 		switch {
 		case s.Service != service || s.Draining || slices.Contains(exclude, s.ID):
 		case f.usable(s, service, now):
 			usable = append(usable, s)
-		case !s.gone:
+		case !s.gone || !now.Before(s.lostUntil):
 			suspected = append(suspected, s)
-		default:
+		case evenGone:
 			gone = append(gone, s)
 		}
 	}
@@ -82,7 +84,7 @@
 func (f *Fleet) Engine(now time.Time, service string, memory int, p Prompt, exclude Exclude) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	candidates := f.candidates(service, now, exclude)
+	candidates := f.candidates(service, now, exclude, false)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -149,7 +151,7 @@
 	var best Choice
 	var bestCost time.Duration
 	equals := 0
-	candidates := f.candidates(service, now, exclude)
+	candidates := f.candidates(service, now, exclude, true)
 	best.Candidates = len(candidates)
 	for _, s := range candidates {
 		cost := (f.plainWait(s, now) + f.faultCost(s, now)).Truncate(plainWork)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
 // forward passes events on as they arrive until the answer ends or breaks off.
@@ -111,5 +114,8 @@
 	st.g.Metrics.resumes[st.way].Inc(1)
 	st.g.Metrics.resume.RecordDuration(resume)
 	st.note("resumed by %s in %dms", st.way, resume.Milliseconds())
+	st.g.Log.Log(logrus.InfoLevel, telemetry.EventAttemptResumed, logrus.Fields{
+		telemetry.FieldRequest: st.call.ID, telemetry.FieldBackend: placed.Server, "way": st.way, "resume_ms": resume.Milliseconds(), "after": st.last,
+	}, "stream goes on")
 	st.lostAt = time.Time{}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
 const (
@@ -78,9 +81,9 @@
 			st.fail("the request crashes backend servers")
 			return
 		}
-		server, backup, attempt, ok := st.place(now)
-		if !ok {
-			st.fail("no engine is available")
+		server, backup, attempt, refusal := st.place(now)
+		if refusal != "" {
+			st.fail(refusal)
 			return
 		}
 		if e.arrived() > 0 && !e.g.Budgets.Take(now, e.service.Name) {
@@ -147,14 +150,21 @@
 	return e.service.Engine.CacheTokens
 }
 
-// place chooses the engine of the next attempt and the one that holds its copy.
-func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, ok bool) {
+// Reasons for which a stream is not placed.
+const (
+	refusalNoEngine  = "no engine is available"
+	refusalLongQueue = "the expected wait is too long for the time that is left"
+)
+
+// place chooses the engine of the next attempt and the one that holds its copy. A
+// refusal other than "" says why there is none.
+func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, refusal string) {
 	if c := st.copy; c != nil {
 		st.copy = nil
 		if st.g.Fleet.Takes(c.holder, now) {
 			a.CopyAt, a.CopyOf = c.source, c.name
 			st.way = wayCopy
-			return c.holder, st.backupFor(now, c.holder), a, true
+			return c.holder, st.backupFor(now, c.holder), a, ""
 		}
 	}
 	st.way = wayAgain
@@ -167,17 +177,17 @@
 		}
 		if found {
 			if !st.opened && choice.Wait > time.Duration(longestQueue*float64(st.left(now))) {
-				return nil, nil, a, false
+				return nil, nil, a, refusalLongQueue
 			}
-			return choice.Server, st.backupFor(now, choice.Server), a, true
+			return choice.Server, st.backupFor(now, choice.Server), a, ""
 		}
 		if !now.Before(until) {
-			return nil, nil, a, false
+			return nil, nil, a, refusalNoEngine
 		}
 		select {
 		case <-time.After(enginePoll):
 		case <-st.ctx.Done():
-			return nil, nil, a, false
+			return nil, nil, a, refusalNoEngine
 		}
 	}
 }
@@ -276,6 +286,9 @@
 		return resultGone
 	}
 	st.note("lost %s: %v", s.ID, err)
+	st.g.Log.LogError(logrus.WarnLevel, telemetry.EventAttemptLost, err, logrus.Fields{
+		telemetry.FieldRequest: st.call.ID, telemetry.FieldBackend: s.ID, "after": st.last, "flowing": flowing, "attempts": st.sent,
+	}, "attempt lost")
 	if flowing { // there is no copy before the first event
 		st.copy = p.usable()
 	}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -63,6 +63,17 @@
 	eventFlushedSeverity = logrus.InfoLevel
 )
 
+// linesPerWindow replaces eventLinesPerWindow for events without which a failed
+// request could not be explained. The loss of a data centre troubles some dozens
+// of requests of a node at once.
+var linesPerWindow = map[Event]int{
+	EventRequestTroubled: 100,
+	EventAttemptLost:     100,
+	EventAttemptResumed:  100,
+	EventBackendLost:     60,
+	EventBackendListed:   60,
+}
+
 // Limiter bounds the lines of each event code per window and counts what it
 // suppresses. It holds no clock.
 type Limiter struct {
@@ -92,7 +103,11 @@
 	if now.Sub(c.windowStart) >= eventWindow {
 		c.windowStart, c.lines = now, 0
 	}
-	if c.lines >= eventLinesPerWindow {
+	limit, ok := linesPerWindow[event]
+	if !ok {
+		limit = eventLinesPerWindow
+	}
+	if c.lines >= limit {
 		c.suppressed++
 		return false, 0
 	}
