--- a/internal/daemoncmd/front.go
+++ b/internal/daemoncmd/front.go
@@ -32,6 +32,9 @@
 		case <-ctx.Done():
 			return
 		case <-hangup:
+			if raw, err := os.ReadFile(path); err == nil {
+				seen = raw // the poll need not find this change again
+			}
 		case <-poll.C:
 			raw, err := os.ReadFile(path)
 			if err != nil || bytes.Equal(raw, seen) {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -67,9 +67,10 @@
 	addressTTL atomic.Int64
 	grace      atomic.Int64
 
-	leaving  atomic.Bool
-	listed   atomic.Bool // the servers have been read once
-	inFlight atomic.Int64
+	leaving      atomic.Bool
+	leavingSince atomic.Int64 // Unix nanoseconds
+	listed       atomic.Bool  // the servers have been read once
+	inFlight     atomic.Int64
 	// storeBackAt is the time at which this node's newest outage of the store
 	// ended, and lapsesAt the same for outages that all nodes saw, in Unix
 	// nanoseconds.
@@ -125,7 +126,7 @@
 			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window,
 			Others: func(service string) (gateway.Usage, int) { return n.mesh.Usage(time.Now(), service) },
 		},
-		Leaving: n.leaving.Load,
+		Leaving: n.leaving.Load, TakesStreams: n.takesStreams,
 	}
 	n.config = n.newFollower(TableConfig, configWait, n.applyConfig, n.applyConfig)
 	n.servers = n.newFollower(TableServers, 0, n.replaceServers, n.applyServers)
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -71,9 +71,21 @@
 	return nil
 }
 
+// takesStreams reports whether a stream that begins now is likely to end before
+// the node does.
+func (n *Node) takesStreams() bool {
+	if !n.leaving.Load() {
+		return true
+	}
+	grace := time.Duration(n.grace.Load())
+	since := time.Since(time.Unix(0, n.leavingSince.Load()))
+	return grace == 0 || since < time.Duration(streamsUntil*float64(grace))
+}
+
 // leave waits until the requests in flight have ended.
 func (n *Node) leave(ctx context.Context) {
 	started := time.Now()
+	n.leavingSince.Store(started.UnixNano())
 	n.leaving.Store(true)
 	n.mesh.Announce()
 	n.log.Log(logrus.InfoLevel, telemetry.EventNodeLeaving, logrus.Fields{"in_flight": n.inFlight.Load()}, "node is leaving")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,9 @@
 	Budgets  *Budgets
 	// Leaving reports whether the node is about to stop.
 	Leaving func() bool
+	// TakesStreams reports whether a stream may begin; one that is refused has
+	// not run, and its client goes to another node.
+	TakesStreams func() bool
 
 	locating locator
 	crashes  crashes
@@ -113,6 +116,10 @@
 		return
 	}
 	call.Body = body
+	if route.Kind == routing.Stream && !g.TakesStreams() {
+		refuse(w, http.StatusServiceUnavailable, minRetryAfter, "the node is about to stop")
+		return
+	}
 	service := table.Service(route.Pick(rand.Float64()))
 	if service == nil {
 		refuse(w, http.StatusServiceUnavailable, time.Second, "the route's service is not configured")
