--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -36,10 +36,10 @@
 	Decisions []Decision
 }
 
-// disturbances are the events after which the record of a request is written to
+// interruptions are the events after which the record of a request is written to
 // the object store. A failure is none by itself: an overload refuses many
 // requests with it. After a loss the kept trace has it.
-var disturbances = map[string]bool{"lost": true, "resumed": true, "taken_over": true}
+var interruptions = map[string]bool{"lost": true, "resumed": true, "taken_over": true}
 
 type key struct {
 	customer ident.Customer
@@ -49,7 +49,7 @@
 // Store holds the newest records of a node.
 type Store struct {
 	host ident.HostID
-	// changed is called, without mu, after a disturbance was recorded.
+	// changed is called, without mu, after an interruption was recorded.
 	changed func(ident.Customer, ident.RequestID)
 
 	mu sync.Mutex
@@ -73,14 +73,14 @@
 	}
 }
 
-// OnChange sets what is called after a disturbance was recorded. It is set
+// OnChange sets what is called after an interruption was recorded. It is set
 // before the first decision.
 func (s *Store) OnChange(changed func(ident.Customer, ident.RequestID)) { s.changed = changed }
 
 // Add records one decision.
 func (s *Store) Add(now time.Time, customer ident.Customer, request ident.RequestID, event, detail string) {
 	s.add(now, customer, request, event, detail)
-	if disturbances[event] {
+	if interruptions[event] {
 		s.changed(customer, request)
 	}
 }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -240,7 +240,7 @@
 }
 
 // Guards against an overload whose refused requests push out the traces of real
-// disturbances and use up the writes to the object store.
+// interruptions and use up the writes to the object store.
 func TestRefusedGenerationsAreNotKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &fakeObjects{objects: map[string][]byte{}}
