--- a/internal/daemoncmd/daemoncmd.go
+++ b/internal/daemoncmd/daemoncmd.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccahatch/yuccahatch/internal/node"
 	"github.com/yuccahatch/yuccahatch/internal/settings"
+	"github.com/yuccahatch/yuccahatch/platform"
 )
 
 // New returns the root command.
@@ -28,25 +29,40 @@
 }
 
 func checkCommand() *cobra.Command {
-	var config string
+	var config, platformFile string
 	cmd := &cobra.Command{
-		Use:     "check",
-		Short:   "Check a settings file and do nothing else",
-		Example: "  yuccahatchd check --config node.toml",
-		Args:    cobra.NoArgs,
+		Use:   "check",
+		Short: "Check a settings file and do nothing else",
+		Example: `  yuccahatchd check --config node.toml
+  yuccahatchd check --platform /etc/yuccahatch/local.yaml`,
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if platformFile != "" {
+				s, err := platform.LoadSettings(platformFile)
+				if err != nil {
+					return err
+				}
+				return reportValid(cmd, platformFile, string(s.Host), string(s.DataCentre))
+			}
 			s, err := settings.Load(config)
 			if err != nil {
 				return err
 			}
-			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: valid settings of host %s in data centre %s\n", config, s.Host.ID, s.Host.DataCentre)
-			return err
+			return reportValid(cmd, config, s.Host.ID, s.Host.DataCentre)
 		},
 	}
-	addConfigFlag(cmd, &config)
+	cmd.Flags().StringVar(&config, "config", "", "settings file, TOML; docs/settings.md lists the keys")
+	cmd.Flags().StringVar(&platformFile, "platform", "", "settings file of the Arejo platform, YAML; keys that are not known are ignored")
+	cmd.MarkFlagsMutuallyExclusive("config", "platform")
+	cmd.MarkFlagsOneRequired("config", "platform")
 	return cmd
 }
 
+func reportValid(cmd *cobra.Command, file, host, dataCentre string) error {
+	_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: valid settings of host %s in data centre %s\n", file, host, dataCentre)
+	return err
+}
+
 func runCommand() *cobra.Command {
 	var config string
 	cmd := &cobra.Command{
--- a/internal/daemoncmd/daemoncmd_test.go
+++ b/internal/daemoncmd/daemoncmd_test.go
@@ -33,3 +33,26 @@
 		t.Errorf("refused settings: %v", err)
 	}
 }
+
+// The platform's file is checked by the same command, and unknown keys pass.
+func TestCheckOfPlatformFile(t *testing.T) {
+	run := func(doc string) (string, error) {
+		file := filepath.Join(t.TempDir(), "local.yaml")
+		if err := os.WriteFile(file, []byte(doc), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out bytes.Buffer
+		cmd := New()
+		cmd.SetOut(&out)
+		cmd.SetArgs([]string{"check", "--platform", file})
+		err := cmd.Execute()
+		return out.String(), err
+	}
+	const valid = "nodeName: n1\nip: 127.0.0.1\nzone: a\nlisten: {front: \"127.0.0.1:1\", ready: \"127.0.0.1:2\"}\nportRange: [3, 9]\nprovider: {address: \"127.0.0.1:4\"}\nlater: 1\n"
+	if out, err := run(valid); err != nil || !strings.Contains(out, "host n1 in data centre a") {
+		t.Errorf("valid settings: %q, %v", out, err)
+	}
+	if _, err := run(strings.Replace(valid, "zone: a\n", "", 1)); err == nil || !strings.Contains(err.Error(), "zone is missing") {
+		t.Errorf("refused settings: %v", err)
+	}
+}
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -14,10 +14,11 @@
 
 const (
 	// retryFirst is the first pause after a failed call of the store. It doubles
-	// up to retryMost, or to retryEager where others wait for this node.
+	// up to retryEager where others wait for this node, and to retryMost elsewhere:
+	// those nodes try again when a peer shows that the store is back.
 	retryFirst = 60 * time.Millisecond
 	retryEager = 250 * time.Millisecond
-	retryMost  = time.Second
+	retryMost  = 4 * time.Second
 	// outageAfter is the time without an answer after which the store counts as
 	// lost. Rows that vanish right after an outage may have lapsed.
 	outageAfter = 1500 * time.Millisecond
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -76,6 +76,8 @@
 	// nanoseconds.
 	storeBackAt atomic.Int64
 	lapsesAt    atomic.Int64
+	// storeAway is set while neither this node nor a peer reads the store.
+	storeAway atomic.Bool
 	// serversChanged is the revision of the newest change of a server that is
 	// more than a sign of life.
 	serversChanged atomic.Int64
@@ -131,7 +133,7 @@
 	n.config = n.newFollower(TableConfig, configWait, n.applyConfig, n.applyConfig)
 	n.servers = n.newFollower(TableServers, 0, n.replaceServers, n.applyServers)
 	n.servers.due = n.serversDue
-	n.servers.onRead, n.servers.eager = n.tellRead, n.isReader
+	n.servers.onRead, n.servers.eager, n.config.eager = n.tellRead, n.isReader, n.isReader
 	return n, nil
 }
 
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -26,6 +26,8 @@
 	// outageShared is the age above which an outage that all nodes see makes the
 	// answers of all peers old too.
 	outageShared = 2200 * time.Millisecond
+	// storeBack is the age of a peer's answer that shows the end of an outage.
+	storeBack = 500 * time.Millisecond
 	// newerAfter is how long a node waits for a version from the store that a
 	// peer already has.
 	newerAfter = 150 * time.Millisecond
@@ -57,6 +59,10 @@
 
 // heard takes note of a peer's heartbeat.
 func (n *Node) heard(m mesh.Member) {
+	if m.StoreAgeMs < storeBack.Milliseconds() && n.storeAway.Swap(false) {
+		n.config.retryNow()
+		n.servers.retryNow()
+	}
 	if m.ServersChanged > n.servers.revision.Load() {
 		n.servers.nudge()
 	}
@@ -78,6 +84,7 @@
 	if age < storeStale {
 		return
 	}
+	n.storeAway.Store(true)
 	// A node that has read nothing yet takes what any peer has.
 	limit := peerFresh
 	if !n.Ready() {
@@ -89,6 +96,9 @@
 			best = &m
 		}
 	}
+	if best != nil && best.StoreAgeMs < peerFresh.Milliseconds() {
+		n.storeAway.Store(false) // only this node is turned away
+	}
 	if best != nil {
 		if age > outageShared && best.StoreAgeMs < peerFresh.Milliseconds() {
 			n.peersFresh.Store(true)
