--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -153,21 +153,22 @@
 // them leave a host that is about to stop before it stops.
 const listTTL = time.Second
 
-// Addresses returns the addresses that clients may use, and for how long.
-func (n *Node) Addresses() ([]string, time.Duration) {
-	var list []string
+// Addresses returns the addresses that a client may use, and for how long.
+func (n *Node) Addresses(client string) ([]string, time.Duration) {
+	var hosts []addressee
 	if n.Ready() {
-		list = append(list, n.settings.Clients)
+		hosts = append(hosts, addressee{n.settings.Host, n.settings.Clients, n.settings.carries()})
 	}
 	for _, m := range n.mesh.Alive(time.Now()) {
 		if m.State == mesh.Ready && m.Clients != "" {
-			list = append(list, m.Clients)
+			hosts = append(hosts, addressee{m.Host, m.Clients, m.Carries})
 		}
 	}
-	if len(list) == 0 {
-		list = append(list, n.settings.Clients)
+	ttl := min(listTTL, max(time.Duration(n.addressTTL.Load()), time.Millisecond))
+	if len(hosts) == 0 {
+		return []string{n.settings.Clients}, ttl
 	}
-	return list, min(listTTL, max(time.Duration(n.addressTTL.Load()), time.Millisecond))
+	return addressesFor(client, hosts), ttl
 }
 
 // member describes this node to its peers.
@@ -175,7 +176,7 @@
 	m := mesh.Member{
 		Host: n.settings.Host, Incarnation: n.incarnation, DataCentre: n.settings.DataCentre,
 		Mesh: n.settings.Mesh, Clients: n.settings.Clients, State: mesh.Starting,
-		ConfigVersion: n.routes.Version(),
+		ConfigVersion: n.routes.Version(), Carries: n.settings.carries(),
 	}
 	if n.gateway != nil {
 		m.Usage = n.gateway.Budgets.Own(now)
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -35,6 +35,9 @@
 	Seeds        []string
 	StoreAddress string
 	MemoryMB     int
+	// Cores is the share of processor cores of the host, LinkMbps its bandwidth; 0
+	// if unknown.
+	Cores, LinkMbps float64
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// AddressTTL is the longest time for which clients keep a list of addresses.
@@ -42,6 +45,8 @@
 	Retry      RetryLimits
 }
 
+func (s *Settings) carries() float64 { return carried(s.Cores, s.LinkMbps) }
+
 // Reload takes over settings that were read again. Addresses, the host's name
 // and the store's address stay until the next start. With an error the present
 // settings stay in force.
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -39,6 +39,8 @@
 	Mesh        string            `json:"m"` // address for datagrams and state calls
 	Clients     string            `json:"c"` // address for clients
 	State       State             `json:"s"`
+	// Carries is the number of requests a second that the host can carry.
+	Carries float64 `json:"w"`
 	// ConfigVersion is the newest version that the node has.
 	ConfigVersion int64 `json:"v"`
 	// StoreAgeMs is the age of the node's newest answer from the platform's
