--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -43,8 +43,6 @@
 	// Wait is the expected time until the request is begun, Prefill until its
 	// prompt is read after that.
 	Wait, Prefill time.Duration
-	// Candidates is the number of servers that could be chosen.
-	Candidates int
 }
 
 // usable is the filter of all choices: listed, not leaving, and not lost.
@@ -96,7 +94,7 @@
 	if len(exclude) > 0 {
 		limit += equalAfterLoss - equalWait
 	}
-	best := Choice{Candidates: len(candidates)}
+	var best Choice
 	var rank uint64
 	for i, s := range candidates {
 		if hash := preference(p.Part, s); costs[i] <= limit && (best.Server == nil || hash > rank) {
@@ -152,7 +150,6 @@
 	var bestCost time.Duration
 	equals := 0
 	candidates := f.candidates(service, now, exclude, true)
-	best.Candidates = len(candidates)
 	for _, s := range candidates {
 		cost := (f.plainWait(s, now) + f.faultCost(s, now)).Truncate(plainWork)
 		switch {
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -24,10 +24,11 @@
 	leaveAtLeast = 3*listTTL + 200*time.Millisecond
 	// leaveMargin is left between the end and the kill.
 	leaveMargin = 500 * time.Millisecond
-	// headerTimeout applies until a configuration sets one.
-	headerTimeout = 3 * time.Second
-	// idleTimeout applies until a configuration sets one.
-	idleTimeout = 15 * time.Second
+	// headerTimeout bounds how long a client may take to send a request's head.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is above what configurations allow clients to stay idle, so that
+	// a node does not close a connection that its client is about to use again.
+	idleTimeout = 75 * time.Second
 )
 
 // Handlers are what a node serves in the platform's own form.
