--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -204,7 +204,7 @@
 	now := time.Now()
 	e, g := st.exchange, st.g
 	a.Server, a.Team, a.Timeout, a.After = s.ID, e.team, e.left(now), st.last
-	a.Urgent = st.opened || e.call.After > 0
+	a.Urgent = st.opened || e.sent > 0 || e.call.After > 0
 	prompt := e.call.Prompt
 	if a.CopyOf != "" {
 		prompt.Done = prompt.Tokens
