--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -299,7 +299,12 @@
 	case backendconn.CodeOf(err) == backendconn.CodeSilent:
 		st.g.lost(s, err)
 	case st.g.resetOnly(s, err):
-		return resultFailed // its engine may go on with the request
+		// The engine may go on with the request. One that began from a copy holds
+		// the prompt.
+		if st.way == wayCopy {
+			st.g.Fleet.Holds(time.Now(), s, map[uint64]int{st.call.Prompt.Part: st.call.Prompt.Tokens})
+		}
+		return resultFailed
 	}
 	st.exclude = append(st.exclude, s.ID)
 	if !flowing {
