Take an answer without a length for complete only if its server lives

Cause: found by reading; such an answer ends with its connection, and so does one whose engine crashes. TestUnframedStream ended as complete after event 5 of 40.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -40,7 +40,7 @@
 				p.keep(time.Now())
 			}
 			continue
-		case errors.Is(err, io.EOF) && !events.partial():
+		case errors.Is(err, io.EOF) && !events.partial() && (framed(response) || st.g.probe(s)):
 			st.sent++
 			st.open(response.Header)
 			st.g.Pool.Put(addressOf(s), c, response)
@@ -55,6 +55,12 @@
 	}
 }
 
+// framed reports whether an answer tells its own end. One that does not ends with
+// its connection, and looks complete as well when its server crashes.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // open passes the head of the first run on.
 func (st *streamState) open(h http.Header) {
 	if st.opened {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -245,6 +245,9 @@
 		if err != nil {
 			err = c.BodyError(err)
 		}
+		if err == nil && !framed(response) && g.refuses(ctx, s) {
+			err = backendconn.ProtocolError("the answer has no length and ended with its server")
+		}
 		if answer.Load != nil {
 			g.Fleet.Reported(s, time.Now(), *answer.Load)
 		}
