Listen before a peer can hear that the node is ready

Cause: run beside four busy processes, tests of whole nodes failed with refused connections: the followers could make the node ready, and the mesh tell it, before its addresses were listened on.

--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -40,16 +40,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.log.Log(logrus.InfoLevel, telemetry.EventNodeStarted, logrus.Fields{"clients": n.settings.Clients, "incarnation": n.incarnation}, "node started")
-	var wg sync.WaitGroup
-	for _, worker := range []func(context.Context){n.mesh.Run, n.config.run, n.servers.run, n.register, n.housekeep, n.rediscover} {
-		wg.Go(func() { worker(ctx) })
-	}
+	// Clients may be sent here as soon as a worker has told a peer that this node
+	// is ready, so the addresses are listened on before.
 	servers, err := n.listen(h)
 	if err != nil {
-		cancel()
-		wg.Wait()
 		return err
 	}
+	var wg sync.WaitGroup
+	for _, worker := range []func(context.Context){n.mesh.Run, n.config.run, n.servers.run, n.register, n.housekeep, n.rediscover} {
+		wg.Go(func() { worker(ctx) })
+	}
 	select {
 	case <-leave:
 		n.leave(ctx)
