--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -115,10 +115,10 @@
 
 // fingerprint identifies what the client asks for, whichever id it gives it.
 func (e *exchange) fingerprint() quarantine.Fingerprint {
-	if e.print == "" {
-		e.print = quarantine.FingerprintOf(ident.Customer(e.team+" "+e.call.Method+" "+e.call.Target), e.call.Body)
+	if e.printed == "" {
+		e.printed = quarantine.FingerprintOf(ident.Customer(e.team+" "+e.call.Method+" "+e.call.Target), e.call.Body)
 	}
-	return e.print
+	return e.printed
 }
 
 // crashesServers reports whether the request must not run any more.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -89,7 +89,6 @@
 			return resultGone, false
 		}
 		st.last = ev.id
-		st.events++
 		wrote = true
 	}
 	if !wrote {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,7 +78,8 @@
 	absent    int
 	unreached int
 	exclude   fleet.Exclude
-	print     quarantine.Fingerprint // set by fingerprint
+	// printed is the fingerprint of the request once it was computed.
+	printed quarantine.Fingerprint
 	// history is the list of attempts for the log, oldest first.
 	history []string
 	started time.Time
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -40,8 +40,7 @@
 	copy *runCopy
 	// lostAt is the time of the last event before a loss; zero while none is open.
 	lostAt time.Time
-	way    string
-	events int
+	way    string // in which the present attempt goes on
 	// failure is the newest whole answer with a failure, to be passed on if no
 	// other engine does better.
 	failure *failure
--- a/internal/peer/mesh/members.go
+++ b/internal/peer/mesh/members.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// aliveFor is the silence after which a node is not named to clients: three
-	// heartbeats and a margin for those of few nodes.
+	// A node is not named to clients after the silence of aliveBeats heartbeats
+	// and aliveMargin, which covers the delay of the last one.
 	aliveBeats  = 3
 	aliveMargin = 200 * time.Millisecond
 	// goneFor is the silence after which a node's runs are forgotten.
