--- a/internal/orders/planner.go
+++ b/internal/orders/planner.go
@@ -14,9 +14,9 @@
 	// targetUse is the part of an engine's capacity that the plan fills; the
 	// rest absorbs peaks shorter than a load takes.
 	targetUse = 0.8
-	// benefitHorizon is how long a change is assumed to pay off. Demand of the
+	// paybackHorizon is how long a change is assumed to pay off. Demand of the
 	// deployments shifts within a quarter of an hour.
-	benefitHorizon = 10 * time.Minute
+	paybackHorizon = 10 * time.Minute
 )
 
 // Policy holds the hysteresis; the zero value changes placement at once.
@@ -199,7 +199,7 @@
 	return math.Max(0, short+e.TokensPerSecond) - math.Max(0, short), !last
 }
 
-// worth tells whether a move serves more tokens within benefitHorizon than the
+// worth tells whether a move serves more tokens within paybackHorizon than the
 // load costs, where lost is what the donor can no longer serve. A model that no
 // engine runs is always worth a load, because its requests cannot run at all.
 func (p *Planner) worth(n *need, e Engine, lost float64) bool {
@@ -208,5 +208,5 @@
 		return gain > 0 || n.have == 0
 	}
 	cost := e.TokensPerSecond * n.model.LoadTime.Seconds()
-	return gain*(benefitHorizon-n.model.LoadTime).Seconds() > cost
+	return gain*(paybackHorizon-n.model.LoadTime).Seconds() > cost
 }
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -1,5 +1,5 @@
 // Package ring provides the fixed-capacity queue that connects the workers of
-// a node. Overflow is visible to the producer, either as a refusal that is
+// a node. Overflow is visible to the sender, either as a refusal that is
 // counted (TryPush) or as back-pressure (Push).
 package ring
 
@@ -14,7 +14,7 @@
 var ErrClosed = errors.New("ring is closed")
 
 // Ring is a first-in, first-out queue of fixed capacity for any number of
-// producers and consumers.
+// senders and receivers.
 type Ring[T any] struct {
 	mu sync.Mutex
 	// mu guards the fields down to closed.
@@ -22,8 +22,8 @@
 	head      int
 	count     int
 	dropped   uint64
-	consumers int // goroutines waiting for a value
-	producers int // goroutines waiting for room
+	receivers int // goroutines waiting for a value
+	senders int // goroutines waiting for room
 	closed    bool
 
 	// Each wake channel holds at most one token. A waiter that takes the token
@@ -61,7 +61,7 @@
 		return false
 	}
 	r.put(v)
-	wake := r.consumers > 0
+	wake := r.receivers > 0
 	r.mu.Unlock()
 	if wake {
 		signal(r.filled)
@@ -80,7 +80,7 @@
 		}
 		if r.count < len(r.buf) {
 			r.put(v)
-			wake, pass := r.consumers > 0, r.producers > 0 && r.count < len(r.buf)
+			wake, pass := r.receivers > 0, r.senders > 0 && r.count < len(r.buf)
 			r.mu.Unlock()
 			if wake {
 				signal(r.filled)
@@ -90,12 +90,12 @@
 			}
 			return nil
 		}
-		r.producers++
+		r.senders++
 		r.mu.Unlock()
 		err := r.wait(ctx, r.freed)
 		r.mu.Lock()
-		r.producers--
-		pass := err != nil && r.producers > 0 && r.count < len(r.buf)
+		r.senders--
+		pass := err != nil && r.senders > 0 && r.count < len(r.buf)
 		r.mu.Unlock()
 		if pass {
 			signal(r.freed)
@@ -184,13 +184,13 @@
 			r.mu.Unlock()
 			return ErrClosed
 		}
-		r.consumers++
+		r.receivers++
 		r.mu.Unlock()
 		err := r.wait(ctx, r.filled)
 		r.mu.Lock()
-		r.consumers--
+		r.receivers--
 		if err != nil && (err != ErrClosed || r.count == 0) {
-			pass := r.consumers > 0 && r.count > 0
+			pass := r.receivers > 0 && r.count > 0
 			r.mu.Unlock()
 			if pass {
 				signal(r.filled)
@@ -203,7 +203,7 @@
 
 // unlockAfterPop releases mu and wakes goroutines that can go on after a pop.
 func (r *Ring[T]) unlockAfterPop() {
-	wake, pass := r.producers > 0, r.consumers > 0 && r.count > 0
+	wake, pass := r.senders > 0, r.receivers > 0 && r.count > 0
 	r.mu.Unlock()
 	if wake {
 		signal(r.freed)
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -55,16 +55,16 @@
 	})
 }
 
-// A lost wake-up would leave a producer or consumer blocked for good; synctest
+// A lost wake-up would leave a sender or receiver blocked for good; synctest
 // reports that as a deadlock.
 func TestManyProducersAndConsumers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const producers, consumers, each = 8, 5, 200
+		const senders, receivers, each = 8, 5, 200
 		r := New[int](3)
 		var pushing, popping sync.WaitGroup
 		var mu sync.Mutex
 		sum := 0
-		for range producers {
+		for range senders {
 			pushing.Go(func() {
 				for i := 1; i <= each; i++ {
 					if err := r.Push(t.Context(), i); err != nil {
@@ -73,7 +73,7 @@
 				}
 			})
 		}
-		for c := range consumers {
+		for c := range receivers {
 			popping.Go(func() {
 				var buf []int
 				for {
@@ -99,7 +99,7 @@
 		pushing.Wait()
 		r.Close()
 		popping.Wait()
-		if want := producers * each * (each + 1) / 2; sum != want {
+		if want := senders * each * (each + 1) / 2; sum != want {
 			t.Fatalf("sum of popped values is %d, want %d", sum, want)
 		}
 	})
