--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -23,7 +23,7 @@
 	count     int
 	dropped   uint64
 	receivers int // goroutines waiting for a value
-	senders int // goroutines waiting for room
+	senders   int // goroutines waiting for room
 	closed    bool
 
 	// Each wake channel holds at most one token. A waiter that takes the token
