gateway: a run that makes no progress no longer marks its engine as lost

The gateway took the pause for the loss of the engine, so that all its streams went on elsewhere and read their prompts again, which made more engines preempt runs. Load did not come down after the burst until all hosts were killed.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -295,6 +295,11 @@
 		st.lostAt = time.Now()
 	}
 	switch {
+	case backendconn.CodeOf(err) == backendconn.CodeStalled:
+		// The engine lives and serves others: it preempted this run, or is slow.
+		st.g.Fleet.Result(s, false)
+		st.exclude = append(st.exclude, s.ID)
+		return resultFailed
 	case backendconn.CodeOf(err) == backendconn.CodeSilent:
 		st.g.lost(s, err)
 	case st.g.resetOnly(s, err):
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -60,14 +60,14 @@
 		limit = min(limit, suspectGap)
 	}
 	if w.flowing && idle > time.Duration(stallParts*float64(w.route().MaxGap)) && w.route().MaxGap > 0 {
-		return w.silent(idle, "stalled")
+		return backendconn.StalledError(idle, "the run makes no progress")
 	}
 	if idle-w.checked < limit {
 		return nil
 	}
 	w.probes++
 	if w.probes > maxFirstProbes && !w.flowing {
-		return w.silent(idle, "does not begin")
+		return backendconn.StalledError(idle, "the run does not begin")
 	}
 	if !w.g.probe(w.server) {
 		return w.silent(idle, "does not answer")
--- a/internal/peer/backendconn/errors.go
+++ b/internal/peer/backendconn/errors.go
@@ -23,6 +23,9 @@
 	CodeProtocol Code = "backendconn_protocol"
 	// CodeSilent: the server sent nothing for longer than the caller allows.
 	CodeSilent Code = "backendconn_silent"
+	// CodeStalled: the server answers other calls, but makes no progress with this
+	// request.
+	CodeStalled Code = "backendconn_stalled"
 	// CodeCancelled: the caller gave the request up.
 	CodeCancelled Code = "backendconn_cancelled"
 )
@@ -37,5 +40,11 @@
 	return newError(CodeSilent).Errorf("nothing received for %d ms: %s", idle.Milliseconds(), why)
 }
 
+// StalledError is the error of a Watch that gives up one request at a server that
+// lives.
+func StalledError(idle time.Duration, why string) error {
+	return newError(CodeStalled).Errorf("nothing received for %d ms: %s", idle.Milliseconds(), why)
+}
+
 // ProtocolError is the error of an answer that may not be passed on.
 func ProtocolError(why string) error { return newError(CodeProtocol).Errorf("%s", why) }
