fleet: prompts of an engine count as read one after the other, and its pace is learned

Cause: after each first event the queue was computed again with the time since each waiting prompt was sent taken off all of them, though an engine reads one prompt at a time. In a burst a first event was expected in 1.7 s that came after 7 s, so that nothing was refused in time. Runs whose end was lost on the way also stayed for ever.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -101,14 +101,14 @@
 			best.Server, rank = s, hash
 		}
 	}
-	best.Wait, best.Prefill = best.Server.queueWait(now), best.Server.prefillOn(p)
+	best.Wait, best.Prefill = best.Server.queueWait(now), best.Server.scaled(best.Server.prefillOn(p))
 	return best, true
 }
 
 // engineCost is the expected time to the first token, and the time by which the
 // prompt slows other requests.
 func (f *Fleet) engineCost(s *Server, now time.Time, memory int, p Prompt) time.Duration {
-	cost := s.queueWait(now) + s.prefillOn(p) + time.Duration(len(s.runs))*runCost + f.faultCost(s, now)
+	cost := s.firstToken(now, p) + time.Duration(len(s.runs))*runCost + f.faultCost(s, now)
 	if memory > 0 && s.usedTokens()+p.Tokens+p.Output > memory {
 		cost += noRoomCost
 	}
@@ -206,7 +206,15 @@
 	return s.queueWait(now)
 }
 
-// PrefillOn is the expected time that s needs to read a prompt.
+// FirstToken is the expected time until a prompt that is sent to s now is read.
+func (f *Fleet) FirstToken(s *Server, now time.Time, p Prompt) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.firstToken(now, p)
+}
+
+// PrefillOn is the time that an engine of usual speed would need to read the
+// part of a prompt that s does not hold.
 func (f *Fleet) PrefillOn(s *Server, p Prompt) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -33,6 +33,8 @@
 	fullFor = 100 * time.Millisecond
 	// promptFor is how long an engine is expected to hold a prompt.
 	promptFor = 20 * time.Second
+	// runFor is how long a run counts; the news of its end may be lost.
+	runFor = time.Minute
 	// failWeight is the weight of the newest result in the moving failure rate.
 	failWeight = 0.15
 )
@@ -110,6 +112,7 @@
 	f.servers[e.ID] = &Server{
 		Entry:     e,
 		firstSeen: now,
+		pace:      1,
 		runs:      map[runKey]*run{},
 		copies:    map[runKey]int{},
 		prompts:   map[uint64]cached{},
@@ -179,7 +182,8 @@
 	delete(f.servers, id)
 }
 
-// Expire removes servers whose grace after a lapsed entry has passed.
+// Expire removes servers whose grace after a lapsed entry has passed, and what
+// is too old to count.
 func (f *Fleet) Expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -187,6 +191,11 @@
 		if !s.removedAt.IsZero() && now.Sub(s.removedAt) > lapseGrace {
 			delete(f.servers, id)
 		}
+		for key, r := range s.runs {
+			if now.Sub(r.started) > runFor {
+				delete(s.runs, key)
+			}
+		}
 		for part, c := range s.prompts {
 			if now.Sub(c.at) > promptFor {
 				delete(s.prompts, part)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -162,7 +162,7 @@
 	if f.QueueWait(first.Server, at(1)) < first.Prefill/2 {
 		t.Error("the queue is not counted")
 	}
-	f.ForgetHost(at(2), "peer")
+	f.ForgetHost("peer")
 	if f.QueueWait(first.Server, at(2)) != 0 {
 		t.Error("the queue of a host that is gone is still counted")
 	}
@@ -175,13 +175,13 @@
 	p := Prompt{Tokens: 8000, Output: 600, Part: 7}
 	placed := Placed{Run: 1, Server: "b2", Prefill: time.Second, Tokens: 8600, Part: 7}
 	f.Start(at(0), "peer", placed)
-	f.End(at(500), "peer", placed)
+	f.End("peer", placed)
 	if f.Held(at(500), service, 7) {
 		t.Error("a prompt counts as held before its first event")
 	}
 	f.Start(at(600), "peer", placed)
 	f.First(at(1600), "peer", placed)
-	f.End(at(5000), "peer", placed)
+	f.End("peer", placed)
 	if c, _ := f.Engine(at(6000), service, memory, p, nil); c.Server.ID != "b2" {
 		t.Errorf("the prompt is read again on %s", c.Server.ID)
 	}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -41,7 +41,7 @@
 	defer f.mu.Unlock()
 	key := runKey{host, p.Run}
 	if s := f.servers[p.Server]; s != nil {
-		s.addRun(now, key, &run{prefill: p.Prefill, tokens: p.Tokens, part: p.Part, started: now, waiting: true})
+		s.runs[key] = &run{prefill: p.Prefill, tokens: p.Tokens, part: p.Part, started: now, waiting: true}
 	}
 	if b := f.servers[p.Backup]; b != nil {
 		b.copies[key] = p.Tokens
@@ -57,8 +57,7 @@
 		return
 	}
 	if r := s.runs[runKey{host, p.Run}]; r != nil && r.waiting {
-		r.waiting = false
-		s.settle(now)
+		s.read(now, r)
 		if r.part != 0 {
 			s.prompts[r.part] = cached{tokens: r.tokens, at: now}
 		}
@@ -75,17 +74,12 @@
 }
 
 // End records that a run is over and its copy freed.
-func (f *Fleet) End(now time.Time, host ident.HostID, p Placed) {
+func (f *Fleet) End(host ident.HostID, p Placed) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	key := runKey{host, p.Run}
 	if s := f.servers[p.Server]; s != nil {
-		if r := s.runs[key]; r != nil {
-			delete(s.runs, key)
-			if r.waiting {
-				s.settle(now)
-			}
-		}
+		delete(s.runs, key)
 	}
 	if b := f.servers[p.Backup]; b != nil {
 		delete(b.copies, key)
@@ -94,7 +88,7 @@
 
 // ForgetHost drops the runs of a host that is gone. Its engines stop them when
 // its connections close.
-func (f *Fleet) ForgetHost(now time.Time, host ident.HostID) {
+func (f *Fleet) ForgetHost(host ident.HostID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
@@ -108,7 +102,6 @@
 				delete(s.copies, key)
 			}
 		}
-		s.settle(now)
 	}
 }
 
@@ -126,7 +119,13 @@
 	s.outstanding--
 }
 
-// prefillOn estimates the time that s needs to read the prompt.
+// firstToken is the expected time until a prompt that is sent to s now is read.
+func (s *Server) firstToken(now time.Time, p Prompt) time.Duration {
+	return s.queueWait(now) + s.scaled(s.prefillOn(p))
+}
+
+// prefillOn is the time that an engine of usual speed would need to read the part
+// of a prompt that s does not hold.
 func (s *Server) prefillOn(p Prompt) time.Duration {
 	tokens := p.Tokens - p.Done
 	if c, ok := s.prompts[p.Part]; ok && p.Part != 0 {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -86,8 +86,11 @@
 
 	runs   map[runKey]*run
 	copies map[runKey]int // tokens of copies of runs on other engines
-	// queueEnd is the expected time at which all waiting prompts are read.
-	queueEnd time.Time
+	// lastRead is the time at which the newest prompt was read, and pace the
+	// moving ratio of the time that prompts took to what was expected. Engines
+	// differ in speed and slow down as they fill up.
+	lastRead time.Time
+	pace     float64
 	prompts  map[uint64]cached
 
 	outstanding int     // requests of this node at a plain service
@@ -116,30 +119,69 @@
 	return used
 }
 
-// queueWait is the expected time until a new prompt is begun.
-func (s *Server) queueWait(now time.Time) time.Duration {
-	return max(0, s.queueEnd.Sub(now))
-}
+// waitsFor bounds how long a run counts as waiting, since the news that its
+// prompt was read may be lost on the way from the host that runs it.
+const waitsFor = 10 * time.Second
+
+func (r *run) waits(now time.Time) bool { return r.waiting && now.Sub(r.started) < waitsFor }
+
+// Bounds of Server.pace, which keep a few odd prompts from ruling an engine in
+// or out, and the weight of the newest prompt in it.
+const (
+	minPace    = 0.7
+	maxPace    = 3.0
+	paceWeight = 0.25
+	// pacePrefill is the shortest expected reading time that tells the pace.
+	pacePrefill = 300 * time.Millisecond
+)
 
-// addRun puts a run at the end of the queue of prompts.
-func (s *Server) addRun(now time.Time, key runKey, r *run) {
-	s.runs[key] = r
-	if r.waiting {
-		start := now
-		if s.queueEnd.After(now) {
-			start = s.queueEnd
+// queueWait is the expected time until a new prompt is begun. Prompts are read
+// one after the other, so that the time since the last one was done counts for
+// the oldest waiting prompt only.
+func (s *Server) queueWait(now time.Time) time.Duration {
+	var left time.Duration
+	head := s.head(now)
+	for _, r := range s.runs {
+		if r.waits(now) {
+			left += s.scaled(r.prefill)
 		}
-		s.queueEnd = start.Add(r.prefill)
 	}
+	if head != nil {
+		left -= min(now.Sub(s.begun(head)), s.scaled(head.prefill))
+	}
+	return max(0, left)
 }
 
-// settle recomputes the end of the queue after a run has left it.
-func (s *Server) settle(now time.Time) {
-	var left time.Duration
+// head is the run whose prompt is read now, or nil.
+func (s *Server) head(now time.Time) *run {
+	var head *run
 	for _, r := range s.runs {
-		if r.waiting {
-			left += max(0, r.prefill-now.Sub(r.started))
+		if r.waits(now) && (head == nil || r.started.Before(head.started)) {
+			head = r
 		}
 	}
-	s.queueEnd = now.Add(left)
+	return head
+}
+
+// begun is the time at which the engine began to read the oldest prompt.
+func (s *Server) begun(head *run) time.Time {
+	if s.lastRead.After(head.started) {
+		return s.lastRead
+	}
+	return head.started
+}
+
+// scaled is an expected reading time at the engine's own pace.
+func (s *Server) scaled(prefill time.Duration) time.Duration {
+	return time.Duration(float64(prefill) * s.pace)
+}
+
+// read notes that the prompt of a run has been read.
+func (s *Server) read(now time.Time, r *run) {
+	if r.prefill >= pacePrefill && s.head(now) == r {
+		took := float64(now.Sub(s.begun(r))) / float64(r.prefill)
+		s.pace += paceWeight * (min(max(took, minPace), maxPace) - s.pace)
+	}
+	r.waiting = false
+	s.lastRead = now
 }
--- a/internal/gateway/protect.go
+++ b/internal/gateway/protect.go
@@ -160,7 +160,7 @@
 	if !p.byOrder {
 		return
 	}
-	p.st.g.Fleet.End(time.Now(), p.st.g.Self, p.placed)
+	p.st.g.Fleet.End(p.st.g.Self, p.placed)
 	p.st.g.Announce.Ended(p.placed)
 	if !needed {
 		go p.st.g.freeCopy(p.server, p.copy, p.ordered)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -220,11 +220,11 @@
 		return st.unsent(s, err)
 	}
 	defer stop()
-	wait := g.Fleet.QueueWait(s, now) + placed.Prefill
+	wait := g.Fleet.FirstToken(s, now, prompt)
 	g.Fleet.Start(now, g.Self, placed)
 	g.Announce.Placed(placed)
 	defer func() {
-		g.Fleet.End(time.Now(), g.Self, placed)
+		g.Fleet.End(g.Self, placed)
 		g.Announce.Ended(placed)
 	}()
 	e.note("to %s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, a.CopyOf != "", placed.Backup, wait.Milliseconds(), st.last, c.Reused())
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -223,7 +223,7 @@
 	gone := m.members.expire(now)
 	m.mu.Unlock()
 	for _, host := range gone {
-		m.fleet.ForgetHost(now, host)
+		m.fleet.ForgetHost(host)
 	}
 }
 
@@ -287,7 +287,7 @@
 		return
 	}
 	if restarted {
-		m.fleet.ForgetHost(now, msg.Host)
+		m.fleet.ForgetHost(msg.Host)
 	}
 	for _, e := range msg.Events {
 		m.apply(now, msg.Host, e)
@@ -320,7 +320,7 @@
 	case e.Kind == EventCopied:
 		m.fleet.Copied(host, *e.Placed)
 	case e.Kind == EventEnded:
-		m.fleet.End(now, host, *e.Placed)
+		m.fleet.End(host, *e.Placed)
 	}
 }
 
