overload: streams that engines cannot begin in time are refused at once

Cause: every stream was admitted until its wait took 0.6 of its time. In a burst of four times the traffic all prompts then began late, and every answer missed its objective of 4.5 s. A new stream is now admitted only if its engine is expected to begin early enough; the client of another one is told to come back in its turn. A team with more than its share of recent work is turned away at a shorter wait. Copies of runs take at most 0.75 of an engine's memory, since the rest serves more streams than copies save.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -28,6 +28,9 @@
 	// noRoomCost is the cost of an engine whose memory would overflow: it would
 	// preempt another request.
 	noRoomCost = 5 * time.Second
+	// copyRoom is the part of an engine's memory up to which it takes copies. Under
+	// overload the rest serves more streams than copies would save.
+	copyRoom = 0.75
 	// reportFor is how long a reported load counts.
 	reportFor = 300 * time.Millisecond
 	// plainWork is the expected time of one request at a plain service.
@@ -43,6 +46,8 @@
 	// Wait is the expected time until the request is begun, Prefill until its
 	// prompt is read after that.
 	Wait, Prefill time.Duration
+	// Room says whether the memory of the engine holds the request beside others.
+	Room bool
 }
 
 // usable is the filter of all choices: listed, not leaving, and not lost.
@@ -102,6 +107,7 @@
 		}
 	}
 	best.Wait, best.Prefill = best.Server.queueWait(now), best.Server.scaled(best.Server.prefillOn(p))
+	best.Room = best.Server.hasRoom(memory, p)
 	return best, true
 }
 
@@ -109,12 +115,18 @@
 // prompt slows other requests.
 func (f *Fleet) engineCost(s *Server, now time.Time, memory int, p Prompt) time.Duration {
 	cost := s.firstToken(now, p) + time.Duration(len(s.runs))*runCost + f.faultCost(s, now)
-	if memory > 0 && s.usedTokens()+p.Tokens+p.Output > memory {
+	if !s.hasRoom(memory, p) {
 		cost += noRoomCost
 	}
 	return cost
 }
 
+// hasRoom reports whether a memory of so many tokens holds a request beside the
+// runs and copies on s; 0 stands for an unknown size.
+func (s *Server) hasRoom(memory int, p Prompt) bool {
+	return memory <= 0 || s.usedTokens()+p.Tokens+p.Output <= memory
+}
+
 // Backup chooses the engine that holds the copy of a run: in another data
 // centre than the run, with the most free memory.
 func (f *Fleet) Backup(now time.Time, primary *Server, memory int, p Prompt, exclude Exclude) *Server {
@@ -128,7 +140,7 @@
 			continue
 		}
 		used := s.usedTokens()
-		if memory > 0 && used+p.Tokens+p.Output > memory {
+		if memory > 0 && float64(used+p.Tokens+p.Output) > copyRoom*float64(memory) {
 			continue
 		}
 		// Steps of one request, so that the hash decides among equals.
@@ -192,6 +204,19 @@
 	return xxh3.HashStringSeed(string(s.ID), part)
 }
 
+// Count returns the number of servers of a service that may get work.
+func (f *Fleet) Count(now time.Time, service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, s := range f.servers {
+		if f.usable(s, service, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // Takes reports whether a server may get work now.
 func (f *Fleet) Takes(s *Server, now time.Time) bool {
 	f.mu.Lock()
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -16,6 +16,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/overload"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
 	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
 	"github.com/yuccahatch/yuccahatch/internal/routing"
@@ -125,7 +126,8 @@
 			Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window,
 			Others: func(service string) (gateway.Usage, int) { return n.mesh.Usage(time.Now(), service) },
 		},
-		Leaving: n.leaving.Load, TakesStreams: n.takesStreams,
+		Overload: &overload.Controller{},
+		Leaving:  n.leaving.Load, TakesStreams: n.takesStreams,
 	}
 	n.config = n.newFollower(TableConfig, configWait, n.applyConfig, n.applyConfig)
 	n.servers = n.newFollower(TableServers, 0, n.replaceServers, n.applyServers)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/overload"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
 	"github.com/yuccahatch/yuccahatch/internal/quarantine"
 	"github.com/yuccahatch/yuccahatch/internal/routing"
@@ -46,6 +47,7 @@
 	Log      *telemetry.EventLog
 	Metrics  *Metrics
 	Budgets  *Budgets
+	Overload *overload.Controller
 	// Leaving reports whether the node is about to stop.
 	Leaving func() bool
 	// TakesStreams reports whether a stream may begin; one that is refused has
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/overload"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
@@ -27,8 +29,9 @@
 	// not count as attempts of the route, but a stream that loses so many is
 	// likely to be the cause.
 	maxLosses = 6
-	// longestQueue is the part of a request's time that it may spend in a queue.
-	longestQueue = 0.6
+	// noEngineReturn is when a client may come back if no engine is left. Engines
+	// restart within seconds.
+	noEngineReturn = 400 * time.Millisecond
 )
 
 // streamState is what a stream carries from attempt to attempt.
@@ -80,9 +83,9 @@
 			st.fail("the request crashes backend servers")
 			return
 		}
-		server, backup, attempt, refusal := st.place(now)
-		if refusal != "" {
-			st.fail(refusal)
+		server, backup, attempt, refused := st.place(now)
+		if refused != nil {
+			st.refuse(refused)
 			return
 		}
 		if e.arrived() > 0 && !e.g.Budgets.Take(now, e.service.Name) {
@@ -119,9 +122,15 @@
 	}
 }
 
-// fail ends a stream that cannot go on. A client that has part of the answer
-// sees a broken connection, and may come back with the last event it has.
+// fail ends a stream that cannot go on.
 func (st *streamState) fail(reason string) {
+	st.refuse(&refusal{reason, retryAfter(400 * time.Millisecond)})
+}
+
+// refuse ends a stream that is not placed. A client that has part of the answer
+// sees a broken connection, and may come back with the last event it has.
+func (st *streamState) refuse(r *refusal) {
+	reason := r.reason
 	if st.opened {
 		st.done("broken", 0, reason)
 		panic(http.ErrAbortHandler)
@@ -131,7 +140,7 @@
 		st.done("failed", f.status, reason)
 		return
 	}
-	st.giveUp(reason, retryAfter(400*time.Millisecond))
+	st.giveUp(reason, r.retryAfter)
 }
 
 // pass sends a backend server's own failure to the client.
@@ -152,18 +161,24 @@
 // Reasons for which a stream is not placed.
 const (
 	refusalNoEngine  = "no engine is available"
-	refusalLongQueue = "the expected wait is too long for the time that is left"
+	refusalLongQueue = "engines cannot begin in time"
 )
 
-// place chooses the engine of the next attempt and the one that holds its copy. A
-// refusal other than "" says why there is none.
-func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, refusal string) {
+// refusal says why a stream is not placed, and when its client may come back.
+type refusal struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// place chooses the engine of the next attempt and the one that holds its copy,
+// or refuses the stream.
+func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, refused *refusal) {
 	if c := st.copy; c != nil {
 		st.copy = nil
 		if st.g.Fleet.Takes(c.holder, now) {
 			a.CopyAt, a.CopyOf = c.source, c.name
 			st.way = wayCopy
-			return c.holder, st.backupFor(now, c.holder), a, ""
+			return c.holder, st.backupFor(now, c.holder), a, nil
 		}
 	}
 	st.way = wayAgain
@@ -175,22 +190,42 @@
 			choice, found = st.g.Fleet.Engine(now, st.service.Name, st.memory(), st.call.Prompt, nil)
 		}
 		if found {
-			if !st.opened && choice.Wait > time.Duration(longestQueue*float64(st.left(now))) {
-				return nil, nil, a, refusalLongQueue
+			if refused := st.admit(now, choice); refused != nil {
+				return nil, nil, a, refused
 			}
-			return choice.Server, st.backupFor(now, choice.Server), a, ""
+			return choice.Server, st.backupFor(now, choice.Server), a, nil
 		}
 		if !now.Before(until) {
-			return nil, nil, a, refusalNoEngine
+			return nil, nil, a, &refusal{refusalNoEngine, retryAfter(noEngineReturn)}
 		}
 		select {
 		case <-time.After(enginePoll):
 		case <-st.ctx.Done():
-			return nil, nil, a, refusalNoEngine
+			return nil, nil, a, &refusal{refusalNoEngine, retryAfter(noEngineReturn)}
 		}
 	}
 }
 
+// admit refuses a stream whose engine would begin too late. One of which the
+// client has a part goes on whatever it has to wait.
+func (st *streamState) admit(now time.Time, c fleet.Choice) *refusal {
+	if st.opened {
+		return nil
+	}
+	engines := st.g.Fleet.Count(now, st.service.Name)
+	_, peers := st.g.Budgets.Others(st.service.Name)
+	v := st.g.Overload.Decide(now, overload.Offer{
+		Team: st.team, Work: c.Prefill, Wait: c.Wait, Room: c.Room, Target: st.route.Target, Left: st.left(now),
+		Continues: st.sent > 0 || st.call.After > 0,
+		Readers:   float64(engines) / float64(peers+1),
+	}, rand.Float64())
+	if v.Admit {
+		return nil
+	}
+	st.note("turned away: wait=%dms limit=%dms room=%t retry after %dms", c.Wait.Milliseconds(), v.Limit.Milliseconds(), c.Room, v.RetryAfter.Milliseconds())
+	return &refusal{refusalLongQueue, v.RetryAfter}
+}
+
 func (st *streamState) backupFor(now time.Time, primary *fleet.Server) *fleet.Server {
 	if st.service.Engine == nil || !st.service.Engine.Backups || !st.route.Resumable {
 		return nil
