protect: the room of an ordered copy is reserved when it is ordered

Cause: copies were counted when they were made. After the loss of a data centre a third of the streams order a copy within milliseconds, and all hosts chose the same engines, whose memory then ran out.

--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -64,7 +64,8 @@
 	}
 }
 
-// Copied records that an engine holds a copy of a run that began without it.
+// Copied records that an engine holds, or is about to get, a copy of a run that
+// began without it.
 func (f *Fleet) Copied(host ident.HostID, p Placed) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -73,6 +74,15 @@
 	}
 }
 
+// CopyDropped takes back what Copied or Start recorded of a copy.
+func (f *Fleet) CopyDropped(host ident.HostID, p Placed) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b := f.servers[p.Backup]; b != nil {
+		delete(b.copies, runKey{host, p.Run})
+	}
+}
+
 // End records that a run is over and its copy freed.
 func (f *Fleet) End(host ident.HostID, p Placed) {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	First(p fleet.Placed)
 	Ended(p fleet.Placed)
 	Copied(p fleet.Placed)
+	CopyDropped(p fleet.Placed)
 	Lost(server ident.BackendID, how fleet.Loss)
 	Crashed(x Crash)
 }
--- a/internal/gateway/protect.go
+++ b/internal/gateway/protect.go
@@ -119,6 +119,7 @@
 	answer := make(chan *runCopy, 1)
 	p.ordered, p.byOrder = answer, true
 	p.made = time.Now()
+	p.count(holder)
 	g, server, id := p.st.g, p.server, string(p.st.call.ID)
 	go func() {
 		c := &runCopy{holder: holder, source: server.Address}
@@ -130,6 +131,29 @@
 	}()
 }
 
+// count reserves the room of a copy at its holder. Peers learn of it before it is
+// made: when a data centre is lost, many copies are ordered in the same moment,
+// and together they would fill the engine that had most room.
+func (p *protection) count(holder *fleet.Server) {
+	if p.placed.Backup == holder.ID {
+		return
+	}
+	p.uncount()
+	p.placed.Backup = holder.ID
+	p.st.g.Fleet.Copied(p.st.g.Self, p.placed)
+	p.st.g.Announce.Copied(p.placed)
+}
+
+// uncount gives the room of the present copy back.
+func (p *protection) uncount() {
+	if p.placed.Backup == "" {
+		return
+	}
+	p.st.g.Fleet.CopyDropped(p.st.g.Self, p.placed)
+	p.st.g.Announce.CopyDropped(p.placed)
+	p.placed.Backup = ""
+}
+
 // collect takes the answer to an order, if it is there.
 func (p *protection) collect() {
 	select {
@@ -138,6 +162,7 @@
 		if c.name == "" {
 			p.st.note("no copy on %s, status %d", c.holder.ID, c.refusal)
 			p.refused = append(p.refused, c.holder.ID)
+			p.uncount()
 			if p.copy != nil && p.copy.holder == c.holder {
 				p.copy = nil
 			}
@@ -145,9 +170,6 @@
 		}
 		if p.copy == nil || p.copy.holder != c.holder {
 			p.st.note("copied to %s", c.holder.ID)
-			p.placed.Backup = c.holder.ID
-			p.st.g.Fleet.Copied(p.st.g.Self, p.placed)
-			p.st.g.Announce.Copied(p.placed)
 		}
 		p.copy = c
 	default:
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -136,6 +136,11 @@
 // Copied implements gateway.Announcer.
 func (m *Mesh) Copied(p fleet.Placed) { m.push(Event{Kind: EventCopied, Placed: &p}, false) }
 
+// CopyDropped implements gateway.Announcer.
+func (m *Mesh) CopyDropped(p fleet.Placed) {
+	m.push(Event{Kind: EventCopyDropped, Placed: &fleet.Placed{Run: p.Run, Backup: p.Backup}}, false)
+}
+
 // Lost implements gateway.Announcer.
 func (m *Mesh) Lost(server ident.BackendID, how fleet.Loss) {
 	m.push(Event{Kind: EventLost, Server: server, Loss: how}, true)
@@ -319,6 +324,8 @@
 		m.fleet.First(now, host, *e.Placed)
 	case e.Kind == EventCopied:
 		m.fleet.Copied(host, *e.Placed)
+	case e.Kind == EventCopyDropped:
+		m.fleet.CopyDropped(host, *e.Placed)
 	case e.Kind == EventEnded:
 		m.fleet.End(host, *e.Placed)
 	}
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -62,9 +62,11 @@
 	EventFirst  EventKind = "first"
 	EventEnded  EventKind = "ended"
 	EventCopied EventKind = "copied"
-	EventLost   EventKind = "lost"
-	EventFound  EventKind = "found"
-	EventCrash  EventKind = "crash"
+	// EventCopyDropped takes a copy back that was ordered.
+	EventCopyDropped EventKind = "dropped"
+	EventLost        EventKind = "lost"
+	EventFound       EventKind = "found"
+	EventCrash       EventKind = "crash"
 )
 
 // Event is news of one node for the placement of its peers.
