--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -28,9 +28,12 @@
 	// noRoomCost is the cost of an engine whose memory would overflow: it would
 	// preempt another request.
 	noRoomCost = 5 * time.Second
-	// copyRoom is the part of an engine's memory up to which it takes copies. Under
-	// overload the rest serves more streams than copies would save.
-	copyRoom = 0.75
+	// copyRoom is the part of an engine's memory up to which it takes copies. While
+	// no data centre was lost for lossSeries, the rest serves more streams than
+	// copies would save; after a loss others follow within seconds.
+	copyRoom       = 0.6
+	copyRoomLosses = 0.85
+	lossSeries     = 20 * time.Second
 	// reportFor is how long a reported load counts.
 	reportFor = 300 * time.Millisecond
 	// plainWork is the expected time of one request at a plain service.
@@ -46,8 +49,9 @@
 	// Wait is the expected time until the request is begun, Prefill until its
 	// prompt is read after that.
 	Wait, Prefill time.Duration
-	// Room says whether the memory of the engine holds the request beside others.
-	Room bool
+	// Free is the part of the engine's memory that is free beside the request and
+	// what is there; it is negative if the request does not fit.
+	Free float64
 }
 
 // usable is the filter of all choices: listed, not leaving, and not lost.
@@ -107,7 +111,7 @@
 		}
 	}
 	best.Wait, best.Prefill = best.Server.queueWait(now), best.Server.scaled(best.Server.prefillOn(p))
-	best.Room = best.Server.hasRoom(memory, p)
+	best.Free = best.Server.free(memory, p)
 	return best, true
 }
 
@@ -115,16 +119,19 @@
 // prompt slows other requests.
 func (f *Fleet) engineCost(s *Server, now time.Time, memory int, p Prompt) time.Duration {
 	cost := s.firstToken(now, p) + time.Duration(len(s.runs))*runCost + f.faultCost(s, now)
-	if !s.hasRoom(memory, p) {
+	if s.free(memory, p) < 0 {
 		cost += noRoomCost
 	}
 	return cost
 }
 
-// hasRoom reports whether a memory of so many tokens holds a request beside the
-// runs and copies on s; 0 stands for an unknown size.
-func (s *Server) hasRoom(memory int, p Prompt) bool {
-	return memory <= 0 || s.usedTokens()+p.Tokens+p.Output <= memory
+// free is the part of a memory of so many tokens that is free beside a request,
+// and the runs and copies on s; 1 for a memory of unknown size.
+func (s *Server) free(memory int, p Prompt) float64 {
+	if memory <= 0 {
+		return 1
+	}
+	return 1 - float64(s.usedTokens()+p.Tokens+p.Output)/float64(memory)
 }
 
 // Backup chooses the engine that holds the copy of a run: in another data
@@ -132,6 +139,7 @@
 func (f *Fleet) Backup(now time.Time, primary *Server, memory int, p Prompt, exclude Exclude) *Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	room := f.copyRoom(now, memory)
 	var best *Server
 	var bestUsed int
 	var bestHash uint64
@@ -140,7 +148,7 @@
 			continue
 		}
 		used := s.usedTokens()
-		if memory > 0 && float64(used+p.Tokens+p.Output) > copyRoom*float64(memory) {
+		if memory > 0 && used+p.Tokens+p.Output > room {
 			continue
 		}
 		// Steps of one request, so that the hash decides among equals.
@@ -153,6 +161,17 @@
 	return best
 }
 
+// copyRoom is the number of tokens up to which an engine takes copies.
+func (f *Fleet) copyRoom(now time.Time, memory int) int {
+	part := copyRoom
+	for _, at := range f.zoneLost {
+		if now.Sub(at) < lossSeries {
+			part = copyRoomLosses
+		}
+	}
+	return int(part * float64(memory))
+}
+
 // Plain chooses the server of a plain service with the least expected wait. A
 // random choice among equals spreads what all hosts send at once.
 func (f *Fleet) Plain(now time.Time, service string, exclude Exclude) (Choice, bool) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -341,3 +341,10 @@
 	defer f.mu.Unlock()
 	s.reported, s.reportedAt = load, now
 }
+
+// ReportedLoad returns the number of requests in the last report of a server.
+func (f *Fleet) ReportedLoad(s *Server) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.reported.Running + s.reported.Waiting
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -41,7 +41,7 @@
 	defer f.mu.Unlock()
 	key := runKey{host, p.Run}
 	if s := f.servers[p.Server]; s != nil {
-		s.runs[key] = &run{prefill: p.Prefill, tokens: p.Tokens, part: p.Part, started: now, waiting: true}
+		s.runs[key] = &run{key: key, prefill: p.Prefill, tokens: p.Tokens, part: p.Part, started: now, waiting: true}
 	}
 	if b := f.servers[p.Backup]; b != nil {
 		b.copies[key] = p.Tokens
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -40,6 +40,7 @@
 
 // run is one request on one engine, as far as placement is concerned.
 type run struct {
+	key     runKey
 	prefill time.Duration // time that the engine needs for the prompt
 	tokens  int           // prompt and output
 	part    uint64        // hash of the last part of the prompt
@@ -156,13 +157,22 @@
 func (s *Server) head(now time.Time) *run {
 	var head *run
 	for _, r := range s.runs {
-		if r.waits(now) && (head == nil || r.started.Before(head.started)) {
+		if r.waits(now) && (head == nil || r.before(head)) {
 			head = r
 		}
 	}
 	return head
 }
 
+// before orders runs by their start; the key decides among equals, so that the
+// order of the map does not.
+func (r *run) before(other *run) bool {
+	if !r.started.Equal(other.started) {
+		return r.started.Before(other.started)
+	}
+	return r.key.host < other.key.host || r.key.host == other.key.host && r.key.run < other.key.run
+}
+
 // begun is the time at which the engine began to read the oldest prompt.
 func (s *Server) begun(head *run) time.Time {
 	if s.lastRead.After(head.started) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -215,14 +215,14 @@
 	engines := st.g.Fleet.Count(now, st.service.Name)
 	_, peers := st.g.Budgets.Others(st.service.Name)
 	v := st.g.Overload.Decide(now, overload.Offer{
-		Team: st.team, Work: c.Prefill, Wait: c.Wait, Room: c.Room, Target: st.route.Target, Left: st.left(now),
+		Team: st.team, Work: c.Prefill, Wait: c.Wait, Free: c.Free, Target: st.route.Target, Left: st.left(now),
 		Continues: st.sent > 0 || st.call.After > 0,
 		Readers:   float64(engines) / float64(peers+1),
 	}, rand.Float64())
 	if v.Admit {
 		return nil
 	}
-	st.note("turned away: wait=%dms limit=%dms room=%t retry after %dms", c.Wait.Milliseconds(), v.Limit.Milliseconds(), c.Room, v.RetryAfter.Milliseconds())
+	st.note("turned away: wait=%dms limit=%dms free=%.2f retry after %dms", c.Wait.Milliseconds(), v.Limit.Milliseconds(), c.Free, v.RetryAfter.Milliseconds())
 	return &refusal{refusalLongQueue, v.RetryAfter}
 }
 
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -22,12 +22,13 @@
 	// beginPart is the part of the objective for the first event that the
 	// expected wait and the reading of the prompt may take together. The rest is
 	// left for what the estimate misses.
-	beginPart = 0.8
+	beginPart = 0.5
 	// longestPart is the part of the time that its client waits which a stream
 	// may spend in a queue, if it has no objective or has missed it already.
 	longestPart = 0.6
-	// fullWait is the expected wait for room in an engine's memory.
-	fullWait = 1500 * time.Millisecond
+	// sharedRoom is the part of an engine's memory that is left to teams which use
+	// no more than their share.
+	sharedRoom = 0.35
 	// leastReturn is the shortest time after which a refused client returns.
 	leastReturn = 500 * time.Millisecond
 	// returnPart is the part of its remaining time after which a client returns
@@ -45,8 +46,9 @@
 	// Work is the expected time to read its prompt, Wait the time until the
 	// engine begins with it.
 	Work, Wait time.Duration
-	// Room says whether the engine's memory holds the stream beside the others.
-	Room bool
+	// Free is the part of the engine's memory that is free beside the stream; it
+	// is negative if the stream does not fit.
+	Free float64
 	// Target is the objective for the first event, 0 if there is none, and Left
 	// the time that the client still waits.
 	Target, Left time.Duration
@@ -81,16 +83,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	over := c.shares.over(now, o.Team)
-	limit := o.limit()
+	limit, room := o.limit(), 0.0
 	if !o.Continues {
 		limit = time.Duration(float64(limit) / over)
+		room = sharedRoom * (1 - 1/over)
 	}
-	wait := o.Wait
-	if !o.Room && wait > 0 {
-		wait += fullWait
-	}
-	if wait > limit {
-		return Verdict{Limit: limit, RetryAfter: c.retryAfter(now, o, wait-limit, spread)}
+	if o.Wait > limit || o.Free < room {
+		return Verdict{Limit: limit, RetryAfter: c.retryAfter(now, o, o.Wait-limit, spread)}
 	}
 	c.shares.add(now, o.Team, o.Work)
 	return Verdict{Admit: true, Limit: limit}
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -19,18 +19,17 @@
 
 // shares keeps how much work each team had of late.
 type shares struct {
-	work map[string]float64 // decayed, in seconds
-	at   time.Time          // to which the work is decayed
+	work map[string]time.Duration // decayed
+	at   time.Time                // to which the work is decayed
 }
 
 func (s *shares) decay(now time.Time) {
 	if passed := now.Sub(s.at); passed > 0 {
 		factor := math.Exp(-passed.Seconds() / shareMemory.Seconds())
 		for team, work := range s.work {
-			if work *= factor; work < forgottenWork.Seconds() {
+			work = time.Duration(float64(work) * factor)
+			if s.work[team] = work; work < forgottenWork {
 				delete(s.work, team)
-			} else {
-				s.work[team] = work
 			}
 		}
 		s.at = now
@@ -40,22 +39,22 @@
 func (s *shares) add(now time.Time, team string, work time.Duration) {
 	s.decay(now)
 	if s.work == nil {
-		s.work = map[string]float64{}
+		s.work = map[string]time.Duration{}
 	}
-	s.work[team] += work.Seconds()
+	s.work[team] += work
 }
 
 // over returns by how much a team's work exceeds an equal share of the work of
 // all active teams; 1 if it does not.
 func (s *shares) over(now time.Time, team string) float64 {
 	s.decay(now)
-	total := 0.0
+	var total time.Duration
 	for _, work := range s.work {
 		total += work
 	}
 	if total == 0 || len(s.work) < 2 {
 		return 1
 	}
-	over := s.work[team] * float64(len(s.work)) / total / leastOver
+	over := float64(s.work[team]) / float64(total) * float64(len(s.work)) / leastOver
 	return min(max(over, 1), mostOver)
 }
