--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -168,6 +168,73 @@
 	}
 }
 
+// Guards against a queue that seems short because the time since its prompts
+// were sent is taken off each of them, though the engine reads one at a time.
+func TestQueueIsReadOneByOne(t *testing.T) {
+	f := testFleet(1)
+	prefill := 1200 * time.Millisecond
+	for run := range 4 {
+		f.Start(at(0), "peer", Placed{Run: uint64(run), Server: "b0", Prefill: prefill, Tokens: 8600})
+	}
+	f.First(at(1200), "peer", Placed{Run: 0, Server: "b0"})
+	if wait := f.QueueWait(f.Server("b0"), at(1200)); wait < 3*prefill-prefill/10 {
+		t.Errorf("expected wait %v with three prompts of %v unread", wait, prefill)
+	}
+}
+
+// Guards against equal shares of work for engines of unlike speed.
+func TestPaceOfEngine(t *testing.T) {
+	f := testFleet(1)
+	p := Prompt{Tokens: 8000, Output: 600}
+	for run := range 20 {
+		begin := 10_000 * run
+		f.Start(at(begin), "peer", Placed{Run: uint64(run), Server: "b0", Prefill: 1200 * time.Millisecond, Tokens: 8600})
+		f.First(at(begin+1800), "peer", Placed{Run: uint64(run), Server: "b0"})
+		f.End("peer", Placed{Run: uint64(run), Server: "b0"})
+	}
+	now := at(300_000)
+	slow, usual := f.FirstToken(f.Server("b0"), now, p), f.FirstToken(f.Server("a0"), now, p)
+	if ratio := float64(slow) / float64(usual); ratio < 1.4 || ratio > 1.6 {
+		t.Errorf("an engine that takes 1.5 times as long is expected to take %.2f times as long", ratio)
+	}
+}
+
+// Guards against a run that counts for ever because the news of its end were
+// lost, and against a prompt that counts as unread for as long.
+func TestLostNewsOfRuns(t *testing.T) {
+	f := testFleet(1)
+	f.Start(at(0), "peer", Placed{Run: 1, Server: "b0", Prefill: 1200 * time.Millisecond, Tokens: 80_000})
+	f.Start(at(9000), "peer", Placed{Run: 2, Server: "b0", Prefill: 1200 * time.Millisecond, Tokens: 8600})
+	if wait := f.QueueWait(f.Server("b0"), at(10_500)); wait > 1200*time.Millisecond {
+		t.Errorf("expected wait %v behind a prompt whose first event was never told", wait)
+	}
+	f.Expire(at(61_000))
+	if c, _ := f.Engine(at(61_000), service, memory, Prompt{Tokens: 70_000}, Exclude{"a0", "c0"}); c.Free < 0 {
+		t.Error("a run from a minute ago still takes memory")
+	}
+}
+
+// Guards against memory that copies take under overload, and against streams
+// without a copy while data centres are lost in turn.
+func TestRoomForCopies(t *testing.T) {
+	f := testFleet(3)
+	p := Prompt{Tokens: 8000, Output: 600}
+	for i, id := range f.IDs() {
+		for run := range 6 { // 59% of the memory
+			f.Start(at(0), "peer", Placed{Run: uint64(10*i + run), Server: id, Tokens: 8600})
+		}
+	}
+	if f.Backup(at(10), f.Server("b0"), memory, p, nil) != nil {
+		t.Error("a copy takes room that new streams need")
+	}
+	for _, id := range []ident.BackendID{"a0", "a1", "a2"} {
+		f.Lost(at(20), id, LossSilent)
+	}
+	if f.Backup(at(30), f.Server("b0"), memory, p, nil) == nil {
+		t.Error("no copy though a data centre was just lost")
+	}
+}
+
 // Guards against reading a prompt again that an engine holds, and against taking
 // a prompt for held whose reading was never finished.
 func TestHeldPrompt(t *testing.T) {
--- a/internal/fleetsim/stream.go
+++ b/internal/fleetsim/stream.go
@@ -67,6 +67,7 @@
 	if p.setup.Admission && s.made == 0 {
 		v := s.host.overload.Decide(now, overload.Offer{
 			Team: s.Team, Work: choice.Prefill, Wait: choice.Wait, Free: choice.Free, Target: p.setup.Objective, Left: s.left(),
+			Late:      p.now-s.At+choice.Prefill > p.setup.Objective,
 			Continues: s.losses > 0, Readers: float64(len(p.engines)) / float64(len(p.hosts)),
 		}, p.rng.Float64())
 		if !v.Admit {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -31,6 +31,11 @@
 	sharedRoom = 0.35
 	// leastReturn is the shortest time after which a refused client returns.
 	leastReturn = 500 * time.Millisecond
+	// lateWait and lateRoom are the longest wait and the free part of an engine's
+	// memory with which a stream is admitted that has missed its objective: it gets
+	// what those that can still be in time leave.
+	lateWait = 100 * time.Millisecond
+	lateRoom = 0.25
 	// returnPart is the part of its remaining time after which a client returns
 	// at the latest; clients do not wait longer than a third of that time.
 	returnPart = 0.33
@@ -52,6 +57,9 @@
 	// Target is the objective for the first event, 0 if there is none, and Left
 	// the time that the client still waits.
 	Target, Left time.Duration
+	// Late is set for a client that was refused before and comes back too late for
+	// the objective.
+	Late bool
 	// Continues is set for a stream of which the client has a part already.
 	Continues bool
 	// Readers is the number of engines for each host, by which prompts of this
@@ -88,6 +96,9 @@
 		limit = time.Duration(float64(limit) / over)
 		room = sharedRoom * (1 - 1/over)
 	}
+	if o.Late && !o.Continues {
+		limit, room = min(limit, lateWait), max(room, lateRoom)
+	}
 	if o.Wait > limit || o.Free < room {
 		return Verdict{Limit: limit, RetryAfter: c.retryAfter(now, o, o.Wait-limit, spread)}
 	}
