--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -212,10 +212,12 @@
 	if st.opened {
 		return nil
 	}
+	waited := st.g.Overload.Waited(now, st.route.Name, st.left(now))
 	engines := st.g.Fleet.Count(now, st.service.Name)
 	_, peers := st.g.Budgets.Others(st.service.Name)
 	v := st.g.Overload.Decide(now, overload.Offer{
 		Team: st.team, Work: c.Prefill, Wait: c.Wait, Free: c.Free, Target: st.route.Target, Left: st.left(now),
+		Late:      waited+c.Prefill > st.route.Target && st.route.Target > 0,
 		Continues: st.sent > 0 || st.call.After > 0,
 		Readers:   float64(engines) / float64(peers+1),
 	}, rand.Float64())
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -34,8 +34,8 @@
 	// lateWait and lateRoom are the longest wait and the free part of an engine's
 	// memory with which a stream is admitted that has missed its objective: it gets
 	// what those that can still be in time leave.
-	lateWait = 100 * time.Millisecond
-	lateRoom = 0.25
+	lateWait = 600 * time.Millisecond
+	lateRoom = 0.05
 	// returnPart is the part of its remaining time after which a client returns
 	// at the latest; clients do not wait longer than a third of that time.
 	returnPart = 0.33
@@ -79,10 +79,11 @@
 // Controller decides for one host.
 type Controller struct {
 	mu sync.Mutex
-	// shares and lastReturn, the time at which the client that was refused last
-	// returns, are guarded by mu.
+	// shares, lastReturn, the time at which the client that was refused last
+	// returns, and patience, by route, are guarded by mu.
 	shares     shares
 	lastReturn time.Time
+	patience   map[string]patience
 }
 
 // Decide admits a stream or refuses it. spread in [0, 1) is a random number that
--- /dev/null
+++ b/internal/overload/overload_test.go
@@ -0,0 +1,117 @@
+package overload
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// offer is a stream of which each engine reads one in 1.2 s, six engines a host.
+func offer(team string, wait time.Duration) Offer {
+	return Offer{
+		Team: team, Work: 1200 * time.Millisecond, Wait: wait, Free: 0.5, Target: 4500 * time.Millisecond,
+		Left: 25 * time.Second, Readers: 6,
+	}
+}
+
+// Guards against prompts that are read though their answer will be late, and
+// against a refusal where an engine is free.
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Offer)
+		admit  bool
+	}{
+		{"an engine is free", func(*Offer) {}, true},
+		{"begins in time", func(o *Offer) { o.Wait = time.Second }, true},
+		{"begins too late", func(o *Offer) { o.Wait = 1500 * time.Millisecond }, false},
+		{"the largest request, an engine is free", func(o *Offer) { o.Work = 10 * time.Second }, true},
+		{"no room in memory", func(o *Offer) { o.Free = -0.1 }, false},
+		{"no objective, long queue", func(o *Offer) { o.Target, o.Wait = 0, 10*time.Second }, true},
+		{"no objective, longer than the client waits", func(o *Offer) { o.Target, o.Wait = 0, 20*time.Second }, false},
+		{"late already, little wait", func(o *Offer) { o.Late, o.Wait = true, 300*time.Millisecond }, true},
+		{"late already, as much wait as new ones", func(o *Offer) { o.Late, o.Wait = true, time.Second }, false},
+		{"late already, memory nearly full", func(o *Offer) { o.Late, o.Free = true, 0.02 }, false},
+		{"client has a part of the answer", func(o *Offer) { o.Continues, o.Wait = true, 8*time.Second }, true},
+	}
+	for _, c := range cases {
+		o := offer("a", 0)
+		c.change(&o)
+		v := (&Controller{}).Decide(at(0), o, 0)
+		if v.Admit != c.admit {
+			t.Errorf("%s: admitted %t", c.name, v.Admit)
+		}
+		if !v.Admit && (v.RetryAfter < leastReturn || v.RetryAfter > o.Left/3) {
+			t.Errorf("%s: retry after %v", c.name, v.RetryAfter)
+		}
+	}
+}
+
+// Guards against clients that were refused together and return together, or in
+// another order than they were refused.
+func TestReturnsAreSpread(t *testing.T) {
+	c := &Controller{}
+	var times []time.Duration
+	for i := range 12 {
+		v := c.Decide(at(10*i), offer("a", 2*time.Second), 0)
+		times = append(times, at(10*i).Add(v.RetryAfter).Sub(start))
+	}
+	if !slices.IsSorted(times) {
+		t.Errorf("not in the order of the refusals: %v", times)
+	}
+	if spread := times[len(times)-1] - times[0]; spread < 4*time.Second {
+		t.Errorf("12 clients return within %v; the engines read 12 of their prompts in 2.4 s beside as many new ones", spread)
+	}
+	for range 50 { // more than can be served while they wait
+		if v := c.Decide(at(200), offer("a", 2*time.Second), 0.99); v.RetryAfter > 25*time.Second/3 {
+			t.Fatalf("retry after %v, which the client cuts to a third of its time", v.RetryAfter)
+		}
+	}
+}
+
+// Guards against one team that fills the queues of all engines, and against a
+// small team that is turned away for it.
+func TestTeamOverItsShare(t *testing.T) {
+	c := &Controller{}
+	for i := range 100 {
+		c.Decide(at(20*i), offer("large", 0), 0)
+		if i%10 == 0 {
+			c.Decide(at(20*i), offer("small", 0), 0)
+			c.Decide(at(20*i), offer("other", 0), 0)
+		}
+	}
+	if c.Decide(at(2000), offer("large", 800*time.Millisecond), 0).Admit {
+		t.Error("a team with ten times the work of others waits in line before them")
+	}
+	if !c.Decide(at(2000), offer("small", 800*time.Millisecond), 0).Admit {
+		t.Error("a small team is turned away")
+	}
+	if !c.Decide(at(2000), offer("large", 0), 0).Admit {
+		t.Error("a team over its share is turned away though an engine is free")
+	}
+	if !c.Decide(at(90_000), offer("large", 800*time.Millisecond), 0).Admit {
+		t.Error("a team is turned away for what it used long ago")
+	}
+}
+
+// Guards against a client that returns and is taken for a new one.
+func TestWaited(t *testing.T) {
+	c := &Controller{}
+	for _, step := range []struct {
+		ms           int
+		left, waited time.Duration
+	}{
+		{0, 25 * time.Second, 0},
+		{10, 21 * time.Second, 4 * time.Second},
+		{20, 25 * time.Second, 0},
+		{200_000, 10 * time.Second, 0}, // the route's clients wait less now
+	} {
+		if got := c.Waited(at(step.ms), "r", step.left); got != step.waited {
+			t.Errorf("at %d ms, %v left: waited %v, want %v", step.ms, step.left, got, step.waited)
+		}
+	}
+}
