--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,5 +1,5 @@
 // Package admission decides which request a node runs next and which it
-// refuses: a bounded queue for each customer, strict priority classes with
+// refuses: a bounded queue for each team, strict priority classes with
 // aging, weighted fair queueing by share inside a class, and shedding.
 //
 // Work is measured in estimated tokens: prompt and maximum output. Slots are
@@ -21,7 +21,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
-// Priority is the class of a customer's requests. The lower value goes first.
+// Priority is the class of a team's requests. The lower value goes first.
 type Priority int
 
 // Priority classes of contracts.
@@ -35,25 +35,25 @@
 // Item is one request in or before the queue.
 type Item struct {
 	// ID is unique among the requests of the node.
-	ID       uint64
-	Customer ident.Customer
+	ID   uint64
+	Team ident.Team
 	// Tokens estimates prompt and maximum output; at least 1.
 	Tokens int
 	// Resume tells that the request continues a generation that was admitted
-	// before. Resumes go first and are not charged to the customer again.
+	// before. Resumes go first and are not charged to the team again.
 	Resume bool
 }
 
-// Limits are what a customer's contract and the node's part of its share allow.
+// Limits are what a team's contract and the node's part of its share allow.
 type Limits struct {
 	Priority Priority
-	// Weight is the customer's share, in any unit common to all customers.
+	// Weight is the team's share, in any unit common to all teams.
 	Weight float64
-	// Rate is the node's present part of the customer's share in tokens/s;
+	// Rate is the node's present part of the team's share in tokens/s;
 	// math.Inf(1) means no limit.
 	Rate float64
-	// Slots is the node's part of the customer's share in estimated tokens in
-	// flight; 0 means no limit. A customer below it may start one more request.
+	// Slots is the node's part of the team's share in estimated tokens in
+	// flight; 0 means no limit. A team below it may start one more request.
 	// The rate alone lets a burst take all places of the engines.
 	Slots int64
 }
@@ -70,11 +70,11 @@
 
 // Reasons of refusals. The recheck hook may return further ones.
 const (
-	// ReasonOverShare: the customer is over its own limit.
+	// ReasonOverShare: the team is over its own limit.
 	ReasonOverShare Reason = "over_share"
 	// ReasonOverloaded: the capacity is used up.
 	ReasonOverloaded Reason = "overloaded"
-	// ReasonContractGone: the customer's contract ended while it waited.
+	// ReasonContractGone: the team's contract ended while it waited.
 	ReasonContractGone Reason = "contract_gone"
 )
 
@@ -113,7 +113,7 @@
 // Config holds the limits of a Controller. The zero value of a field selects
 // its default.
 type Config struct {
-	// QueueLimit bounds the queue of one customer, ResumeLimit that of resumes.
+	// QueueLimit bounds the queue of one team, ResumeLimit that of resumes.
 	QueueLimit, ResumeLimit int
 	// MaxWait is the expected wait above which a request is refused at once.
 	MaxWait time.Duration
@@ -121,7 +121,7 @@
 	GiveUpAfter time.Duration
 	// AgingStep is the wait that moves a request up one class.
 	AgingStep time.Duration
-	// Burst is the length of unused rate that a customer may use at once.
+	// Burst is the length of unused rate that a team may use at once.
 	Burst time.Duration
 	// MinRetry and MaxRetry bound Refusal.RetryAfter before its jitter.
 	MinRetry, MaxRetry time.Duration
@@ -153,20 +153,20 @@
 
 // Controller holds the queues of one node.
 type Controller struct {
-	config    Config
-	recheck   Recheck
-	rng       *rand.Rand
-	capacity  Capacity
-	customers []*customer // sorted by name
-	byName    map[ident.Customer]*customer
-	resumes   fifo
-	inFlight  int64 // tokens
-	queued    [classes]int64
+	config   Config
+	recheck  Recheck
+	rng      *rand.Rand
+	capacity Capacity
+	teams    []*team // sorted by name
+	byName   map[ident.Team]*team
+	resumes  fifo
+	inFlight int64 // tokens
+	queued   [classes]int64
 	// virtual is the start tag of the last dispatch of each class.
 	virtual [classes]float64
 }
 
-// New returns a controller without customers and without capacity.
+// New returns a controller without teams and without capacity.
 func New(config Config, recheck Recheck, rng *rand.Rand) (*Controller, error) {
 	config = config.withDefaults()
 	if err := config.check(); err != nil {
@@ -176,28 +176,28 @@
 		recheck = func(time.Time, Item) *Refusal { return nil }
 	}
 	return &Controller{
-		config: config, recheck: recheck, rng: rng, byName: map[ident.Customer]*customer{},
+		config: config, recheck: recheck, rng: rng, byName: map[ident.Team]*team{},
 	}, nil
 }
 
 // SetCapacity replaces the capacity.
 func (c *Controller) SetCapacity(capacity Capacity) { c.capacity = capacity }
 
-// SetCustomer adds a customer or replaces its limits. Queued requests stay and
+// SetTeam adds a team or replaces its limits. Queued requests stay and
 // follow the new limits.
-func (c *Controller) SetCustomer(now time.Time, name ident.Customer, l Limits) error {
+func (c *Controller) SetTeam(now time.Time, name ident.Team, l Limits) error {
 	if l.Priority < High || l.Priority > Low || !(l.Weight > 0) || !(l.Rate >= 0) {
 		return newError(CodeInvalidConfig).Errorf(
 			"limits of %s: priority %d, weight %v, rate %v", name, l.Priority, l.Weight, l.Rate)
 	}
 	q := c.byName[name]
 	if q == nil {
-		q = &customer{name: name, limits: l, refilled: now, offeredAt: now, level: burst(l.Rate, c.config.Burst)}
+		q = &team{name: name, limits: l, refilled: now, offeredAt: now, level: burst(l.Rate, c.config.Burst)}
 		c.byName[name] = q
-		at, _ := slices.BinarySearchFunc(c.customers, name, func(q *customer, name ident.Customer) int {
+		at, _ := slices.BinarySearchFunc(c.teams, name, func(q *team, name ident.Team) int {
 			return strings.Compare(string(q.name), string(name))
 		})
-		c.customers = slices.Insert(c.customers, at, q)
+		c.teams = slices.Insert(c.teams, at, q)
 		return nil
 	}
 	q.refill(now, c.config.Burst)
@@ -210,9 +210,9 @@
 	return nil
 }
 
-// RemoveCustomer removes a customer and refuses its queued requests. Its
+// RemoveTeam removes a team and refuses its queued requests. Its
 // requests in flight go on.
-func (c *Controller) RemoveCustomer(now time.Time, name ident.Customer) []Outcome {
+func (c *Controller) RemoveTeam(now time.Time, name ident.Team) []Outcome {
 	q := c.byName[name]
 	if q == nil {
 		return nil
@@ -223,23 +223,23 @@
 		out = append(out, w.refused(now, Refusal{Reason: ReasonContractGone, RetryAfter: c.config.MaxRetry}))
 	}
 	delete(c.byName, name)
-	c.customers = slices.DeleteFunc(c.customers, func(o *customer) bool { return o == q })
+	c.teams = slices.DeleteFunc(c.teams, func(o *team) bool { return o == q })
 	return out
 }
 
 // Queued returns the number of waiting requests, resumes included.
 func (c *Controller) Queued() int {
 	n := c.resumes.len()
-	for _, q := range c.customers {
+	for _, q := range c.teams {
 		n += q.queue.len()
 	}
 	return n
 }
 
-// Demand returns the rate in tokens/s that a customer asks of this node:
+// Demand returns the rate in tokens/s that a team asks of this node:
 // what it offered lately, refused requests included, or what its queue needs
 // to drain within Config.MaxWait. The share package lends by it.
-func (c *Controller) Demand(now time.Time, name ident.Customer) float64 {
+func (c *Controller) Demand(now time.Time, name ident.Team) float64 {
 	q := c.byName[name]
 	if q == nil {
 		return 0
--- a/internal/admission/dispatch.go
+++ b/internal/admission/dispatch.go
@@ -12,9 +12,9 @@
 	if item.Tokens < 1 {
 		return nil, newError(CodeInvalidConfig).Errorf("request %d has %d estimated tokens", item.ID, item.Tokens)
 	}
-	q := c.byName[item.Customer]
+	q := c.byName[item.Team]
 	if q == nil {
-		return nil, newError(CodeUnknownCustomer).Errorf("no contract of customer %q is in force", item.Customer)
+		return nil, newError(CodeUnknownTeam).Errorf("no contract of customer %q is in force", item.Team)
 	}
 	if item.Resume {
 		if c.resumes.len() >= c.config.ResumeLimit {
@@ -34,7 +34,7 @@
 
 // shed refuses a request whose expected wait is too long or whose queue is
 // full.
-func (c *Controller) shed(now time.Time, q *customer, item Item) *Refusal {
+func (c *Controller) shed(now time.Time, q *team, item Item) *Refusal {
 	q.refill(now, c.config.Burst)
 	// A request larger than all slots runs alone, so it waits for all of them.
 	own, shared := q.ownWait(), c.drain(c.ahead(q)+min(int64(item.Tokens), c.capacity.Slots))
@@ -51,13 +51,13 @@
 // ahead estimates the queued tokens that run before a new request of q: the
 // resumes, the higher classes, and of its own class what fair queueing lets
 // pass while q's own queue drains.
-func (c *Controller) ahead(q *customer) int64 {
+func (c *Controller) ahead(q *team) int64 {
 	tokens := c.resumes.tokens
 	for p := High; p < q.limits.Priority; p++ {
 		tokens += c.queued[p]
 	}
 	class, weights := c.queued[q.limits.Priority], q.limits.Weight
-	for _, o := range c.customers {
+	for _, o := range c.teams {
 		if o != q && o.queue.len() > 0 && o.limits.Priority == q.limits.Priority {
 			weights += o.limits.Weight
 		}
@@ -89,7 +89,7 @@
 
 // Cancel removes a queued request whose caller is gone. It returns false if
 // the request is not queued.
-func (c *Controller) Cancel(name ident.Customer, id uint64) bool {
+func (c *Controller) Cancel(name ident.Team, id uint64) bool {
 	if _, ok := c.resumes.remove(id); ok {
 		return true
 	}
@@ -103,10 +103,10 @@
 }
 
 // Finished returns the slots of a request that was dispatched. The part of the
-// estimate that it did not use goes back to the customer.
+// estimate that it did not use goes back to the team.
 func (c *Controller) Finished(now time.Time, item Item, usedTokens int) {
 	c.inFlight = max(c.inFlight-int64(item.Tokens), 0)
-	q := c.byName[item.Customer]
+	q := c.byName[item.Team]
 	if q == nil || item.Resume {
 		return
 	}
@@ -120,7 +120,7 @@
 
 // Dispatch returns the requests to run now, in order, as far as slots reach,
 // and the queued ones that are refused. Call it after every Finished,
-// SetCapacity and SetCustomer, and each 100 ms for limits that pass with time.
+// SetCapacity and SetTeam, and each 100 ms for limits that pass with time.
 func (c *Controller) Dispatch(now time.Time) []Outcome {
 	out := c.giveUp(now)
 	for c.resumes.len() > 0 && c.fits(c.resumes.front().item.Tokens) {
@@ -129,7 +129,7 @@
 	if c.resumes.len() > 0 {
 		return out // new work must not pass a resume that waits for slots
 	}
-	for _, q := range c.customers {
+	for _, q := range c.teams {
 		q.refill(now, c.config.Burst)
 	}
 	for c.fits(1) {
@@ -155,7 +155,7 @@
 // free.
 func (c *Controller) RecheckQueued(now time.Time) []Outcome {
 	out := c.recheckFifo(now, &c.resumes, nil)
-	for _, q := range c.customers {
+	for _, q := range c.teams {
 		before := q.queue.tokens
 		out = c.recheckFifo(now, &q.queue, out)
 		c.queued[q.limits.Priority] -= before - q.queue.tokens
@@ -181,15 +181,15 @@
 	return c.inFlight+int64(tokens) <= c.capacity.Slots || c.inFlight == 0 && c.capacity.Slots > 0
 }
 
-// next returns the customer whose head runs next, and the head's effective
+// next returns the team whose head runs next, and the head's effective
 // class: the highest class, and in it the least virtual start time. Service
-// is counted for each class apart, and a customer that enters a class starts
+// is counted for each class apart, and a team that enters a class starts
 // at the class's virtual time: one whose requests aged into the class competes
 // by share, without credit for its wait.
-func (c *Controller) next(now time.Time) (*customer, Priority) {
-	var best *customer
+func (c *Controller) next(now time.Time) (*team, Priority) {
+	var best *team
 	bestClass, bestTag := classes, 0.0
-	for _, q := range c.customers {
+	for _, q := range c.teams {
 		if q.queue.len() == 0 || q.level <= 0 || q.full() {
 			continue
 		}
@@ -201,7 +201,7 @@
 	return best, bestClass
 }
 
-func (c *Controller) pop(q *customer) waiting {
+func (c *Controller) pop(q *team) waiting {
 	w := q.queue.pop()
 	c.queued[q.limits.Priority] -= int64(w.item.Tokens)
 	return w
@@ -223,7 +223,7 @@
 		w := c.resumes.pop()
 		out = append(out, w.refused(now, *c.refuse(ReasonOverloaded, c.drain(c.resumes.tokens))))
 	}
-	for _, q := range c.customers {
+	for _, q := range c.teams {
 		for q.queue.len() > 0 && now.Sub(q.queue.front().since) >= c.config.GiveUpAfter {
 			q.refill(now, c.config.Burst)
 			reason := ReasonOverloaded
--- a/internal/admission/errors.go
+++ b/internal/admission/errors.go
@@ -11,8 +11,8 @@
 
 // Codes of admission errors. A refusal of a request is no error: see Refusal.
 const (
-	// CodeUnknownCustomer: no contract of the customer is in force.
-	CodeUnknownCustomer Code = "admission_unknown_customer"
+	// CodeUnknownTeam: no contract of the team is in force.
+	CodeUnknownTeam Code = "admission_unknown_customer"
 	// CodeInvalidConfig: a setting, limit or request is out of its range.
 	CodeInvalidConfig Code = "admission_invalid_config"
 )
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -57,9 +57,9 @@
 	return waiting{}, false
 }
 
-// customer is the queue and the rate limit of one customer.
-type customer struct {
-	name   ident.Customer
+// team is the queue and the rate limit of one team.
+type team struct {
+	name   ident.Team
 	limits Limits
 	queue  fifo
 	// tags are the virtual finish times of the last dispatch in each class, in
@@ -81,7 +81,7 @@
 // heartbeats, so that one burst does not move loans back and forth.
 const offerWindow = 2 * time.Second
 
-func (q *customer) countOffer(now time.Time, tokens int) {
+func (q *team) countOffer(now time.Time, tokens int) {
 	if passed := now.Sub(q.offeredAt); passed > 0 {
 		q.offered *= math.Exp(-passed.Seconds() / offerWindow.Seconds())
 		q.offeredAt = now
@@ -91,7 +91,7 @@
 
 func burst(rate float64, length time.Duration) float64 { return rate * length.Seconds() }
 
-func (q *customer) refill(now time.Time, length time.Duration) {
+func (q *team) refill(now time.Time, length time.Duration) {
 	if math.IsInf(q.limits.Rate, 1) {
 		q.level = q.limits.Rate
 	} else if passed := now.Sub(q.refilled); passed > 0 {
@@ -102,7 +102,7 @@
 }
 
 // class is the effective class of the head: it moves up as it waits.
-func (q *customer) class(now time.Time, step time.Duration) Priority {
+func (q *team) class(now time.Time, step time.Duration) Priority {
 	class := q.limits.Priority
 	for since := q.queue.front().since; class > High && now.Sub(since) >= step; class-- {
 		since = since.Add(step)
@@ -110,18 +110,18 @@
 	return class
 }
 
-// ownWait is the time until the customer's own rate lets one more request
+// ownWait is the time until the team's own rate lets one more request
 // start behind those in its queue.
-func (q *customer) ownWait() time.Duration {
+func (q *team) ownWait() time.Duration {
 	return max(q.rateWait(), q.slotWait())
 }
 
-// full tells that the customer uses its part of the slots.
-func (q *customer) full() bool { return q.limits.Slots > 0 && q.inFlight >= q.limits.Slots }
+// full tells that the team uses its part of the slots.
+func (q *team) full() bool { return q.limits.Slots > 0 && q.inFlight >= q.limits.Slots }
 
-// slotWait is the time until the customer's own requests in flight leave room
+// slotWait is the time until the team's own requests in flight leave room
 // for those that wait.
-func (q *customer) slotWait() time.Duration {
+func (q *team) slotWait() time.Duration {
 	excess := q.inFlight + q.queue.tokens - q.limits.Slots
 	if q.limits.Slots <= 0 || excess < 0 || math.IsInf(q.limits.Rate, 1) {
 		return 0
@@ -130,7 +130,7 @@
 }
 
 // rateWait is the time until the rate has covered the requests that wait.
-func (q *customer) rateWait() time.Duration {
+func (q *team) rateWait() time.Duration {
 	missing := float64(q.queue.tokens) - q.level
 	if missing < 0 || missing == 0 && q.level > 0 || math.IsInf(q.limits.Rate, 1) {
 		return 0
--- a/internal/claim/row.go
+++ b/internal/claim/row.go
@@ -53,8 +53,8 @@
 
 // RowKey returns the key of the claim row. Both parts are escaped, so that two
 // different pairs never share a row.
-func RowKey(customer ident.Customer, key string) string {
-	return "claim/" + url.PathEscape(string(customer)) + "/" + url.PathEscape(key)
+func RowKey(team ident.Team, key string) string {
+	return "claim/" + url.PathEscape(string(team)) + "/" + url.PathEscape(key)
 }
 
 // Fingerprint identifies the content of a call, so that the use of one key for
--- a/internal/cli/contract.go
+++ b/internal/cli/contract.go
@@ -38,14 +38,14 @@
 
 // validation is the result for one file in the JSON output of validate.
 type validation struct {
-	File     string  `json:"file"`
-	Valid    bool    `json:"valid"`
-	Customer string  `json:"customer,omitempty"`
-	Share    float64 `json:"share_percent,omitempty"`
-	Line     int     `json:"line,omitempty"`
-	Column   int     `json:"column,omitempty"`
-	Key      string  `json:"key,omitempty"`
-	Message  string  `json:"message,omitempty"`
+	File    string  `json:"file"`
+	Valid   bool    `json:"valid"`
+	Team    string  `json:"customer,omitempty"`
+	Share   float64 `json:"share_percent,omitempty"`
+	Line    int     `json:"line,omitempty"`
+	Column  int     `json:"column,omitempty"`
+	Key     string  `json:"key,omitempty"`
+	Message string  `json:"message,omitempty"`
 }
 
 func (a *app) validateCommand() *cobra.Command {
@@ -80,7 +80,7 @@
 	err := a.print(cmd.OutOrStdout(), results, func(w io.Writer) {
 		for _, r := range results {
 			if r.Valid {
-				fmt.Fprintf(w, "%s: valid contract of %s\n", r.File, r.Customer)
+				fmt.Fprintf(w, "%s: valid contract of %s\n", r.File, r.Team)
 			} else {
 				fmt.Fprintf(w, "%s: %s\n", r.File, r.Message)
 			}
@@ -98,11 +98,11 @@
 	if errors.As(err, &de) {
 		return validation{File: file, Line: de.Line, Column: de.Column, Key: de.Key, Message: de.Error()}
 	}
-	return validation{File: file, Valid: true, Customer: string(c.Customer), Share: c.SharePercent}
+	return validation{File: file, Valid: true, Team: string(c.Team), Share: c.SharePercent}
 }
 
-func contractPath(customer string) string {
-	return operatorapi.RouteContracts + "/" + url.PathEscape(customer)
+func contractPath(team string) string {
+	return operatorapi.RouteContracts + "/" + url.PathEscape(team)
 }
 
 func (a *app) getCommand() *cobra.Command {
--- a/internal/cli/put.go
+++ b/internal/cli/put.go
@@ -66,9 +66,9 @@
 	if err != nil {
 		return err
 	}
-	customer := contract.CustomerOf(document)
-	if customer == "" {
-		// Without a customer there is no address to send the document to.
+	team := contract.TeamOf(document)
+	if team == "" {
+		// Without a team there is no address to send the document to.
 		return NewError(CodeRefused, "%s: %s", file, validateDocument(file, document).Message)
 	}
 	if flags.changeID == "" {
@@ -79,7 +79,7 @@
 		header[operatorapi.HeaderBaseVersion] = strconv.FormatInt(flags.base, 10)
 	}
 	var result operatorapi.PutResult
-	status, err := c.call(cmd.Context(), http.MethodPut, contractPath(string(customer)), header, document, &result)
+	status, err := c.call(cmd.Context(), http.MethodPut, contractPath(string(team)), header, document, &result)
 	if err != nil {
 		// A node may have taken the change without its answer arriving. 503 says
 		// that it did not.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -123,7 +123,7 @@
 }
 
 func (a *app) auditCommand() *cobra.Command {
-	var customer, after string
+	var team, after string
 	cmd := &cobra.Command{
 		Use: "audit", Short: "Show the audit trail of contract changes",
 		Long: "Show one page of the audit trail of contract changes. The time of the last record, given to --after, leads to the next page.",
@@ -131,7 +131,7 @@
   yuccahatch audit --after 2026-01-02T15:04:05Z --output json`,
 		Args: cobra.NoArgs,
 	}
-	cmd.Flags().StringVar(&customer, "customer", "", "only records of this customer")
+	cmd.Flags().StringVar(&team, "customer", "", "only records of this customer")
 	cmd.Flags().StringVar(&after, "after", "", "only records later than this time (RFC 3339)")
 	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
 		if after != "" {
@@ -143,7 +143,7 @@
 		if err != nil {
 			return err
 		}
-		query := url.Values{"customer": {customer}, "after": {after}}
+		query := url.Values{"customer": {team}, "after": {after}}
 		var page operatorapi.AuditPage
 		if err := c.get(cmd.Context(), operatorapi.RouteAudit+"?"+query.Encode(), &page); err != nil {
 			return err
--- a/internal/continuation/experiment/load.go
+++ b/internal/continuation/experiment/load.go
@@ -8,8 +8,8 @@
 // Shape of the load. About 330 answers run at once on 420 places; without a
 // rack 312 places are left.
 const (
-	customers       = 20
-	sharedBlocks    = 32 // that the prompts of one customer have in common
+	teams           = 20
+	sharedBlocks    = 32 // that the prompts of one team have in common
 	blockTokens     = 16
 	maxOwnBlocks    = 200
 	followUp        = 0.4 // of the requests continue an earlier prompt
@@ -54,9 +54,9 @@
 		prefixes = append(prefixes, recent[rng.IntN(len(recent))].prefixes...)
 		grow = followUpBlocks
 	} else {
-		customer := rng.IntN(customers)
+		team := rng.IntN(teams)
 		for b := range sharedBlocks {
-			prefixes = append(prefixes, uint64(customer)<<32|uint64(b))
+			prefixes = append(prefixes, uint64(team)<<32|uint64(b))
 		}
 	}
 	for range 1 + rng.IntN(grow) {
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -1,4 +1,4 @@
-// Package contract holds the contract of one customer: the strict reading of
+// Package contract holds the contract of one team: the strict reading of
 // its TOML document and the decisions that follow from it.
 package contract
 
@@ -18,7 +18,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
-// Priority is the class in which a customer's requests wait.
+// Priority is the class in which a team's requests wait.
 type Priority string
 
 // Priorities, lowest first.
@@ -43,9 +43,9 @@
 // Contract is one checked contract document. It does not change after Parse
 // and may be shared between goroutines.
 type Contract struct {
-	Customer ident.Customer
+	Team     ident.Team
 	Priority Priority
-	// SharePercent is the upper limit of the customer's part of the fleet's
+	// SharePercent is the upper limit of the team's part of the fleet's
 	// capacity, above 0 and at most 100.
 	SharePercent float64
 	// Models lists the allowed models; empty allows all.
@@ -63,11 +63,11 @@
 	pathPrefix string
 }
 
-// KeyHashes returns the hashes of the customer's bearer keys in the order of
+// KeyHashes returns the hashes of the team's bearer keys in the order of
 // the document.
 func (c *Contract) KeyHashes() []KeyHash { return slices.Clone(c.keys) }
 
-// MatchesKey reports whether the bearer key belongs to the customer. Its time
+// MatchesKey reports whether the bearer key belongs to the team. Its time
 // does not depend on the key or on which hash matches.
 func (c *Contract) MatchesKey(bearerKey string) bool {
 	hash := HashKey(bearerKey)
@@ -78,7 +78,7 @@
 	return match == 1
 }
 
-// AllowsModel reports whether the customer may use the model.
+// AllowsModel reports whether the team may use the model.
 func (c *Contract) AllowsModel(model string) bool {
 	return len(c.Models) == 0 || slices.Contains(c.Models, model)
 }
--- a/internal/contract/parse.go
+++ b/internal/contract/parse.go
@@ -26,10 +26,10 @@
 // maxNameBytes bounds names of models and services.
 const maxNameBytes = 128
 
-// customerPattern keeps customers usable in table keys and URL paths.
-var customerPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,63}$`)
+// teamPattern keeps teams usable in table keys and URL paths.
+var teamPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,63}$`)
 
-const customerAllowed = "1 to 64 lower-case letters, digits, '-', '_' and '.', starting with a letter or digit"
+const teamAllowed = "1 to 64 lower-case letters, digits, '-', '_' and '.', starting with a letter or digit"
 
 var weekdays = []string{"sun", "mon", "tue", "wed", "thu", "fri", "sat"}
 
@@ -37,7 +37,7 @@
 
 // document mirrors the TOML keys. Pointers tell absent keys from zero values.
 type document struct {
-	Customer      *string              `toml:"customer"`
+	Team          *string              `toml:"customer"`
 	Keys          []string             `toml:"keys"`
 	Priority      *string              `toml:"priority"`
 	SharePercent  any                  `toml:"share_percent"`
@@ -77,16 +77,16 @@
 	return c.contract(&doc)
 }
 
-// CustomerOf returns the customer that a document names, also if the document
+// TeamOf returns the team that a document names, also if the document
 // is refused for another reason; empty if it cannot be told.
-func CustomerOf(text []byte) ident.Customer {
+func TeamOf(text []byte) ident.Team {
 	var doc struct {
-		Customer string `toml:"customer"`
+		Team string `toml:"customer"`
 	}
-	if len(text) > MaxDocumentBytes || toml.Unmarshal(text, &doc) != nil || !ValidCustomer(doc.Customer) {
+	if len(text) > MaxDocumentBytes || toml.Unmarshal(text, &doc) != nil || !ValidTeam(doc.Team) {
 		return ""
 	}
-	return ident.Customer(doc.Customer)
+	return ident.Team(doc.Team)
 }
 
 func decodeError(text []byte, err error) *DocumentError {
@@ -157,7 +157,7 @@
 func (c *checker) contract(doc *document) (*Contract, error) {
 	out := &Contract{Priority: PriorityNormal}
 	steps := []func(*document, *Contract) *DocumentError{
-		c.customer, c.keys, c.priority, c.share, c.models, c.quietHours, c.nonIdempotent,
+		c.team, c.keys, c.priority, c.share, c.models, c.quietHours, c.nonIdempotent,
 	}
 	for _, step := range steps {
 		if err := step(doc, out); err != nil {
@@ -167,19 +167,19 @@
 	return out, nil
 }
 
-func (c *checker) customer(doc *document, out *Contract) *DocumentError {
+func (c *checker) team(doc *document, out *Contract) *DocumentError {
 	switch {
-	case doc.Customer == nil:
-		return c.missing("customer", customerAllowed)
-	case !ValidCustomer(*doc.Customer):
-		return c.bad("customer", strconv.Quote(*doc.Customer), customerAllowed)
+	case doc.Team == nil:
+		return c.missing("customer", teamAllowed)
+	case !ValidTeam(*doc.Team):
+		return c.bad("customer", strconv.Quote(*doc.Team), teamAllowed)
 	}
-	out.Customer = ident.Customer(*doc.Customer)
+	out.Team = ident.Team(*doc.Team)
 	return nil
 }
 
-// ValidCustomer reports whether a name may be the customer of a contract.
-func ValidCustomer(name string) bool { return customerPattern.MatchString(name) }
+// ValidTeam reports whether a name may be the team of a contract.
+func ValidTeam(name string) bool { return teamPattern.MatchString(name) }
 
 func (c *checker) keys(doc *document, out *Contract) *DocumentError {
 	const allowed = `"sha256:" and 64 lower-case hexadecimal digits, each hash once`
--- a/internal/contractlog/log.go
+++ b/internal/contractlog/log.go
@@ -60,7 +60,7 @@
 
 // change is one call of Put.
 type change struct {
-	customer ident.Customer
+	team     ident.Team
 	document string
 	base     ident.ContractVersion
 	id       string
@@ -75,7 +75,7 @@
 	change                       changeRow
 }
 
-// Put commits a document as the next version of its customer's contract. The
+// Put commits a document as the next version of its team's contract. The
 // base is the version that the change is based on, 0 for a new contract, or
 // BaseNewest. A change id that was committed before returns its entry again; an
 // empty one is replaced by a random one.
@@ -91,23 +91,23 @@
 	}
 	parsed, err := contract.Parse(document)
 	if err != nil {
-		l.refused(contract.CustomerOf(document), 0, actor, err)
+		l.refused(contract.TeamOf(document), 0, actor, err)
 		return contractset.Entry{}, newError(CodeRefused).Wrapf(err, "refuse contract")
 	}
-	c := change{customer: parsed.Customer, document: string(document), base: base, id: changeID, actor: actor}
+	c := change{team: parsed.Team, document: string(document), base: base, id: changeID, actor: actor}
 	entry, err := l.put(ctx, &c)
 	switch CodeOf(err) {
 	case CodeConflict, CodeChangeIDReused, CodeStoreUnavailable, CodeBusy:
-		l.refused(c.customer, c.base, actor, err)
+		l.refused(c.team, c.base, actor, err)
 	}
 	return entry, err
 }
 
 // refused records a change that did not take effect.
-func (l *Log) refused(customer ident.Customer, base ident.ContractVersion, actor string, cause error) {
+func (l *Log) refused(team ident.Team, base ident.ContractVersion, actor string, cause error) {
 	from := max(int64(base), 0)
 	l.audit.Record(operatorapi.AuditRecord{
-		At: l.now(), Actor: actor, HostID: string(l.hostID), Action: audit.ActionPut, Customer: string(customer),
+		At: l.now(), Actor: actor, HostID: string(l.hostID), Action: audit.ActionPut, Customer: string(team),
 		From: from, To: from, Outcome: audit.OutcomeRefused, Reason: cause.Error(),
 	})
 }
@@ -178,12 +178,12 @@
 	if current.Version > 0 {
 		e = e.With(attrCurrent, current.entry())
 	}
-	return e.Errorf("contract of %q has version %d, the change is based on version %d", c.customer, current.Version, c.base)
+	return e.Errorf("contract of %q has version %d, the change is based on version %d", c.team, current.Version, c.base)
 }
 
 func (l *Log) readState(ctx context.Context, c *change) (state, error) {
 	var s state
-	rows, err := l.table.Read(ctx, contractKey(c.customer), headKey, changeKey(c.id))
+	rows, err := l.table.Read(ctx, contractKey(c.team), headKey, changeKey(c.id))
 	if err != nil {
 		return s, unavailable(err, "read the contract")
 	}
@@ -206,16 +206,16 @@
 		}
 		return contractset.Entry{}, err
 	}
-	if row.Customer != string(c.customer) || row.Document != c.document {
+	if row.Team != string(c.team) || row.Document != c.document {
 		return contractset.Entry{}, newError(CodeChangeIDReused).
-			Errorf("change id %q belongs to version %d of the contract of %q", c.id, row.Version, row.Customer)
+			Errorf("change id %q belongs to version %d of the contract of %q", c.id, row.Version, row.Team)
 	}
 	return row.entry(), nil
 }
 
 func (l *Log) commit(ctx context.Context, c *change, s state) (contractset.Entry, error) {
 	row := entryRow{
-		Sequence: s.head.Sequence + 1, Customer: string(c.customer), Version: s.contract.Version + 1,
+		Sequence: s.head.Sequence + 1, Team: string(c.team), Version: s.contract.Version + 1,
 		Document: c.document, ChangedBy: c.actor, ChangedAt: l.now().UTC(), ChangeID: c.id, Previous: s.contract.Sequence,
 	}
 	txn, err := l.transaction(c, s, row)
@@ -238,7 +238,7 @@
 
 func (l *Log) transaction(c *change, s state, row entryRow) (platformapi.TxnRequest, error) {
 	record, err := audit.WriteOf(operatorapi.AuditRecord{
-		At: row.ChangedAt, Actor: c.actor, HostID: string(l.hostID), Action: audit.ActionPut, Customer: row.Customer,
+		At: row.ChangedAt, Actor: c.actor, HostID: string(l.hostID), Action: audit.ActionPut, Customer: row.Team,
 		From: s.contract.Version, To: row.Version, Outcome: audit.OutcomeRecorded, Reason: fmt.Sprintf("change %s", c.id),
 	})
 	if err != nil {
@@ -247,15 +247,15 @@
 	txn := platformapi.TxnRequest{
 		ID: "contract-" + c.id,
 		Conditions: []platformapi.Condition{
-			{Key: contractKey(c.customer), Version: s.contractVersion},
+			{Key: contractKey(c.team), Version: s.contractVersion},
 			{Key: headKey, Version: s.headVersion},
 			{Key: changeKey(c.id), Version: 0},
 		},
 		Writes: []platformapi.Write{record},
 	}
 	for key, value := range map[string]any{
-		contractKey(c.customer): row,
-		headKey:                 headRow{Sequence: row.Sequence},
+		contractKey(c.team): row,
+		headKey:             headRow{Sequence: row.Sequence},
 		entryKey(ident.LogSequence(row.Sequence)): row,
 		changeKey(c.id): changeRow{Sequence: row.Sequence},
 	} {
--- a/internal/contractlog/read.go
+++ b/internal/contractlog/read.go
@@ -84,9 +84,9 @@
 	return entries, head, nil
 }
 
-// History returns the newest versions of a customer's contract, newest first.
-func (l *Log) History(ctx context.Context, customer ident.Customer, limit int) ([]contractset.Entry, error) {
-	rows, err := l.table.Read(ctx, contractKey(customer))
+// History returns the newest versions of a team's contract, newest first.
+func (l *Log) History(ctx context.Context, team ident.Team, limit int) ([]contractset.Entry, error) {
+	rows, err := l.table.Read(ctx, contractKey(team))
 	if err != nil {
 		return nil, unavailable(err, "read the contract")
 	}
--- a/internal/contractlog/rows.go
+++ b/internal/contractlog/rows.go
@@ -14,7 +14,7 @@
 
 // Keys of the table.
 const (
-	contractPrefix = "contract/"        // + customer: newest version
+	contractPrefix = "contract/"        // + team: newest version
 	headKey        = "contractlog/head" // newest position
 	// logPrefix covers the entries and not the head: positions are written with
 	// 19 digits, of which the first is 0 for the next 10^18 changes.
@@ -22,7 +22,7 @@
 	changePrefix = "contractchange/" // + change id: position of the change
 )
 
-func contractKey(customer ident.Customer) string { return contractPrefix + string(customer) }
+func contractKey(team ident.Team) string { return contractPrefix + string(team) }
 
 func entryKey(sequence ident.LogSequence) string { return fmt.Sprintf("contractlog/%019d", sequence) }
 
@@ -34,14 +34,14 @@
 // entryRow is the value of contract and log rows.
 type entryRow struct {
 	Sequence  int64     `json:"sequence"`
-	Customer  string    `json:"customer"`
+	Team      string    `json:"customer"`
 	Version   int64     `json:"version"`
 	Document  string    `json:"document"`
 	ChangedBy string    `json:"changed_by"`
 	ChangedAt time.Time `json:"changed_at"`
 	ChangeID  string    `json:"change_id"`
 	// Previous is the position of the version before, 0 for the first. It
-	// leads through the history of one customer without a scan of the log.
+	// leads through the history of one team without a scan of the log.
 	Previous int64 `json:"previous,omitempty"`
 }
 
@@ -57,7 +57,7 @@
 
 func (r entryRow) entry() contractset.Entry {
 	return contractset.Entry{
-		Sequence: ident.LogSequence(r.Sequence), Customer: ident.Customer(r.Customer),
+		Sequence: ident.LogSequence(r.Sequence), Team: ident.Team(r.Team),
 		Version: ident.ContractVersion(r.Version), Document: r.Document,
 		ChangedBy: r.ChangedBy, ChangedAt: r.ChangedAt, ChangeID: r.ChangeID,
 	}
--- a/internal/contractset/set.go
+++ b/internal/contractset/set.go
@@ -16,7 +16,7 @@
 // Entry is one accepted version of a contract as the change log holds it.
 type Entry struct {
 	Sequence  ident.LogSequence
-	Customer  ident.Customer
+	Team      ident.Team
 	Version   ident.ContractVersion
 	Document  string
 	ChangedBy string
@@ -24,12 +24,12 @@
 	ChangeID  string
 }
 
-// InForce is the newest known version of one customer's contract.
+// InForce is the newest known version of one team's contract.
 type InForce struct {
 	Entry Entry
 	// Contract is nil if this node cannot read the document, for example
 	// because it lacks a time zone that the node that took the change knows.
-	// The customer's work is then refused: neither this version nor the one
+	// The team's work is then refused: neither this version nor the one
 	// before may be applied.
 	Contract *contract.Contract
 	// Err tells why Contract is nil.
@@ -40,10 +40,10 @@
 // number of goroutines.
 type Set struct {
 	mu sync.RWMutex
-	// byCustomer holds the newest known version; guarded by mu.
-	byCustomer map[ident.Customer]*InForce
-	// byKey holds every customer whose contract lists the hash; guarded by mu.
-	byKey map[contract.KeyHash][]ident.Customer
+	// byTeam holds the newest known version; guarded by mu.
+	byTeam map[ident.Team]*InForce
+	// byKey holds every team whose contract lists the hash; guarded by mu.
+	byKey map[contract.KeyHash][]ident.Team
 	// sequence is the position up to which every entry is applied; guarded by mu.
 	sequence ident.LogSequence
 	// ahead holds applied positions above sequence+1; guarded by mu.
@@ -55,10 +55,10 @@
 // New returns an empty set.
 func New() *Set {
 	return &Set{
-		byCustomer: map[ident.Customer]*InForce{},
-		byKey:      map[contract.KeyHash][]ident.Customer{},
-		ahead:      map[ident.LogSequence]struct{}{},
-		changed:    make(chan struct{}),
+		byTeam:  map[ident.Team]*InForce{},
+		byKey:   map[contract.KeyHash][]ident.Team{},
+		ahead:   map[ident.LogSequence]struct{}{},
+		changed: make(chan struct{}),
 	}
 }
 
@@ -70,7 +70,7 @@
 }
 
 // ApplyRange is like Apply and additionally states that the entries contain,
-// for each customer changed after position `after`, the newest version up to
+// for each team changed after position `after`, the newest version up to
 // position `through`. A scan of all contracts has after 0. The statement is
 // used only if the set has everything up to `after`.
 func (s *Set) ApplyRange(after, through ident.LogSequence, entries []Entry) []Entry {
@@ -105,8 +105,8 @@
 func parse(e Entry) *InForce {
 	in := &InForce{Entry: e}
 	in.Contract, in.Err = contract.Parse([]byte(e.Document))
-	if in.Err == nil && in.Contract.Customer != e.Customer {
-		in.Err = newError(CodeWrongCustomer).Errorf("entry %d of customer %q holds a document of customer %q", e.Sequence, e.Customer, in.Contract.Customer)
+	if in.Err == nil && in.Contract.Team != e.Team {
+		in.Err = newError(CodeWrongTeam).Errorf("entry %d of customer %q holds a document of customer %q", e.Sequence, e.Team, in.Contract.Team)
 		in.Contract = nil
 	}
 	return in
@@ -115,14 +115,14 @@
 // install requires mu. It reports whether the version is newer than the known
 // one.
 func (s *Set) install(next *InForce) bool {
-	customer := next.Entry.Customer
-	known := s.byCustomer[customer]
+	team := next.Entry.Team
+	known := s.byTeam[team]
 	if known != nil && known.Entry.Version >= next.Entry.Version {
 		return false
 	}
 	if known != nil && known.Contract != nil {
 		for _, hash := range known.Contract.KeyHashes() {
-			s.byKey[hash] = slices.DeleteFunc(s.byKey[hash], func(c ident.Customer) bool { return c == customer })
+			s.byKey[hash] = slices.DeleteFunc(s.byKey[hash], func(c ident.Team) bool { return c == team })
 			if len(s.byKey[hash]) == 0 {
 				delete(s.byKey, hash)
 			}
@@ -130,10 +130,10 @@
 	}
 	if next.Contract != nil {
 		for _, hash := range next.Contract.KeyHashes() {
-			s.byKey[hash] = append(s.byKey[hash], customer)
+			s.byKey[hash] = append(s.byKey[hash], team)
 		}
 	}
-	s.byCustomer[customer] = next
+	s.byTeam[team] = next
 	return true
 }
 
@@ -164,12 +164,12 @@
 	return s.sequence
 }
 
-// Contract returns the newest known version of a customer's contract. The
+// Contract returns the newest known version of a team's contract. The
 // result must not be changed.
-func (s *Set) Contract(customer ident.Customer) (*InForce, bool) {
+func (s *Set) Contract(team ident.Team) (*InForce, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	in, ok := s.byCustomer[customer]
+	in, ok := s.byTeam[team]
 	return in, ok
 }
 
@@ -179,23 +179,23 @@
 func (s *Set) ByKeyHash(hash contract.KeyHash) (*InForce, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	customers := s.byKey[hash]
-	if len(customers) != 1 {
+	teams := s.byKey[hash]
+	if len(teams) != 1 {
 		return nil, false
 	}
-	in, ok := s.byCustomer[customers[0]]
+	in, ok := s.byTeam[teams[0]]
 	return in, ok
 }
 
-// All returns the newest known versions in order of customers.
+// All returns the newest known versions in order of teams.
 func (s *Set) All() []*InForce {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	all := make([]*InForce, 0, len(s.byCustomer))
-	for _, in := range s.byCustomer {
+	all := make([]*InForce, 0, len(s.byTeam))
+	for _, in := range s.byTeam {
 		all = append(all, in)
 	}
-	slices.SortFunc(all, func(a, b *InForce) int { return cmp.Compare(a.Entry.Customer, b.Entry.Customer) })
+	slices.SortFunc(all, func(a, b *InForce) int { return cmp.Compare(a.Entry.Team, b.Entry.Team) })
 	return all
 }
 
@@ -206,7 +206,7 @@
 func (s *Set) Entries(after ident.LogSequence) (entries []Entry, through ident.LogSequence) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	for _, in := range s.byCustomer {
+	for _, in := range s.byTeam {
 		if in.Entry.Sequence > after {
 			entries = append(entries, in.Entry)
 		}
--- a/internal/cursor/cursor.go
+++ b/internal/cursor/cursor.go
@@ -44,7 +44,7 @@
 type Cursor struct {
 	Generation ident.GenerationID
 	Request    ident.RequestID
-	Customer   ident.Customer
+	Team       ident.Team
 	// Backend and Attempt lead to the engine's stream.
 	Backend ident.BackendID
 	Attempt ident.AttemptID
@@ -94,7 +94,7 @@
 	message := &cursorpb.Cursor{
 		GenerationId:  string(cur.Generation),
 		RequestId:     string(cur.Request),
-		Customer:      string(cur.Customer),
+		Customer:      string(cur.Team),
 		BackendId:     string(cur.Backend),
 		AttemptId:     string(cur.Attempt),
 		Owner:         string(cur.Owner),
@@ -149,7 +149,7 @@
 	cur := Cursor{
 		Generation: ident.GenerationID(m.GetGenerationId()),
 		Request:    ident.RequestID(m.GetRequestId()),
-		Customer:   ident.Customer(m.GetCustomer()),
+		Team:       ident.Team(m.GetCustomer()),
 		Backend:    ident.BackendID(m.GetBackendId()),
 		Attempt:    ident.AttemptID(m.GetAttemptId()),
 		Owner:      ident.HostID(m.GetOwner()),
--- a/internal/explain/archive.go
+++ b/internal/explain/archive.go
@@ -85,10 +85,10 @@
 
 // mark makes a request wait to be written. At the limit the one that waits
 // longest is dropped.
-func (a *Archive) mark(customer ident.Customer, request ident.RequestID) {
+func (a *Archive) mark(team ident.Team, request ident.RequestID) {
 	now := time.Now()
 	a.mu.Lock()
-	k := key{customer, request}
+	k := key{team, request}
 	if a.byKey[k] != nil {
 		a.mu.Unlock()
 		return
@@ -182,10 +182,10 @@
 func (a *Archive) writeFailed(k key, err error) {
 	a.failed.Inc(1)
 	a.config.Events.LogError(logrus.WarnLevel, telemetry.EventExplainFailed, err, logrus.Fields{
-		telemetry.FieldRequest: k.request, telemetry.FieldCustomer: k.customer,
+		telemetry.FieldRequest: k.request, telemetry.FieldTeam: k.team,
 	}, "store an explanation")
 	if objects.CodeOf(err) != objects.CodeRejected {
-		a.mark(k.customer, k.request)
+		a.mark(k.team, k.request)
 	}
 }
 
@@ -193,21 +193,21 @@
 // write the same request at the same moment may lose one part until either of
 // them writes again.
 func (a *Archive) write(ctx context.Context, k key) error {
-	record := DocumentRecord{Customer: k.customer}
+	record := DocumentRecord{Team: k.team}
 	for _, r := range a.config.Store.Get(k.request) {
-		if r.Customer == k.customer {
+		if r.Team == k.team {
 			record.Decisions = r.Decisions
 		}
 	}
 	for _, t := range a.config.Traces.Get(k.request) {
-		if t.Customer == k.customer {
+		if t.Team == k.team {
 			record.Traces = append(record.Traces, t)
 		}
 	}
 	if len(record.Decisions)+len(record.Traces) == 0 {
 		return nil // dropped meanwhile
 	}
-	slot := slotOf(k.customer, a.config.Host)
+	slot := slotOf(k.team, a.config.Host)
 	document, err := a.read(ctx, k.request, slot)
 	if err != nil && CodeOf(err) != CodeMalformed {
 		return err
--- a/internal/explain/document.go
+++ b/internal/explain/document.go
@@ -25,7 +25,7 @@
 	// maxDocumentBytes bounds the decoded content of an object; beyond it the
 	// oldest traces are left out.
 	maxDocumentBytes = 16 << 20
-	// maxMergedDecisions bounds the decisions of one customer in an object.
+	// maxMergedDecisions bounds the decisions of one team in an object.
 	maxMergedDecisions = 512
 	// requestDigestBytes is how much of the hash of a request id names its
 	// objects.
@@ -40,11 +40,11 @@
 	Records []DocumentRecord `json:"records"`
 }
 
-// DocumentRecord belongs to one customer that used the request id.
+// DocumentRecord belongs to one team that used the request id.
 type DocumentRecord struct {
-	Customer  ident.Customer `json:"customer"`
-	Decisions []Decision     `json:"decisions"`
-	Traces    []Trace        `json:"traces"`
+	Team      ident.Team `json:"customer"`
+	Decisions []Decision `json:"decisions"`
+	Traces    []Trace    `json:"traces"`
 }
 
 // objectName names the object of a slot. The request id is hashed because a
@@ -54,19 +54,19 @@
 	return fmt.Sprintf("explain/v%d/%s/%d", documentVersion, hex.EncodeToString(sum[:requestDigestBytes]), slot)
 }
 
-// slotOf spreads the hosts and customers of one request id over its objects.
-func slotOf(customer ident.Customer, host ident.HostID) int {
-	return int(xxh3.HashString(string(customer)+"\x00"+string(host)) % slots)
+// slotOf spreads the hosts and teams of one request id over its objects.
+func slotOf(team ident.Team, host ident.HostID) int {
+	return int(xxh3.HashString(string(team)+"\x00"+string(host)) % slots)
 }
 
 // merge adds the content of another document. It is commutative and may be
 // repeated.
 func (d *Document) merge(other Document) {
 	for _, record := range other.Records {
-		i := slices.IndexFunc(d.Records, func(r DocumentRecord) bool { return r.Customer == record.Customer })
+		i := slices.IndexFunc(d.Records, func(r DocumentRecord) bool { return r.Team == record.Team })
 		if i < 0 {
 			i = len(d.Records)
-			d.Records = append(d.Records, DocumentRecord{Customer: record.Customer})
+			d.Records = append(d.Records, DocumentRecord{Team: record.Team})
 		}
 		own := &d.Records[i]
 		own.Decisions = MergeDecisions(own.Decisions, record.Decisions)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -29,10 +29,10 @@
 	Detail string       `json:"detail"`
 }
 
-// Record holds the decisions for one request of one customer.
+// Record holds the decisions for one request of one team.
 type Record struct {
 	Request   ident.RequestID
-	Customer  ident.Customer
+	Team      ident.Team
 	Decisions []Decision
 }
 
@@ -42,19 +42,19 @@
 var interruptions = map[string]bool{"lost": true, "resumed": true, "taken_over": true}
 
 type key struct {
-	customer ident.Customer
-	request  ident.RequestID
+	team    ident.Team
+	request ident.RequestID
 }
 
 // Store holds the newest records of a node.
 type Store struct {
 	host ident.HostID
 	// changed is called, without mu, after an interruption was recorded.
-	changed func(ident.Customer, ident.RequestID)
+	changed func(ident.Team, ident.RequestID)
 
 	mu sync.Mutex
 	// order, byKey and byRequest are guarded by mu. order holds *Record, oldest
-	// first. byRequest exists because request ids are unique within a customer
+	// first. byRequest exists because request ids are unique within a team
 	// only.
 	order     *list.List
 	byKey     map[key]*list.Element
@@ -66,7 +66,7 @@
 func NewStore(host ident.HostID) *Store {
 	return &Store{
 		host:      host,
-		changed:   func(ident.Customer, ident.RequestID) {},
+		changed:   func(ident.Team, ident.RequestID) {},
 		order:     list.New(),
 		byKey:     map[key]*list.Element{},
 		byRequest: map[ident.RequestID][]*Record{},
@@ -75,20 +75,20 @@
 
 // OnChange sets what is called after an interruption was recorded. It is set
 // before the first decision.
-func (s *Store) OnChange(changed func(ident.Customer, ident.RequestID)) { s.changed = changed }
+func (s *Store) OnChange(changed func(ident.Team, ident.RequestID)) { s.changed = changed }
 
 // Add records one decision.
-func (s *Store) Add(now time.Time, customer ident.Customer, request ident.RequestID, event, detail string) {
-	s.add(now, customer, request, event, detail)
+func (s *Store) Add(now time.Time, team ident.Team, request ident.RequestID, event, detail string) {
+	s.add(now, team, request, event, detail)
 	if interruptions[event] {
-		s.changed(customer, request)
+		s.changed(team, request)
 	}
 }
 
-func (s *Store) add(now time.Time, customer ident.Customer, request ident.RequestID, event, detail string) {
+func (s *Store) add(now time.Time, team ident.Team, request ident.RequestID, event, detail string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	record := s.record(key{customer, request})
+	record := s.record(key{team, request})
 	decision := Decision{At: now, Host: s.host, Event: event, Detail: detail}
 	if len(record.Decisions) == maxDecisions {
 		record.Decisions[maxDecisions-1] = decision
@@ -105,7 +105,7 @@
 	if s.order.Len() == maxRequests {
 		s.dropOldest()
 	}
-	record := &Record{Request: k.request, Customer: k.customer}
+	record := &Record{Request: k.request, Team: k.team}
 	s.byKey[k] = s.order.PushBack(record)
 	s.byRequest[k.request] = append(s.byRequest[k.request], record)
 	return record
@@ -115,7 +115,7 @@
 func (s *Store) dropOldest() {
 	oldest := s.order.Front()
 	record := s.order.Remove(oldest).(*Record)
-	delete(s.byKey, key{record.Customer, record.Request})
+	delete(s.byKey, key{record.Team, record.Request})
 	s.dropped++
 	var rest []*Record
 	for _, r := range s.byRequest[record.Request] {
@@ -130,7 +130,7 @@
 	s.byRequest[record.Request] = rest
 }
 
-// Get returns copies of the records of a request id, one for each customer
+// Get returns copies of the records of a request id, one for each team
 // that used it.
 func (s *Store) Get(request ident.RequestID) []Record {
 	s.mu.Lock()
--- a/internal/explain/traces.go
+++ b/internal/explain/traces.go
@@ -29,7 +29,7 @@
 	host   ident.HostID
 	budget *trace.Budget
 	// changed is called, without mu, after a trace was kept.
-	changed func(ident.Customer, ident.RequestID)
+	changed func(ident.Team, ident.RequestID)
 
 	mu sync.Mutex
 	// kept and bytes are guarded by mu. kept holds *keptTrace, oldest first.
@@ -41,7 +41,7 @@
 
 // keptTrace is a copy of a recording that does not change any more.
 type keptTrace struct {
-	customer  ident.Customer
+	team      ident.Team
 	request   ident.RequestID
 	recording *trace.Recording
 	// source is the session; a newer copy of it replaces an older one.
@@ -53,21 +53,21 @@
 	return &Traces{
 		host:    host,
 		budget:  trace.NewBudget(maxRecordingBytes),
-		changed: func(ident.Customer, ident.RequestID) {},
+		changed: func(ident.Team, ident.RequestID) {},
 		kept:    list.New(),
 	}
 }
 
 // OnChange sets what is called after a trace was kept. It is set before the
 // first session.
-func (t *Traces) OnChange(changed func(ident.Customer, ident.RequestID)) { t.changed = changed }
+func (t *Traces) OnChange(changed func(ident.Team, ident.RequestID)) { t.changed = changed }
 
 // Open implements generation.Tracer. It returns nil if the memory for sessions
 // under way is used up.
 func (t *Traces) Open(request *generation.Request, start *generation.Start, config continuation.Config) generation.Recorder {
 	recording := trace.NewRecording(trace.Header{
 		Host:       t.host,
-		Customer:   request.Customer,
+		Team:       request.Team,
 		Request:    request.Request,
 		Generation: request.Generation,
 		Config:     config,
@@ -83,7 +83,7 @@
 		return nil
 	}
 	return &sessionRecorder{
-		traces: t, customer: request.Customer, request: request.Request, recording: recording,
+		traces: t, team: request.Team, request: request.Request, recording: recording,
 		disturbed: start.Journal.Len() > 0 || start.Attempt != "",
 	}
 }
@@ -92,7 +92,7 @@
 // generation.
 type sessionRecorder struct {
 	traces    *Traces
-	customer  ident.Customer
+	team      ident.Team
 	request   ident.RequestID
 	recording *trace.Recording
 	opened    bool
@@ -132,7 +132,7 @@
 // keep keeps a copy of the recording and drops the oldest ones beyond the
 // limits.
 func (t *Traces) keep(s *sessionRecorder) {
-	kept := &keptTrace{customer: s.customer, request: s.request, recording: s.recording.Copy(), source: s}
+	kept := &keptTrace{team: s.team, request: s.request, recording: s.recording.Copy(), source: s}
 	t.mu.Lock()
 	for e := t.kept.Back(); e != nil; e = e.Prev() {
 		if e.Value.(*keptTrace).source == s {
@@ -146,7 +146,7 @@
 		t.drop(t.kept.Front())
 	}
 	t.mu.Unlock()
-	t.changed(s.customer, s.request)
+	t.changed(s.team, s.request)
 }
 
 // drop requires mu.
@@ -157,7 +157,7 @@
 // Trace is one session of a request in the form of package trace.
 type Trace struct {
 	Host       ident.HostID       `json:"host"`
-	Customer   ident.Customer     `json:"customer"`
+	Team       ident.Team         `json:"customer"`
 	Generation ident.GenerationID `json:"generation"`
 	StartedAt  time.Time          `json:"started_at"`
 	Events     int                `json:"events"`
@@ -191,7 +191,7 @@
 	}
 	h := session.Header
 	return Trace{
-		Host: h.Host, Customer: h.Customer, Generation: h.Generation,
+		Host: h.Host, Team: h.Team, Generation: h.Generation,
 		StartedAt: h.StartedAt.UTC().Round(0), Events: len(session.Steps), Text: b.String(),
 	}, nil
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -33,7 +33,7 @@
 	nextID     uint64
 }
 
-// New returns a gate without customers and without capacity.
+// New returns a gate without teams and without capacity.
 func New(config admission.Config, recheck admission.Recheck, seed uint64) (*Gate, error) {
 	controller, err := admission.New(config, recheck, rand.New(rand.NewPCG(seed, 1)))
 	if err != nil {
@@ -82,8 +82,8 @@
 
 // Admit waits until the request may run. It returns a *Refused if it may not,
 // and the context's error if its caller is gone.
-func (g *Gate) Admit(ctx context.Context, customer ident.Customer, tokens int, resume bool) (*Ticket, error) {
-	item, result, err := g.offer(customer, tokens, resume)
+func (g *Gate) Admit(ctx context.Context, team ident.Team, tokens int, resume bool) (*Ticket, error) {
+	item, result, err := g.offer(team, tokens, resume)
 	if err != nil {
 		return nil, err
 	}
@@ -111,12 +111,12 @@
 	return &Ticket{gate: g, item: outcome.Item, Waited: outcome.Waited}, nil
 }
 
-func (g *Gate) offer(customer ident.Customer, tokens int, resume bool) (admission.Item, chan admission.Outcome, error) {
+func (g *Gate) offer(team ident.Team, tokens int, resume bool) (admission.Item, chan admission.Outcome, error) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.nextID++
-	item := admission.Item{ID: g.nextID, Customer: customer, Tokens: max(tokens, 1), Resume: resume}
+	item := admission.Item{ID: g.nextID, Team: team, Tokens: max(tokens, 1), Resume: resume}
 	refusal, err := g.controller.Offer(now, item)
 	if err != nil {
 		return item, nil, err
@@ -138,11 +138,11 @@
 		return false
 	}
 	delete(g.waiting, item.ID)
-	return g.controller.Cancel(item.Customer, item.ID)
+	return g.controller.Cancel(item.Team, item.ID)
 }
 
 // Finished returns the request's slots. The tokens that it did not use go back
-// to its customer.
+// to its team.
 func (t *Ticket) Finished(usedTokens int) {
 	now := time.Now()
 	t.gate.mu.Lock()
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -116,7 +116,7 @@
 // fingerprint identifies what the client asks for, whichever id it gives it.
 func (e *exchange) fingerprint() quarantine.Fingerprint {
 	if e.printed == "" {
-		e.printed = quarantine.FingerprintOf(ident.Customer(e.team+" "+e.call.Method+" "+e.call.Target), e.call.Body)
+		e.printed = quarantine.FingerprintOf(ident.Team(e.team+" "+e.call.Method+" "+e.call.Target), e.call.Body)
 	}
 	return e.printed
 }
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -25,7 +25,7 @@
 type Request struct {
 	Generation ident.GenerationID
 	Request    ident.RequestID
-	Customer   ident.Customer
+	Team       ident.Team
 	// Route and Body are the caller's request, for replicas.
 	Route string
 	Body  []byte
@@ -36,7 +36,7 @@
 	PromptTokens  int
 	MaxTokens     int
 	Priority      int
-	// Fingerprint identifies the content of the request of this customer.
+	// Fingerprint identifies the content of the request of this team.
 	Fingerprint quarantine.Fingerprint
 }
 
--- a/internal/generation/run.go
+++ b/internal/generation/run.go
@@ -88,7 +88,7 @@
 		cursorBase: cursor.Cursor{
 			Generation:    request.Generation,
 			Request:       request.Request,
-			Customer:      request.Customer,
+			Team:          request.Team,
 			Owner:         deps.Host,
 			Replicas:      start.Replicas,
 			RequestDigest: request.RequestDigest,
--- a/internal/idempotent/executor.go
+++ b/internal/idempotent/executor.go
@@ -33,7 +33,7 @@
 
 // Call is one call of a service.
 type Call struct {
-	Customer ident.Customer
+	Team ident.Team
 	// Key is the caller's idempotency key.
 	Key       string
 	RequestID ident.RequestID
@@ -123,7 +123,7 @@
 	r := &run{
 		executor: e,
 		call:     call,
-		rowKey:   claim.RowKey(call.Customer, call.Key),
+		rowKey:   claim.RowKey(call.Team, call.Key),
 		attempt:  ident.NewAttemptID(),
 		events:   make(chan claim.Event, 1),
 		answer:   make(chan claim.Action, 1),
--- a/internal/idempotent/run.go
+++ b/internal/idempotent/run.go
@@ -110,7 +110,7 @@
 func (r *run) write(a claim.Action) claim.Event {
 	row := a.Row
 	if row.Result != nil && len(row.Result.Body) > maxRowBody {
-		name := "claim-results/" + url.PathEscape(string(r.call.Customer)) + "/" + string(r.attempt)
+		name := "claim-results/" + url.PathEscape(string(r.call.Team)) + "/" + string(r.attempt)
 		ctx, cancel := context.WithTimeout(context.Background(), objectTimeout)
 		defer cancel()
 		if err := r.executor.config.Objects.Put(ctx, name, row.Result.Body); err != nil {
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -9,7 +9,7 @@
 
 type (
 	// RequestID names one request of a caller. It is the caller's choice and
-	// is unique within a customer only.
+	// is unique within a team only.
 	RequestID string
 	// GenerationID names one answer; all attempts that contribute to the
 	// answer share it.
@@ -17,8 +17,8 @@
 	// AttemptID names one try to run a request on one backend server. For
 	// engines it is also the stream id.
 	AttemptID string
-	// Customer names the holder of a contract.
-	Customer string
+	// Team names the holder of a contract.
+	Team string
 	// HostID names a host, and so the node on it.
 	HostID string
 	// DataCentre names a data centre.
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -57,7 +57,7 @@
 		}
 	}
 	request := idempotent.Call{
-		Customer:  access.Customer,
+		Team:      access.Team,
 		Key:       call.IdempotencyKey,
 		RequestID: call.Request,
 		Service:   call.Service,
@@ -78,7 +78,7 @@
 	if err != nil {
 		return caller.ServiceAnswer{}, err
 	}
-	n.observer.explain.Add(time.Now(), access.Customer, call.Request, "answered", fmt.Sprintf("status %d, stored by an earlier attempt: %t", response.Status, response.Replayed))
+	n.observer.explain.Add(time.Now(), access.Team, call.Request, "answered", fmt.Sprintf("status %d, stored by an earlier attempt: %t", response.Status, response.Replayed))
 	return caller.ServiceAnswer{
 		Status:   response.Status,
 		Header:   response.Header,
--- a/internal/node/continuing.go
+++ b/internal/node/continuing.go
@@ -14,10 +14,10 @@
 )
 
 // openCursor decodes a presented cursor and checks whose it is. The error does
-// not tell whether another customer's answer exists.
+// not tell whether another team's answer exists.
 func (n *Node) openCursor(access caller.Access, presented string) (cursor.Cursor, error) {
 	cur, err := n.cursors.Decode(presented)
-	if err != nil || cur.Customer != access.Customer {
+	if err != nil || cur.Team != access.Team {
 		return cursor.Cursor{}, &caller.Failure{
 			Code:    callerapi.CodeCursorInvalid,
 			Param:   callerapi.HeaderLastEventID,
--- a/internal/node/contracts.go
+++ b/internal/node/contracts.go
@@ -77,17 +77,17 @@
 func (n *Node) contractsApplied(entries []contractset.Entry, source string) {
 	for _, e := range entries {
 		n.events.Log(logrus.InfoLevel, telemetry.EventContractApplied, logrus.Fields{
-			telemetry.FieldCustomer: e.Customer,
-			"version":               e.Version,
-			"sequence":              e.Sequence,
-			"source":                source,
+			telemetry.FieldTeam: e.Team,
+			"version":           e.Version,
+			"sequence":          e.Sequence,
+			"source":            source,
 		}, "contract version is in force")
 		n.trail.Record(operatorapi.AuditRecord{
 			At:       time.Now(),
 			Actor:    e.ChangedBy,
 			HostID:   string(n.host),
 			Action:   "contract_apply",
-			Customer: string(e.Customer),
+			Customer: string(e.Team),
 			From:     int64(e.Version) - 1,
 			To:       int64(e.Version),
 			Outcome:  "applied",
@@ -157,7 +157,7 @@
 func entryOf(m *nodepb.ContractEntry) contractset.Entry {
 	return contractset.Entry{
 		Sequence:  ident.LogSequence(m.GetSequence()),
-		Customer:  ident.Customer(m.GetCustomer()),
+		Team:      ident.Team(m.GetCustomer()),
 		Version:   ident.ContractVersion(m.GetVersion()),
 		Document:  m.GetDocument(),
 		ChangedBy: m.GetChangedBy(),
@@ -169,7 +169,7 @@
 func messageOf(e contractset.Entry) *nodepb.ContractEntry {
 	return &nodepb.ContractEntry{
 		Sequence:    int64(e.Sequence),
-		Customer:    string(e.Customer),
+		Customer:    string(e.Team),
 		Version:     int64(e.Version),
 		Document:    e.Document,
 		ChangedBy:   e.ChangedBy,
--- a/internal/node/explaining.go
+++ b/internal/node/explaining.go
@@ -27,7 +27,7 @@
 	answer := &nodepb.ExplainResponse{}
 	request := ident.RequestID(r.GetRequestId())
 	for _, record := range h.explain.Get(request) {
-		answer.Customer = string(record.Customer)
+		answer.Customer = string(record.Team)
 		for _, d := range record.Decisions {
 			answer.Decisions = append(answer.Decisions, &nodepb.Decision{
 				AtMs:   d.At.UnixMilli(),
@@ -57,7 +57,7 @@
 	answers, stored, err := b.node.askAll(ctx, request, false)
 	decisions := [][]explain.Decision{}
 	for _, record := range stored.Records {
-		explanation.Customer = string(record.Customer)
+		explanation.Customer = string(record.Team)
 		decisions = append(decisions, record.Decisions)
 	}
 	for _, answer := range answers {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -40,7 +40,7 @@
 		}
 		return caller.Access{}, unknownKey()
 	}
-	return caller.Access{Customer: inForce.Entry.Customer, Key: hash}, nil
+	return caller.Access{Team: inForce.Entry.Team, Key: hash}, nil
 }
 
 func unknownKey() error {
@@ -81,7 +81,7 @@
 
 // Models implements caller.Gateway.
 func (n *Node) Models(access caller.Access) []string {
-	inForce, ok := n.contracts.Contract(access.Customer)
+	inForce, ok := n.contracts.Contract(access.Team)
 	if !ok || inForce.Contract == nil {
 		return nil
 	}
@@ -130,13 +130,13 @@
 	}
 }
 
-// contractOf returns the customer's contract in force.
-func (n *Node) contractOf(customer ident.Customer) (*contractset.InForce, error) {
-	inForce, ok := n.contracts.Contract(customer)
+// contractOf returns the team's contract in force.
+func (n *Node) contractOf(team ident.Team) (*contractset.InForce, error) {
+	inForce, ok := n.contracts.Contract(team)
 	if !ok || inForce.Contract == nil {
 		return nil, &caller.Failure{
 			Code:    callerapi.CodeNoContract,
-			Message: fmt.Sprintf("customer %q has no contract that this node can apply", customer),
+			Message: fmt.Sprintf("customer %q has no contract that this node can apply", team),
 		}
 	}
 	return inForce, nil
@@ -147,11 +147,11 @@
 // of freshness. The key is looked up again: it was accepted before that proof,
 // and the contract may have changed in between.
 func (n *Node) contractFor(access caller.Access) (*contractset.InForce, error) {
-	inForce, err := n.contractOf(access.Customer)
+	inForce, err := n.contractOf(access.Team)
 	if err != nil {
 		return nil, err
 	}
-	if holder, ok := n.contracts.ByKeyHash(access.Key); !ok || holder.Entry.Customer != access.Customer {
+	if holder, ok := n.contracts.ByKeyHash(access.Key); !ok || holder.Entry.Team != access.Team {
 		return nil, unknownKey()
 	}
 	return inForce, nil
@@ -205,7 +205,7 @@
 func (n *Node) newRequest(access caller.Access, request *caller.GenerationRequest, priority contract.Priority) *generation.Request {
 	return &generation.Request{
 		Request:       request.Request,
-		Customer:      access.Customer,
+		Team:          access.Team,
 		Route:         request.Route,
 		Body:          request.Body,
 		RequestDigest: request.RequestDigest,
@@ -213,7 +213,7 @@
 		Prompt:        request.Prompt,
 		MaxTokens:     request.MaxTokens,
 		Priority:      enginePriority[priority],
-		Fingerprint:   quarantine.FingerprintOf(access.Customer, request.Body),
+		Fingerprint:   quarantine.FingerprintOf(access.Team, request.Body),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,7 @@
 	mu     sync.Mutex
 	ledger *share.Ledger
 	// askedLoans is when loans were last asked for early; guarded by mu.
-	askedLoans map[ident.Customer]time.Time
+	askedLoans map[ident.Team]time.Time
 	// meanEstimate is the mean estimate of requests in tokens; guarded by mu.
 	meanEstimate float64
 	view         *membership.View
@@ -129,7 +129,7 @@
 		detectors:     map[string]*detect.Detector{},
 		crashes:       quarantine.New(ident.HostID(s.Host.ID)),
 		told:          map[ident.HostID]toldEvidence{},
-		askedLoans:    map[ident.Customer]time.Time{},
+		askedLoans:    map[ident.Team]time.Time{},
 		meanEstimate:  expectedOutputTokens,
 		beat:          make(chan struct{}, 1),
 	}
@@ -243,7 +243,7 @@
 	n.freshness = contractset.NewFreshness(n.host, s.Contracts.StalenessLimit.Duration, now)
 	seed := uint64(n.incarnation)
 	n.gate, err = gate.New(admission.Config{
-		QueueLimit: s.Admission.QueueRequestsPerCustomer,
+		QueueLimit: s.Admission.QueueRequestsPerTeam,
 		MaxWait:    s.Admission.MaxWait.Duration,
 		Burst:      limitBurst,
 		MaxRetry:   maxRetryAfter,
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -58,7 +58,7 @@
 
 // Decision implements generation.Observer.
 func (o *observer) Decision(request *generation.Request, event, detail string) {
-	o.explain.Add(time.Now(), request.Customer, request.Request, event, detail)
+	o.explain.Add(time.Now(), request.Team, request.Request, event, detail)
 	if event == "lost" {
 		o.events.Log(logrus.WarnLevel, telemetry.EventAttemptLost, fieldsOf(request), detail)
 	}
@@ -100,7 +100,7 @@
 // takenOver records that this node continues another node's answer.
 func (o *observer) takenOver(request *generation.Request, cur cursor.Cursor, start generation.Start) {
 	detail := fmt.Sprintf("continued from host %s at token %d with a journal of %d tokens", cur.Owner, cur.Tokens, start.Journal.Len())
-	o.explain.Add(time.Now(), request.Customer, request.Request, "taken_over", detail)
+	o.explain.Add(time.Now(), request.Team, request.Request, "taken_over", detail)
 	o.events.Log(logrus.InfoLevel, telemetry.EventTakeover, fieldsOf(request), detail)
 }
 
@@ -119,13 +119,13 @@
 	case result.CallerGone:
 		outcome = "caller_gone"
 	}
-	telemetry.RequestsTotal.Counter(o.scope, string(request.Customer), outcome).Inc(1)
+	telemetry.RequestsTotal.Counter(o.scope, string(request.Team), outcome).Inc(1)
 }
 
 // refused records a request that was refused before it ran.
 func (n *Node) refused(access caller.Access, request ident.RequestID, err error) {
 	telemetry.Refused.Counter(n.observer.scope, failureCode(err)).Inc(1)
-	n.observer.explain.Add(time.Now(), access.Customer, request, "refused", err.Error())
+	n.observer.explain.Add(time.Now(), access.Team, request, "refused", err.Error())
 }
 
 // failureCode returns the public code of an error.
@@ -141,6 +141,6 @@
 	return logrus.Fields{
 		telemetry.FieldRequest:    request.Request,
 		telemetry.FieldGeneration: request.Generation,
-		telemetry.FieldCustomer:   request.Customer,
+		telemetry.FieldTeam:       request.Team,
 	}
 }
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -69,7 +69,7 @@
 	accepted := n.acceptedBy(inForce)
 	if accepted {
 		n.trail.Record(operatorapi.AuditRecord{
-			At: time.Now(), Actor: change.Actor, HostID: string(n.host), Action: audit.ActionPut, Customer: string(entry.Customer),
+			At: time.Now(), Actor: change.Actor, HostID: string(n.host), Action: audit.ActionPut, Customer: string(entry.Team),
 			From: int64(entry.Version) - 1, To: int64(entry.Version), Outcome: audit.OutcomeAccepted,
 		})
 	}
@@ -92,7 +92,7 @@
 
 func contractOf(e contractset.Entry) operatorapi.Contract {
 	return operatorapi.Contract{
-		Customer:  string(e.Customer),
+		Customer:  string(e.Team),
 		Version:   int64(e.Version),
 		Sequence:  int64(e.Sequence),
 		Document:  e.Document,
@@ -103,10 +103,10 @@
 }
 
 // Contract implements operator.Backend.
-func (b operatorBackend) Contract(_ context.Context, customer ident.Customer) (operatorapi.Contract, error) {
-	inForce, ok := b.node.contracts.Contract(customer)
+func (b operatorBackend) Contract(_ context.Context, team ident.Team) (operatorapi.Contract, error) {
+	inForce, ok := b.node.contracts.Contract(team)
 	if !ok {
-		return operatorapi.Contract{}, operator.NewError(operator.CodeNotFound, "customer %q has no contract", customer)
+		return operatorapi.Contract{}, operator.NewError(operator.CodeNotFound, "customer %q has no contract", team)
 	}
 	return contractOf(inForce.Entry), nil
 }
@@ -124,8 +124,8 @@
 }
 
 // History implements operator.Backend.
-func (b operatorBackend) History(ctx context.Context, customer ident.Customer) (operatorapi.ContractList, error) {
-	entries, err := b.node.log.History(ctx, customer, historyLimit)
+func (b operatorBackend) History(ctx context.Context, team ident.Team) (operatorapi.ContractList, error) {
+	entries, err := b.node.log.History(ctx, team, historyLimit)
 	if err != nil {
 		return operatorapi.ContractList{}, err
 	}
@@ -145,6 +145,6 @@
 }
 
 // Audit implements operator.Backend.
-func (b operatorBackend) Audit(ctx context.Context, customer ident.Customer, after time.Time) (operatorapi.AuditPage, error) {
-	return audit.Page(ctx, b.node.table, string(customer), after, auditPageLimit)
+func (b operatorBackend) Audit(ctx context.Context, team ident.Team, after time.Time) (operatorapi.AuditPage, error) {
+	return audit.Page(ctx, b.node.table, string(team), after, auditPageLimit)
 }
--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -28,7 +28,7 @@
 	// refused while 8 to 42 of 64 places of the engines were used.
 	promptTokensPerOutput = 8
 	// limitBurst is the time that an answer of expectedOutputTokens takes at 17
-	// tokens/s. A customer whose limit is unused may fill its part of all slots
+	// tokens/s. A team whose limit is unused may fill its part of all slots
 	// at once: a burst of 1 s would refuse a ramp of new streams while the engines
 	// are idle.
 	limitBurst = 30 * time.Second
@@ -89,7 +89,7 @@
 	}
 	estimate := prompt.estimate(request)
 	n.countEstimate(estimate)
-	ticket, err := n.admit(ctx, request.Customer, estimate, ask.Resume)
+	ticket, err := n.admit(ctx, request.Team, estimate, ask.Resume)
 	if err != nil {
 		return nil, err
 	}
@@ -125,23 +125,23 @@
 	}, nil
 }
 
-// admit waits for admission. A customer over this node's part of its limit may
+// admit waits for admission. A team over this node's part of its limit may
 // have parts left on other nodes: they are asked for once, before the refusal.
 // Without that, a burst through one of three nodes was refused while 5 of 8
 // engine slots were free.
-func (n *Node) admit(ctx context.Context, customer ident.Customer, tokens int, resume bool) (*gate.Ticket, error) {
+func (n *Node) admit(ctx context.Context, team ident.Team, tokens int, resume bool) (*gate.Ticket, error) {
 	if slots, _ := n.backends.Capacity(); slots == 0 && !resume {
 		return nil, n.noCapacity()
 	}
-	ticket, err := n.gate.Admit(ctx, customer, tokens, resume)
+	ticket, err := n.gate.Admit(ctx, team, tokens, resume)
 	var refused *gate.Refused
 	if err == nil || !errors.As(err, &refused) || refused.Reason != admission.ReasonOverShare {
 		return ticket, err
 	}
-	if !n.askForLoans(ctx, customer) {
+	if !n.askForLoans(ctx, team) {
 		return nil, err
 	}
-	return n.gate.Admit(ctx, customer, tokens, resume)
+	return n.gate.Admit(ctx, team, tokens, resume)
 }
 
 // noCapacity refuses work while no engine has reported its capacity: all are
@@ -178,7 +178,7 @@
 
 // recheck is asked at dispatch whether a queued request may still run.
 func (n *Node) recheck(_ time.Time, item admission.Item) *admission.Refusal {
-	if _, err := n.contractOf(item.Customer); err != nil {
+	if _, err := n.contractOf(item.Team); err != nil {
 		return &admission.Refusal{Reason: admission.ReasonContractGone}
 	}
 	return nil
@@ -190,7 +190,7 @@
 	if ask.Resume {
 		return nil
 	}
-	inForce, err := n.contractOf(request.Customer)
+	inForce, err := n.contractOf(request.Team)
 	if err != nil {
 		return err
 	}
@@ -214,7 +214,7 @@
 			if f.Contract == nil {
 				continue
 			}
-			rate, slots := n.customerPart(now, c, f.Entry.Customer, f.Contract.SharePercent, fleet)
+			rate, slots := n.teamPart(now, c, f.Entry.Team, f.Contract.SharePercent, fleet)
 			limits := admission.Limits{
 				Priority: admissionClass[f.Contract.Priority],
 				Weight:   math.Max(f.Contract.SharePercent, 0.1),
@@ -222,7 +222,7 @@
 				Slots:    slots,
 			}
 			// The limits come from a checked contract.
-			_ = c.SetCustomer(now, f.Entry.Customer, limits)
+			_ = c.SetTeam(now, f.Entry.Team, limits)
 		}
 		return nil
 	})
--- a/internal/node/replicas.go
+++ b/internal/node/replicas.go
@@ -42,7 +42,7 @@
 		generation: request.Generation,
 		head: &nodepb.JournalHead{
 			RequestId: string(request.Request),
-			Customer:  string(request.Customer),
+			Customer:  string(request.Team),
 			Route:     request.Route,
 			Body:      request.Body,
 		},
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -32,7 +32,7 @@
 	for i, demands := range asked {
 		for _, d := range demands {
 			messages[i] = append(messages[i], &nodepb.Demand{
-				Customer:          string(d.Customer),
+				Customer:          string(d.Team),
 				Want:              d.Want,
 				Keep:              d.Keep,
 				LoanSequence:      d.LoanSequence,
@@ -51,7 +51,7 @@
 	var demands []share.Demand
 	for _, d := range r.GetDemands() {
 		demands = append(demands, share.Demand{
-			Customer:          ident.Customer(d.GetCustomer()),
+			Team:              ident.Team(d.GetCustomer()),
 			Want:              d.GetWant(),
 			Keep:              d.GetKeep(),
 			LoanSequence:      d.GetLoanSequence(),
@@ -66,7 +66,7 @@
 	var messages []*nodepb.Loan
 	for _, l := range loans {
 		messages = append(messages, &nodepb.Loan{
-			Customer:            string(l.Customer),
+			Customer:            string(l.Team),
 			Sequence:            l.Sequence,
 			Fraction:            l.Fraction,
 			StampNs:             int64(l.Stamp),
@@ -84,7 +84,7 @@
 	var loans []share.Loan
 	for _, l := range answer.GetLoans() {
 		loans = append(loans, share.Loan{
-			Customer:            ident.Customer(l.GetCustomer()),
+			Team:                ident.Team(l.GetCustomer()),
 			Sequence:            l.GetSequence(),
 			Fraction:            l.GetFraction(),
 			Stamp:               time.Duration(l.GetStampNs()),
@@ -104,18 +104,18 @@
 	// answer an early heartbeat in a few milliseconds.
 	loanWait = 100 * time.Millisecond
 	// loanInterval is the time between two early requests for loans of one
-	// customer. What it does not bring comes with the regular heartbeats.
+	// team. What it does not bring comes with the regular heartbeats.
 	loanInterval = time.Second
 )
 
 // askForLoans sends heartbeats with the present demand and waits for the
 // answers. It returns false if that was done a moment ago.
-func (n *Node) askForLoans(ctx context.Context, customer ident.Customer) bool {
+func (n *Node) askForLoans(ctx context.Context, team ident.Team) bool {
 	now := time.Now()
 	n.mu.Lock()
-	recent := now.Sub(n.askedLoans[customer]) < loanInterval
+	recent := now.Sub(n.askedLoans[team]) < loanInterval
 	if !recent {
-		n.askedLoans[customer] = now
+		n.askedLoans[team] = now
 	}
 	n.mu.Unlock()
 	if recent {
@@ -131,19 +131,19 @@
 	return true
 }
 
-// customerPart returns this node's part of a customer's limit in tokens/s and in
-// estimated tokens in flight, and records what the customer could use here now. Without load reports the limit
-// is not known; the lack of slots then holds work back, as it does for a customer
+// teamPart returns this node's part of a team's limit in tokens/s and in
+// estimated tokens in flight, and records what the team could use here now. Without load reports the limit
+// is not known; the lack of slots then holds work back, as it does for a team
 // that may use all of the capacity.
-func (n *Node) customerPart(now time.Time, c *admission.Controller, customer ident.Customer, sharePercent float64, fleet admission.Capacity) (rate float64, slots int64) {
+func (n *Node) teamPart(now time.Time, c *admission.Controller, team ident.Team, sharePercent float64, fleet admission.Capacity) (rate float64, slots int64) {
 	limit := fleet.Rate * sharePercent / 100
 	if limit <= 0 || sharePercent >= 100 {
 		return math.Inf(1), 0
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.ledger.SetDemand(now, customer, c.Demand(now, customer)/limit)
-	part := n.ledger.Part(now, customer)
+	n.ledger.SetDemand(now, team, c.Demand(now, team)/limit)
+	part := n.ledger.Part(now, team)
 	// At least one token: no part at all must not read as no limit.
 	return limit * part, max(1, int64(float64(fleet.Slots)*sharePercent/100*part))
 }
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -21,7 +21,7 @@
 
 // Access is what an authenticated caller may do.
 type Access struct {
-	Customer ident.Customer
+	Team ident.Team
 	// Key is the hash of the bearer key, which a contract change may remove
 	// while the request is being checked.
 	Key contract.KeyHash
--- a/internal/peer/operator/errors.go
+++ b/internal/peer/operator/errors.go
@@ -118,7 +118,7 @@
 // ContractOf translates an entry of the change log.
 func ContractOf(e contractset.Entry) operatorapi.Contract {
 	return operatorapi.Contract{
-		Customer: string(e.Customer), Version: int64(e.Version), Sequence: int64(e.Sequence), Document: e.Document,
+		Customer: string(e.Team), Version: int64(e.Version), Sequence: int64(e.Sequence), Document: e.Document,
 		ChangedBy: e.ChangedBy, ChangedAt: e.ChangedAt, ChangeID: e.ChangeID,
 	}
 }
--- a/internal/peer/operator/server.go
+++ b/internal/peer/operator/server.go
@@ -37,15 +37,15 @@
 	// PutContract commits and distributes a change.
 	PutContract(ctx context.Context, change Change) (operatorapi.PutResult, error)
 	// Contract returns the newest version of a contract, or CodeNotFound.
-	Contract(ctx context.Context, customer ident.Customer) (operatorapi.Contract, error)
+	Contract(ctx context.Context, team ident.Team) (operatorapi.Contract, error)
 	// Contracts returns the newest version of every contract.
 	Contracts(ctx context.Context) (operatorapi.ContractList, error)
 	// History returns the versions of a contract, newest first.
-	History(ctx context.Context, customer ident.Customer) (operatorapi.ContractList, error)
+	History(ctx context.Context, team ident.Team) (operatorapi.ContractList, error)
 	// Status tells how the node sees the deployment.
 	Status(ctx context.Context) (operatorapi.Status, error)
-	// Audit returns records later than an instant; an empty customer means all.
-	Audit(ctx context.Context, customer ident.Customer, after time.Time) (operatorapi.AuditPage, error)
+	// Audit returns records later than an instant; an empty team means all.
+	Audit(ctx context.Context, team ident.Team, after time.Time) (operatorapi.AuditPage, error)
 	// Explain returns the decisions on a request, or CodeNotFound.
 	Explain(ctx context.Context, request ident.RequestID) (operatorapi.Explanation, error)
 	// Trace returns the recorded sessions of a request in the form of package
@@ -188,9 +188,9 @@
 		}
 		return change, NewError(CodeBadRequest, "the document could not be read: %v", err)
 	}
-	customer := mux.Vars(r)["customer"]
-	if named := contract.CustomerOf(document); named != "" && string(named) != customer {
-		return change, NewError(CodeBadRequest, "the document is the contract of %q, the path names %q", named, customer)
+	team := mux.Vars(r)["customer"]
+	if named := contract.TeamOf(document); named != "" && string(named) != team {
+		return change, NewError(CodeBadRequest, "the document is the contract of %q, the path names %q", named, team)
 	}
 	change.Document = document
 	return change, nil
@@ -202,12 +202,12 @@
 }
 
 func (s *server) get(w http.ResponseWriter, r *http.Request, _ string) {
-	found, err := s.Backend.Contract(r.Context(), ident.Customer(mux.Vars(r)["customer"]))
+	found, err := s.Backend.Contract(r.Context(), ident.Team(mux.Vars(r)["customer"]))
 	s.reply(w, r, found, err)
 }
 
 func (s *server) history(w http.ResponseWriter, r *http.Request, _ string) {
-	list, err := s.Backend.History(r.Context(), ident.Customer(mux.Vars(r)["customer"]))
+	list, err := s.Backend.History(r.Context(), ident.Team(mux.Vars(r)["customer"]))
 	s.reply(w, r, list, err)
 }
 
@@ -225,7 +225,7 @@
 			return
 		}
 	}
-	page, err := s.Backend.Audit(r.Context(), ident.Customer(r.URL.Query().Get("customer")), after)
+	page, err := s.Backend.Audit(r.Context(), ident.Team(r.URL.Query().Get("customer")), after)
 	s.reply(w, r, page, err)
 }
 
--- a/internal/placement/experiment/load.go
+++ b/internal/placement/experiment/load.go
@@ -12,9 +12,9 @@
 )
 
 // Shape of the recorded load. A session is a conversation whose prompts grow;
-// sessions of one customer share a first part.
+// sessions of one team share a first part.
 const (
-	customers      = 20
+	teams          = 20
 	sharedBlocks   = 32 // 512 tokens
 	firstBlocks    = 12 // further blocks of the first prompt
 	turnBlocks     = 20 // blocks that each turn adds
@@ -34,11 +34,11 @@
 
 // request is one entry of the recorded load, the same for every policy.
 type request struct {
-	at       time.Duration
-	customer int
-	node     float64 // picks the node: 0 to 1 of their number
-	place    placement.Request
-	output   int // tokens that the answer will have
+	at     time.Duration
+	team   int
+	node   float64 // picks the node: 0 to 1 of their number
+	place  placement.Request
+	output int // tokens that the answer will have
 }
 
 // record draws the load of one seed.
@@ -55,11 +55,11 @@
 
 func session(rng *rand.Rand, at time.Duration) []request {
 	// A square root of a uniform number would be too even: the cube gives the
-	// first customers most sessions.
-	customer := int(math.Pow(rng.Float64(), 3) * customers)
+	// first teams most sessions.
+	team := int(math.Pow(rng.Float64(), 3) * teams)
 	var prefixes []uint64
 	for b := range sharedBlocks {
-		prefixes = append(prefixes, uint64(customer)<<32|uint64(b))
+		prefixes = append(prefixes, uint64(team)<<32|uint64(b))
 	}
 	grow := func(blocks int) {
 		for range blocks {
@@ -70,7 +70,7 @@
 	var out []request
 	for {
 		out = append(out, request{
-			at: at, customer: customer, node: rng.Float64(),
+			at: at, team: team, node: rng.Float64(),
 			place: placement.Request{
 				Model: model, PromptTokens: len(prefixes)*blockTokens + rng.IntN(blockTokens),
 				Prefixes: slices.Clone(prefixes),
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -12,7 +12,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
-// Fingerprint identifies what a customer sent, so that a retry under a new
+// Fingerprint identifies what a team sent, so that a retry under a new
 // request id is recognised.
 type Fingerprint string
 
@@ -26,9 +26,9 @@
 
 // FingerprintOf returns the fingerprint of a request body. Key order and white
 // space of JSON do not count; a body that is not JSON counts as it is.
-func FingerprintOf(customer ident.Customer, body []byte) Fingerprint {
+func FingerprintOf(team ident.Team, body []byte) Fingerprint {
 	h := sha256.New()
-	h.Write([]byte(customer))
+	h.Write([]byte(team))
 	h.Write([]byte{0})
 	h.Write(normalise(body))
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,8 +109,8 @@
 
 // Admission sets the queues of a node.
 type Admission struct {
-	MaxWait                  Duration `toml:"max_wait" default:"2s" min:"0s" max:"60s" doc:"Expected wait above which a request is refused at once."`
-	QueueRequestsPerCustomer int      `toml:"queue_requests_per_customer" default:"256" min:"1" max:"100000" unit:"requests" doc:"Requests of one customer that may wait in this node."`
+	MaxWait              Duration `toml:"max_wait" default:"2s" min:"0s" max:"60s" doc:"Expected wait above which a request is refused at once."`
+	QueueRequestsPerTeam int      `toml:"queue_requests_per_customer" default:"256" min:"1" max:"100000" unit:"requests" doc:"Requests of one customer that may wait in this node."`
 }
 
 // Limits bounds what one caller can use of a node.
--- a/internal/share/borrow.go
+++ b/internal/share/borrow.go
@@ -7,7 +7,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
-// holding is what this node borrowed from one lender of one customer's limit.
+// holding is what this node borrowed from one lender of one team's limit.
 type holding struct {
 	lender      ident.HostID
 	incarnation ident.Incarnation
@@ -40,14 +40,14 @@
 func (l *Ledger) Demands(now time.Time, peers []ident.HostID) [][]Demand {
 	l.Tick(now)
 	out := make([][]Demand, len(peers))
-	for _, customer := range l.customers() {
-		a := l.accounts[customer]
+	for _, team := range l.teams() {
+		a := l.accounts[team]
 		a.forgetExpired(now)
 		l.giveBack(now, a)
 		wants := l.wants(now, a, peers)
 		for i, p := range peers {
 			if d, ok := l.demand(now, a, p, wants[i]); ok {
-				d.Customer = customer
+				d.Team = team
 				out[i] = append(out[i], d)
 			}
 		}
@@ -57,9 +57,9 @@
 }
 
 func (l *Ledger) forgetIdle() {
-	for customer, a := range l.accounts {
+	for team, a := range l.accounts {
 		if a.demand == 0 && len(a.lent) == 0 && len(a.held) == 0 {
-			delete(l.accounts, customer)
+			delete(l.accounts, team)
 		}
 	}
 }
@@ -140,7 +140,7 @@
 }
 
 func (l *Ledger) hold(now time.Time, peer ident.HostID, incarnation ident.Incarnation, loan Loan) {
-	a := l.account(loan.Customer)
+	a := l.account(loan.Team)
 	at, ok := find(a.held, peer, lenderOf)
 	if !ok {
 		a.held = slices.Insert(a.held, at, &holding{lender: peer, incarnation: incarnation})
--- a/internal/share/experiment/main.go
+++ b/internal/share/experiment/main.go
@@ -1,4 +1,4 @@
-// Command experiment measures how much of a customer's limit loans between
+// Command experiment measures how much of a team's limit loans between
 // nodes make usable, over a seeded trace of shifting demand, compared with the
 // fixed split 1/N and with an ideal split that knows all demands.
 //
--- a/internal/share/lend.go
+++ b/internal/share/lend.go
@@ -7,7 +7,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
-// lending is what this node lent to one borrower of one customer's limit.
+// lending is what this node lent to one borrower of one team's limit.
 type lending struct {
 	borrower ident.HostID
 	// grants are the loans that may still be in use, oldest first.
@@ -69,7 +69,7 @@
 	}
 	var out []Loan
 	for _, d := range demands {
-		a := l.account(d.Customer)
+		a := l.account(d.Team)
 		b := a.lendingTo(peer)
 		b.expire(now)
 		l.applyPromise(b, d)
@@ -130,7 +130,7 @@
 	}
 	l.sequence++
 	loan := Loan{
-		Customer: d.Customer, Sequence: l.sequence, Fraction: amount,
+		Team: d.Team, Sequence: l.sequence, Fraction: amount,
 		Stamp: d.Stamp, BorrowerIncarnation: incarnation, ValidFor: l.config.ValidFor,
 	}
 	until := now.Add(l.config.ValidFor + l.config.Margin)
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -1,7 +1,7 @@
-// Package share divides each customer's limit among the nodes by loans that
+// Package share divides each team's limit among the nodes by loans that
 // expire, so that the sum of all parts never exceeds the limit.
 //
-// All amounts are fractions of a customer's limit, from 0 to 1. A node owns
+// All amounts are fractions of a team's limit, from 0 to 1. A node owns
 // 1/N of it. It may use what it owns and has not lent, and what it borrowed.
 // Fractions of the limit and not of the fleet are lent, so that a lowered
 // contract share also lowers what is lent out at once.
@@ -13,7 +13,7 @@
 //   - A borrower counts the validity from when it sent the demand that the loan
 //     answers, by its own clock. The clocks of two nodes are never compared;
 //     the margin covers their difference in rate and small steps.
-//   - Of the loans of one lender for one customer only the newest counts. The
+//   - Of the loans of one lender for one team only the newest counts. The
 //     lender counts the largest that may still be in use.
 //   - A borrower gives up a part by promising not to use more than Keep of all
 //     loans up to a sequence number; only then does the lender count less.
@@ -38,7 +38,7 @@
 
 // Demand asks one peer for a loan. It is sent with every heartbeat.
 type Demand struct {
-	Customer ident.Customer
+	Team ident.Team
 	// Want is the whole amount that the sender wants from this peer.
 	Want float64
 	// Keep is a promise: of the peer's loans up to LoanSequence, the sender
@@ -51,9 +51,9 @@
 }
 
 // Loan lends a part of the sender's own to the receiver. It replaces all
-// earlier loans of the same lender for the same customer.
+// earlier loans of the same lender for the same team.
 type Loan struct {
-	Customer ident.Customer
+	Team     ident.Team
 	Sequence int64 // rises with each loan of the lender's incarnation
 	Fraction float64
 	// Stamp and BorrowerIncarnation are those of the demand it answers.
@@ -143,7 +143,7 @@
 	quarantined  bool
 	quarantineTo time.Time
 	incarnations map[ident.HostID]ident.Incarnation
-	accounts     map[ident.Customer]*account
+	accounts     map[ident.Team]*account
 	sequence     int64
 }
 
@@ -152,7 +152,7 @@
 	n  int
 }
 
-// account is the state of one customer's limit.
+// account is the state of one team's limit.
 type account struct {
 	demand float64
 	lent   []*lending // sorted by borrower
@@ -170,7 +170,7 @@
 		config: config, self: self, incarnation: incarnation, start: now, last: now, jumped: -1,
 		quarantined: true, quarantineTo: now.Add(config.ValidFor + config.Margin),
 		incarnations: map[ident.HostID]ident.Incarnation{},
-		accounts:     map[ident.Customer]*account{},
+		accounts:     map[ident.Team]*account{},
 	}, nil
 }
 
@@ -217,18 +217,18 @@
 	}
 }
 
-// SetDemand sets what this node could use of a customer's limit. It may
+// SetDemand sets what this node could use of a team's limit. It may
 // exceed 1.
-func (l *Ledger) SetDemand(now time.Time, customer ident.Customer, fraction float64) {
+func (l *Ledger) SetDemand(now time.Time, team ident.Team, fraction float64) {
 	l.Tick(now)
-	l.account(customer).demand = max(fraction, 0)
+	l.account(team).demand = max(fraction, 0)
 }
 
-func (l *Ledger) account(customer ident.Customer) *account {
-	a := l.accounts[customer]
+func (l *Ledger) account(team ident.Team) *account {
+	a := l.accounts[team]
 	if a == nil {
 		a = &account{}
-		l.accounts[customer] = a
+		l.accounts[team] = a
 	}
 	return a
 }
@@ -251,20 +251,20 @@
 	return 1 / float64(n)
 }
 
-// Part returns the fraction of a customer's limit that this node may use now.
-func (l *Ledger) Part(now time.Time, customer ident.Customer) float64 {
+// Part returns the fraction of a team's limit that this node may use now.
+func (l *Ledger) Part(now time.Time, team ident.Team) float64 {
 	l.Tick(now)
-	a := l.accounts[customer]
+	a := l.accounts[team]
 	if a == nil {
 		return l.own()
 	}
 	return max(l.own()-a.committed(now, ""), 0) + a.borrowed(now)
 }
 
-// Owed returns what this node has lent and borrowed of a customer's limit.
-func (l *Ledger) Owed(now time.Time, customer ident.Customer) (lent, borrowed float64) {
+// Owed returns what this node has lent and borrowed of a team's limit.
+func (l *Ledger) Owed(now time.Time, team ident.Team) (lent, borrowed float64) {
 	l.Tick(now)
-	a := l.account(customer)
+	a := l.account(team)
 	return a.committed(now, ""), a.borrowed(now)
 }
 
@@ -326,9 +326,9 @@
 // stamp is the time of this node's clock that demands carry.
 func (l *Ledger) stamp(now time.Time) time.Duration { return now.Sub(l.start) }
 
-// customers returns the customers with an account, sorted.
-func (l *Ledger) customers() []ident.Customer {
-	out := make([]ident.Customer, 0, len(l.accounts))
+// teams returns the teams with an account, sorted.
+func (l *Ledger) teams() []ident.Team {
+	out := make([]ident.Team, 0, len(l.accounts))
 	for c := range l.accounts {
 		out = append(out, c)
 	}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -24,7 +24,7 @@
 	FieldRequest    = "request_id"
 	FieldGeneration = "generation_id"
 	FieldAttempt    = "attempt_id"
-	FieldCustomer   = "customer"
+	FieldTeam       = "customer"
 	FieldBackend    = "backend_id"
 	FieldPeer       = "peer_id"
 )
--- a/internal/trace/format.go
+++ b/internal/trace/format.go
@@ -30,7 +30,7 @@
 type Header struct {
 	Version    int                `json:"trace_version"`
 	Host       ident.HostID       `json:"host"`
-	Customer   ident.Customer     `json:"customer"`
+	Team       ident.Team         `json:"customer"`
 	Request    ident.RequestID    `json:"request"`
 	Generation ident.GenerationID `json:"generation"`
 	StartedAt  time.Time          `json:"started_at"`
--- a/internal/trace/replay.go
+++ b/internal/trace/replay.go
@@ -33,7 +33,7 @@
 	// Line is the line of the header.
 	Line       int                `json:"line"`
 	Host       ident.HostID       `json:"host"`
-	Customer   ident.Customer     `json:"customer"`
+	Team       ident.Team         `json:"customer"`
 	Request    ident.RequestID    `json:"request"`
 	Generation ident.GenerationID `json:"generation"`
 	Truncated  bool               `json:"truncated"`
@@ -101,7 +101,7 @@
 func newReplay(line int, header *Header) *replay {
 	return &replay{
 		outcome: Outcome{
-			Line: line, Host: header.Host, Customer: header.Customer, Request: header.Request,
+			Line: line, Host: header.Host, Team: header.Team, Request: header.Request,
 			Generation: header.Generation, Truncated: header.Truncated, End: EndNone,
 			StartTokens: len(header.Start.Tokens), StartReleased: header.Start.Released,
 			Resumes: []Resume{}, Violations: []Violation{},
--- a/lab/load/background.go
+++ b/lab/load/background.go
@@ -113,7 +113,7 @@
 	b := ledger.Booking{Key: fmt.Sprintf("%s-booking-%d", r.plan.run, i)}
 	call := caller.Call{Service: r.file.Bookings.Service, Path: r.file.Bookings.Path, Key: b.Key,
 		Body: fmt.Appendf(nil, `{"seat":%d}`, i), First: nodes[i%len(nodes)]}
-	cfg := r.callerConfig(r.file.Customers[i%len(r.file.Customers)].Key, rotate(nodes, i))
+	cfg := r.callerConfig(r.file.Teams[i%len(r.file.Teams)].Key, rotate(nodes, i))
 	cfg.SilenceTimeout = bookingSilence
 	b.First = caller.New(cfg).Call(ctx, call)
 	call.First = nodes[(i+1)%len(nodes)]
--- a/lab/load/file.go
+++ b/lab/load/file.go
@@ -40,14 +40,14 @@
 	// Interruption is the gap between tokens that counts as an interruption.
 	Interruption Duration `toml:"interruption"`
 
-	Arrivals  Arrivals   `toml:"arrivals"`
-	Requests  Requests   `toml:"requests"`
-	Customers []Customer `toml:"customers"`
-	Nodes     Nodes      `toml:"nodes"`
-	Direct    Direct     `toml:"direct"`
-	Bookings  Bookings   `toml:"bookings"`
-	Faults    []Fault    `toml:"faults"`
-	Watch     []Watch    `toml:"watch"`
+	Arrivals Arrivals `toml:"arrivals"`
+	Requests Requests `toml:"requests"`
+	Teams    []Team   `toml:"customers"`
+	Nodes    Nodes    `toml:"nodes"`
+	Direct   Direct   `toml:"direct"`
+	Bookings Bookings `toml:"bookings"`
+	Faults   []Fault  `toml:"faults"`
+	Watch    []Watch  `toml:"watch"`
 }
 
 // Arrivals tells when requests are sent.
@@ -105,8 +105,8 @@
 	Share  float64 `toml:"share"`  // part of the prompts that begin with one
 }
 
-// Customer is one customer and its part of the requests.
-type Customer struct {
+// Team is one team and its part of the requests.
+type Team struct {
 	Name   string  `toml:"name"`
 	Key    string  `toml:"key"`
 	Weight float64 `toml:"weight"`
