--- a/internal/daemoncmd/daemoncmd.go
+++ b/internal/daemoncmd/daemoncmd.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/yuccahatch/yuccahatch/internal/front"
 	"github.com/yuccahatch/yuccahatch/internal/node"
 	"github.com/yuccahatch/yuccahatch/internal/settings"
 	"github.com/yuccahatch/yuccahatch/platform"
@@ -29,14 +30,22 @@
 }
 
 func checkCommand() *cobra.Command {
-	var config, platformFile string
+	var config, platformFile, frontFile string
 	cmd := &cobra.Command{
 		Use:   "check",
 		Short: "Check a settings file and do nothing else",
 		Example: `  yuccahatchd check --config node.toml
-  yuccahatchd check --platform /etc/yuccahatch/local.yaml`,
+  yuccahatchd check --platform /etc/yuccahatch/local.yaml
+  yuccahatchd check --front front.toml`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if frontFile != "" {
+				if _, err := front.LoadTuning(frontFile); err != nil {
+					return err
+				}
+				_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: valid settings for yuccahatchd front\n", frontFile)
+				return err
+			}
 			if platformFile != "" {
 				s, err := platform.LoadSettings(platformFile)
 				if err != nil {
@@ -53,8 +62,9 @@
 	}
 	cmd.Flags().StringVar(&config, "config", "", "settings file, TOML; docs/settings.md lists the keys")
 	cmd.Flags().StringVar(&platformFile, "platform", "", "settings file of the Arejo platform, YAML; keys that are not known are ignored")
-	cmd.MarkFlagsMutuallyExclusive("config", "platform")
-	cmd.MarkFlagsOneRequired("config", "platform")
+	cmd.Flags().StringVar(&frontFile, "front", "", "the product's own settings for yuccahatchd front, TOML")
+	cmd.MarkFlagsMutuallyExclusive("config", "platform", "front")
+	cmd.MarkFlagsOneRequired("config", "platform", "front")
 	return cmd
 }
 
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -161,6 +163,14 @@
 	return best
 }
 
+// Copied reports whether runs of a prompt have copies, with a weight from 0 to 1
+// of resume latency against the resources spent on it. A prompt has the same
+// answer on every host. A copy costs the transfer of the prompt's tokens and room
+// for them; without one the prompt is read again when its engine is lost.
+func Copied(weight float64, p Prompt) bool {
+	return float64(xxh3.HashString(strconv.FormatUint(p.Part, 16)))/math.MaxUint64 < weight || weight >= 1
+}
+
 // copyRoom is the number of tokens up to which an engine takes copies.
 func (f *Fleet) copyRoom(now time.Time, memory int) int {
 	part := copyRoom
--- a/internal/fleetsim/play.go
+++ b/internal/fleetsim/play.go
@@ -44,8 +44,9 @@
 	// Objective is that of the first event, MaxGap the longest pause of a timely
 	// stream, and Patience how long a client waits.
 	Objective, MaxGap, Patience time.Duration
-	// Copies says whether runs have copies on a second engine.
-	Copies bool
+	// CopyWeight is the weight of resume latency against the resources spent on
+	// it, see fleet.Copied.
+	CopyWeight float64
 	// Admission says whether package overload may refuse streams.
 	Admission bool
 	Place     Policy
--- a/internal/fleetsim/play_test.go
+++ b/internal/fleetsim/play_test.go
@@ -13,7 +13,7 @@
 	return Setup{
 		Hosts: 6, DataCentres: 3, EnginesPerZone: 12, Memory: 88_000, SlowEvery: 3, SlowFactor: 1.3,
 		Objective: 4500 * time.Millisecond, MaxGap: 700 * time.Millisecond, Patience: 25 * time.Second,
-		Copies: true, Admission: admission, Place: place, Seed: 1,
+		CopyWeight: 1, Admission: admission, Place: place, Seed: 1,
 	}
 }
 
@@ -170,6 +170,33 @@
 	}
 }
 
+// Guards against a weight that trades nothing: with a higher one streams go on
+// sooner after a loss and fewer prompt tokens are read again, for more tokens
+// copied. The table that it logs stands in docs/platform.md.
+func TestResumeWeight(t *testing.T) {
+	load := pattern(usualRate, lossesInTurn).Load()
+	var last Outcome
+	for i, weight := range []float64{0, 0.25, 0.5, 0.75, 1} {
+		s := deployment(ByExpectedTime, true)
+		s.CopyWeight = weight
+		o := Play(s, load)
+		slices.Sort(o.Resumes)
+		within := 0
+		for _, pause := range o.Resumes {
+			if pause <= s.MaxGap {
+				within++
+			}
+		}
+		t.Logf("| %.2f | %d | %v | %v | %d%% | %d | %d | %d |", weight, len(o.Resumes), quantile(o.Resumes, 0.5), quantile(o.Resumes, 0.95),
+			100*within/len(o.Resumes), o.TokensReadAgain/1000, o.TokensCopied/1000, o.InTime)
+		if i > 0 && (o.TokensReadAgain >= last.TokensReadAgain || o.TokensCopied <= last.TokensCopied) {
+			t.Errorf("weight %.2f: %d tokens read again and %d copied, %d and %d with the weight before", weight,
+				o.TokensReadAgain, o.TokensCopied, last.TokensReadAgain, last.TokensCopied)
+		}
+		last = o
+	}
+}
+
 // Guards against plays that differ from run to run.
 func TestPlayRepeats(t *testing.T) {
 	load := pattern(highRate, lossesInTurn).Load()
--- a/internal/fleetsim/stream.go
+++ b/internal/fleetsim/stream.go
@@ -107,7 +107,7 @@
 		Prefill: s.host.fleet.PrefillOn(server, fleet.Prompt{Tokens: unread}),
 	}
 	s.copyAt = nil
-	if p.setup.Copies {
+	if fleet.Copied(p.setup.CopyWeight, s.prompt()) {
 		if b := s.host.fleet.Backup(now, server, p.setup.Memory, s.prompt(), s.exclude); b != nil {
 			if holder := p.engine(b.ID); holder != nil {
 				s.copyAt, s.placed.Backup = holder, b.ID
--- a/internal/front/errors.go
+++ b/internal/front/errors.go
@@ -17,6 +17,8 @@
 	CodeListen Code = "front_listen"
 	// CodePeerState: a peer's state could not be read.
 	CodePeerState Code = "front_peer_state"
+	// CodeTuning: the tuning file cannot be used.
+	CodeTuning Code = "front_tuning"
 )
 
 func newError(code Code) oops.OopsErrorBuilder { return oops.In("front").Code(code) }
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -129,6 +129,7 @@
 		Overload: &overload.Controller{},
 		Leaving:  n.leaving.Load, TakesStreams: n.takesStreams,
 	}
+	n.Tune(DefaultTuning())
 	n.config = n.newFollower(TableConfig, configWait, n.applyConfig, n.applyConfig)
 	n.servers = n.newFollower(TableServers, 0, n.replaceServers, n.applyServers)
 	n.servers.due = n.serversDue
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -50,7 +50,7 @@
 // Reload takes over settings that were read again. Addresses, the host's name
 // and the store's address stay until the next start. With an error the present
 // settings stay in force.
-func (n *Node) Reload(s Settings, err error, why string) {
+func (n *Node) Reload(s Settings, t Tuning, err error, why string) {
 	if err != nil {
 		n.log.LogError(logrus.ErrorLevel, telemetry.EventSettingsReloaded, err, logrus.Fields{"why": why}, "settings refused, the present ones stay in force")
 		return
@@ -59,7 +59,9 @@
 	n.addressTTL.Store(int64(s.AddressTTL))
 	n.grace.Store(int64(s.Grace))
 	n.mesh.Seed(s.Seeds)
+	n.Tune(t)
 	n.log.Log(logrus.InfoLevel, telemetry.EventSettingsReloaded, logrus.Fields{
 		"why": why, "retry_ratio": s.Retry.Ratio, "retry_slack": s.Retry.Slack, "grace": s.Grace.String(), "address_ttl": s.AddressTTL.String(),
+		"resume_weight": t.Resume.Weight,
 	}, "settings read again")
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,6 +28,15 @@
 // defaultTimeout bounds a call whose client names no time.
 const defaultTimeout = 30 * time.Second
 
+// Weight is a number from 0 to 1 that may change while requests are served.
+type Weight struct{ bits atomic.Uint64 }
+
+// Store sets the weight.
+func (w *Weight) Store(value float64) { w.bits.Store(math.Float64bits(value)) }
+
+// Load returns the weight.
+func (w *Weight) Load() float64 { return math.Float64frombits(w.bits.Load()) }
+
 // Announcer tells peers what this node has placed and lost.
 type Announcer interface {
 	Placed(p fleet.Placed)
@@ -49,6 +60,8 @@
 	Metrics  *Metrics
 	Budgets  *Budgets
 	Overload *overload.Controller
+	// ResumeWeight is the part of the streams whose runs have copies.
+	ResumeWeight Weight
 	// Leaving reports whether the node is about to stop.
 	Leaving func() bool
 	// TakesStreams reports whether a stream may begin; one that is refused has
--- a/internal/gateway/protect.go
+++ b/internal/gateway/protect.go
@@ -102,7 +102,7 @@
 // possible reports whether engines of the service make copies by order.
 func (p *protection) possible() bool {
 	e := p.st.service.Engine
-	return e != nil && e.Moves && p.st.route.Resumable
+	return e != nil && e.Moves && p.st.copied()
 }
 
 // lifetime is the age up to which an ordered copy counts as kept.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -228,8 +228,13 @@
 	return &refusal{refusalLongQueue, v.RetryAfter}
 }
 
+// copied reports whether the stream's runs have copies.
+func (st *streamState) copied() bool {
+	return st.route.Resumable && fleet.Copied(st.g.ResumeWeight.Load(), st.call.Prompt)
+}
+
 func (st *streamState) backupFor(now time.Time, primary *fleet.Server) *fleet.Server {
-	if st.service.Engine == nil || !st.service.Engine.Backups || !st.route.Resumable {
+	if st.service.Engine == nil || !st.service.Engine.Backups || !st.copied() {
 		return nil
 	}
 	return st.g.Fleet.Backup(now, primary, st.memory(), st.call.Prompt, st.exclude)
