front, gateway: calls that went silent are made anew, crashing requests wait for the cause

Found by tests of whole nodes on the stand-ins, each failed first: - TestStoreFailsAllNodes: after an outage in which the store took calls and never answered, the configuration came 16 s late, since the call that the store holds back looks the same when its connection is dead. After two crashes that no loss of a data centre explains it waits until the cause is known: 3.

--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -38,8 +38,9 @@
 	// true for the first answer after the store was lost.
 	replace func(rows Rows, outage bool)
 	apply   func(rows Rows, outage bool)
-	// onRead is called after each answer; may be nil.
-	onRead func()
+	// onRead is called after each answer, onBack before that after the first one
+	// that follows a failed call; both may be nil.
+	onRead, onBack func()
 	// eager reports whether other nodes wait for this one's answers.
 	eager func(now time.Time) bool
 	// wake asks for a call now.
@@ -56,8 +57,15 @@
 	failing atomic.Bool
 	// answered is the time of the newest answer in Unix nanoseconds.
 	answered atomic.Int64
+
+	mu sync.Mutex
+	// abandon ends the call under way; nil between calls. It is guarded by mu.
+	abandon context.CancelCauseFunc
 }
 
+// errAskAgain ends a call whose answer may never arrive.
+var errAskAgain = errors.New("the store answers again, the call is made anew")
+
 // age is the time since the newest answer of the store.
 func (f *follower) age(now time.Time) time.Duration {
 	at := f.answered.Load()
@@ -90,6 +98,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errAskAgain):
+			continue
 		case errors.Is(err, ErrHistoryGone):
 			f.revision.Store(0)
 			continue
@@ -121,9 +131,13 @@
 		}
 		f.revision.Store(max(rows.Revision, f.revision.Load()))
 		f.lock.Unlock()
+		back := !since.IsZero()
 		since, lost, backoff = time.Time{}, false, retryFirst
 		f.failing.Store(false)
 		f.answered.Store(now.UnixNano())
+		if back && f.onBack != nil {
+			f.onBack()
+		}
 		if f.onRead != nil {
 			f.onRead()
 		}
@@ -142,7 +156,33 @@
 	if revision == 0 {
 		return f.store.List(ctx, f.table)
 	}
-	return f.store.Follow(ctx, f.table, revision, f.wait)
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	f.setAbandon(abandon)
+	defer f.setAbandon(nil)
+	rows, err := f.store.Follow(ctx, f.table, revision, f.wait)
+	if err != nil && errors.Is(context.Cause(ctx), errAskAgain) {
+		err = errAskAgain
+	}
+	return rows, err
+}
+
+func (f *follower) setAbandon(abandon context.CancelCauseFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.abandon = abandon
+}
+
+// askAgain makes the call under way anew and ends a pause. A call that the store
+// holds back looks the same as one whose connection went silent; it is made anew
+// when another call of this node has just found the store back.
+func (f *follower) askAgain() {
+	f.mu.Lock()
+	if f.abandon != nil {
+		f.abandon(errAskAgain)
+	}
+	f.mu.Unlock()
+	f.retryNow()
 }
 
 // pause waits after a failed call. News of changes do not shorten it, but an
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -133,6 +133,7 @@
 	n.config = n.newFollower(TableConfig, configWait, n.applyConfig, n.applyConfig)
 	n.servers = n.newFollower(TableServers, 0, n.replaceServers, n.applyServers)
 	n.servers.due = n.serversDue
+	n.servers.onBack = n.config.askAgain
 	n.servers.onRead, n.servers.eager, n.config.eager = n.tellRead, n.isReader, n.isReader
 	return n, nil
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -13,6 +13,9 @@
 	// crashLimit is the number of servers that a request may crash before it is
 	// refused.
 	crashLimit = 3
+	// crashPauseFrom is the number of crashes after which a request waits until
+	// their cause is known.
+	crashPauseFrom = 2
 	// crashSettled is the time after which it is known whether a whole data
 	// centre was lost together with a server.
 	crashSettled = time.Second
@@ -103,6 +106,30 @@
 	return count >= crashLimit
 }
 
+// pause is how long a request should wait before it runs again: after
+// crashPauseFrom crashes that no loss of a data centre explains, until it is known
+// whether one does. A request that crashes servers would otherwise crash as many
+// as it may run on within milliseconds.
+func (c *crashes) pause(now time.Time, f quarantine.Fingerprint, zoneLost func(service string, zone ident.DataCentre, at time.Time) bool) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unexplained := 0
+	var settles time.Time
+	for _, x := range c.byRequest[f] {
+		if now.Sub(x.at) > crashesFor || !x.settled && zoneLost(x.Service, x.DataCentre, x.at) {
+			continue
+		}
+		unexplained++
+		if at := x.at.Add(crashSettled); at.After(settles) {
+			settles = at
+		}
+	}
+	if unexplained < crashPauseFrom {
+		return 0
+	}
+	return max(0, settles.Sub(now))
+}
+
 // clear forgets the crashes of a request that was answered.
 func (c *crashes) clear(f quarantine.Fingerprint) {
 	c.mu.Lock()
@@ -126,6 +153,22 @@
 	return e.g.crashes.any() && e.g.crashes.confirmed(now, e.fingerprint(), e.g.Fleet.ZoneLostAt)
 }
 
+// waitForCause waits while it is not known whether this request crashes servers.
+func (e *exchange) waitForCause(now time.Time) {
+	if !e.g.crashes.any() {
+		return
+	}
+	pause := min(e.g.crashes.pause(now, e.fingerprint(), e.g.Fleet.ZoneLostAt), e.left(now))
+	if pause <= 0 {
+		return
+	}
+	e.note("waits %dms for the cause of crashes", pause.Milliseconds())
+	select {
+	case <-time.After(pause):
+	case <-e.ctx.Done():
+	}
+}
+
 // crashed records that a server ended before it answered this request.
 func (e *exchange) crashed(s *fleet.Server) {
 	x := Crash{Request: e.fingerprint(), Server: s.ID, Service: s.Service, DataCentre: s.DataCentre}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -23,6 +23,9 @@
 	confirmed := func(ms int, request string) bool {
 		return c.confirmed(start.Add(time.Duration(ms)*time.Millisecond), fp(request), zoneLost)
 	}
+	pause := func(ms int, request string) time.Duration {
+		return c.pause(start.Add(time.Duration(ms)*time.Millisecond), fp(request), zoneLost)
+	}
 	if c.any() {
 		t.Error("something is remembered from the start")
 	}
@@ -30,6 +33,12 @@
 		add(1000*i, "bad", server, server[:1])
 		add(1000*i, "innocent", "a"+server, "a")
 	}
+	if got := pause(2100, "bad"); got != 900*time.Millisecond {
+		t.Errorf("waits %v after the third crash, want until it is settled", got)
+	}
+	if pause(3100, "bad") != 0 || pause(2100, "innocent") != 0 {
+		t.Error("waits though the causes are known")
+	}
 	if add(2500, "bad", "c1", "c") {
 		t.Error("one crash counts twice")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,7 +144,8 @@
 	}
 	e := &exchange{g: g, w: w, ctx: r.Context(), call: call, route: route, service: service, team: team, started: now}
 	e.end = now.Add(timeoutOf(call, route))
-	if e.crashesServers(now) {
+	e.waitForCause(now)
+	if now = time.Now(); e.crashesServers(now) {
 		refuse(w, http.StatusServiceUnavailable, crashRetryAfter, "the request crashes backend servers")
 		e.done("refused", http.StatusServiceUnavailable, "the request crashes backend servers")
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -79,6 +79,10 @@
 			st.fail("out of time")
 			return
 		}
+		if losses > 0 {
+			e.waitForCause(now)
+			now = time.Now()
+		}
 		if losses > 0 && e.crashesServers(now) {
 			st.fail("the request crashes backend servers")
 			return
