front: the reader removes rows of nodes that have been silent for ten minutes

Rows of replaced hosts stayed in the store for ever, and each new node told itself to their addresses.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -42,6 +42,7 @@
 	store       Store
 	decoder     Decoder
 	incarnation ident.Incarnation
+	started     time.Time
 
 	log     *telemetry.EventLog
 	scope   tally.Scope
@@ -105,7 +106,7 @@
 	}
 	n := &Node{
 		settings: s, store: store, decoder: codec,
-		incarnation: ident.Incarnation(now.UnixNano()),
+		incarnation: ident.Incarnation(now.UnixNano()), started: now,
 		log:         log, scope: scope, metrics: page, closers: []io.Closer{closer, writer},
 		fleet: fleet.New(s.Host, now), pool: backendconn.NewPool(),
 	}
--- /dev/null
+++ b/internal/front/prune_test.go
@@ -0,0 +1,28 @@
+package front
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// Guards against rows of replaced hosts that stay for ever, and against removing
+// the row of a node that is only away for a while, or of this one.
+func TestAbandoned(t *testing.T) {
+	silence := map[ident.HostID]time.Duration{
+		"self": time.Hour, "alive": time.Second, "restarting": 9 * time.Minute, "replaced": 10 * time.Minute,
+	}
+	var rows []Row
+	for host := range silence {
+		rows = append(rows, Row{Key: string(host)})
+	}
+	var gone []string
+	for _, r := range abandoned(rows, "self", func(h ident.HostID) time.Duration { return silence[h] }) {
+		gone = append(gone, r.Key)
+	}
+	if !slices.Equal(gone, []string{"replaced"}) {
+		t.Errorf("removed: %v", gone)
+	}
+}
--- a/internal/front/reader_test.go
+++ b/internal/front/reader_test.go
@@ -156,3 +156,5 @@
 		}
 	})
 }
+
+func (*fakeStore) Remove(context.Context, Table, string, int64) error { return nil }
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -53,6 +53,8 @@
 	Follow(ctx context.Context, table Table, after int64, wait time.Duration) (Rows, error)
 	// Put writes a row.
 	Put(ctx context.Context, table Table, key string, value []byte) error
+	// Remove deletes a row that still has a version.
+	Remove(ctx context.Context, table Table, key string, version int64) error
 }
 
 // Decoder reads the values of rows.
--- a/internal/peer/mesh/members.go
+++ b/internal/peer/mesh/members.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -85,6 +86,15 @@
 	return restarted, true
 }
 
+// silence is the time since a node was heard.
+func (m *members) silence(now time.Time, host ident.HostID) time.Duration {
+	p := m.peers[host]
+	if p == nil {
+		return math.MaxInt64
+	}
+	return now.Sub(p.heard)
+}
+
 // expire returns the nodes that have just been found gone.
 func (m *members) expire(now time.Time) []ident.HostID {
 	var gone []ident.HostID
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -117,6 +117,13 @@
 	return m.members.alive(now)
 }
 
+// Silence is the time since a node was heard; long if it is not known.
+func (m *Mesh) Silence(now time.Time, host ident.HostID) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.members.silence(now, host)
+}
+
 // Announce tells all peers of this node's state at once.
 func (m *Mesh) Announce() { m.broadcast(message{Member: m.describe()}) }
 
