--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -107,7 +107,7 @@
 	n := &Node{
 		settings: s, store: store, decoder: codec,
 		incarnation: ident.Incarnation(now.UnixNano()), started: now,
-		log:         log, scope: scope, metrics: page, closers: []io.Closer{closer, writer},
+		log: log, scope: scope, metrics: page, closers: []io.Closer{closer, writer},
 		fleet: fleet.New(s.Host, now), pool: backendconn.NewPool(),
 	}
 	n.addressTTL.Store(int64(s.AddressTTL))
