--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -13,12 +13,14 @@
 )
 
 const (
-	// retryFirst is the first pause after a failed call of the store. It doubles
-	// up to retryEager where others wait for this node, and to retryMost elsewhere:
-	// those nodes try again when a peer shows that the store is back.
-	retryFirst = 60 * time.Millisecond
-	retryEager = 250 * time.Millisecond
-	retryMost  = 4 * time.Second
+	// retryFirst is the first pause after a failed call of the store, for a
+	// connection that was closed. Where others wait for this node it doubles up to
+	// retryEager. Elsewhere it grows by retryGrowth up to retryMost: those nodes try
+	// again when a peer shows that the store is back.
+	retryFirst  = 60 * time.Millisecond
+	retryEager  = 250 * time.Millisecond
+	retryGrowth = 16
+	retryMost   = 4 * time.Second
 	// outageAfter is the time without an answer after which the store counts as
 	// lost. Rows that vanish right after an outage may have lapsed.
 	outageAfter = 1500 * time.Millisecond
@@ -113,11 +115,7 @@
 				f.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": f.table}, "the store does not answer")
 			}
 			f.pause(ctx, backoff)
-			most := retryMost
-			if f.eager != nil && f.eager(now) {
-				most = retryEager
-			}
-			backoff = min(2*backoff, most)
+			backoff = nextPause(backoff, f.eager != nil && f.eager(now))
 			continue
 		}
 		if lost {
@@ -144,6 +142,14 @@
 	}
 }
 
+// nextPause is the pause after a further failed call.
+func nextPause(last time.Duration, eager bool) time.Duration {
+	if eager {
+		return min(2*last, retryEager)
+	}
+	return min(retryGrowth*last, retryMost)
+}
+
 func (f *follower) mustRead(now time.Time) (time.Duration, bool) {
 	if f.due == nil || f.revision.Load() == 0 {
 		return 0, true
