--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -21,6 +21,11 @@
 	retryEager  = 250 * time.Millisecond
 	retryGrowth = 16
 	retryMost   = 4 * time.Second
+	// callFirst bounds a call that the store does not hold back. The bound doubles
+	// callSteps times and begins anew: a call that a silent store has swallowed is
+	// given up soon after the store is back, and a slow store still answers.
+	callFirst = 400 * time.Millisecond
+	callSteps = 3
 	// outageAfter is the time without an answer after which the store counts as
 	// lost. Rows that vanish right after an outage may have lapsed.
 	outageAfter = 1500 * time.Millisecond
@@ -89,13 +94,14 @@
 	backoff := retryFirst
 	var since time.Time // start of the present series of failed calls
 	lost := false
+	failed := 0 // calls of that series
 	for ctx.Err() == nil {
 		if wait, ok := f.mustRead(time.Now()); !ok {
 			f.sleep(ctx, wait)
 			continue
 		}
 		revision := f.revision.Load()
-		rows, err := f.read(ctx, revision)
+		rows, err := f.read(ctx, revision, failed)
 		now := time.Now()
 		switch {
 		case ctx.Err() != nil:
@@ -106,6 +112,7 @@
 			f.revision.Store(0)
 			continue
 		case err != nil:
+			failed++
 			if since.IsZero() {
 				since = now
 				f.failing.Store(true)
@@ -130,7 +137,7 @@
 		f.revision.Store(max(rows.Revision, f.revision.Load()))
 		f.lock.Unlock()
 		back := !since.IsZero()
-		since, lost, backoff = time.Time{}, false, retryFirst
+		since, lost, backoff, failed = time.Time{}, false, retryFirst, 0
 		f.failing.Store(false)
 		f.answered.Store(now.UnixNano())
 		if back && f.onBack != nil {
@@ -158,7 +165,15 @@
 	return wait, ok
 }
 
-func (f *follower) read(ctx context.Context, revision int64) (Rows, error) {
+// callTimeout is the bound of a call after some failed ones.
+func callTimeout(failed int) time.Duration { return callFirst << (failed % callSteps) }
+
+func (f *follower) read(ctx context.Context, revision int64, failed int) (Rows, error) {
+	if revision == 0 || f.wait == 0 {
+		bound, cancel := context.WithTimeout(ctx, callTimeout(failed))
+		defer cancel()
+		ctx = bound
+	}
 	if revision == 0 {
 		return f.store.List(ctx, f.table)
 	}
--- a/internal/front/reader_test.go
+++ b/internal/front/reader_test.go
@@ -70,24 +70,34 @@
 	calls []string
 }
 
-func (s *fakeStore) next(call string) (Rows, error) {
+// errSilent is the result of a step that never answers.
+var errSilent = errors.New("silent")
+
+func (s *fakeStore) next(ctx context.Context, call string) (Rows, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.calls = append(s.calls, call)
 	step := s.steps[0]
 	if len(s.steps) > 1 {
 		s.steps = s.steps[1:]
 	}
-	return step()
+	s.mu.Unlock()
+	r, err := step()
+	if errors.Is(err, errSilent) {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return Rows{}, ctx.Err()
+	}
+	return r, err
 }
 
-func (s *fakeStore) List(context.Context, Table) (Rows, error) { return s.next("list") }
+func (s *fakeStore) List(ctx context.Context, _ Table) (Rows, error) { return s.next(ctx, "list") }
 func (s *fakeStore) Follow(ctx context.Context, _ Table, _ int64, wait time.Duration) (Rows, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return s.next("follow")
+	return s.next(ctx, "follow")
 }
 func (s *fakeStore) Put(context.Context, Table, string, []byte) error { return nil }
 
@@ -147,6 +157,34 @@
 	})
 }
 
+// Guards against a node that has nothing yet and waits for the answer to a call
+// that a silent store has swallowed, after the store is back.
+func TestStartsSoonAfterSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := func() (Rows, error) { return Rows{}, errSilent }
+		start := time.Now()
+		var at time.Duration
+		taken, _ := follow(t, 3*time.Second, silent, func() (Rows, error) {
+			if at == 0 {
+				at = time.Since(start)
+			}
+			return Rows{Rows: []Row{{Key: "a"}}, Revision: 5}, nil
+		})
+		if len(taken) == 0 || at > 600*time.Millisecond {
+			t.Errorf("taken over %v, second call after %v", taken, at)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		slow := func() (Rows, error) {
+			time.Sleep(1200 * time.Millisecond)
+			return Rows{Rows: []Row{{Key: "a"}}, Revision: 5}, nil
+		}
+		if taken, store := follow(t, 5*time.Second, slow); len(taken) == 0 {
+			t.Errorf("a slow store was never heard (calls %v)", store.calls)
+		}
+	})
+}
+
 // Guards against a host that hammers a store that is away.
 func TestCallsOfAStoreThatIsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
