--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,39 +107,39 @@
 	if g.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	call := g.Codec.Decode(r, now)
 	table := g.Routes.Current()
 	if table == nil {
-		refuse(w, http.StatusServiceUnavailable, time.Second, "no configuration has been read yet")
+		g.turnAway(w, call, http.StatusServiceUnavailable, time.Second, "no configuration has been read yet")
 		return
 	}
-	call := g.Codec.Decode(r, now)
 	route := table.Match(call.Host, call.Path)
 	if route == nil {
-		refuse(w, http.StatusNotFound, 0, "no route for this host and path")
+		g.turnAway(w, call, http.StatusNotFound, 0, "no route for this host and path")
 		return
 	}
 	team := ""
 	if table.NeedsKeys() && !route.Public {
 		t := table.TeamOf(call.Key)
 		if t == nil {
-			refuse(w, http.StatusUnauthorized, 0, "unknown key")
+			g.turnAway(w, call, http.StatusUnauthorized, 0, "unknown key")
 			return
 		}
 		team = t.Name
 	}
 	body, status := readBody(r, table.Limits.BodyBytes)
 	if status != 0 {
-		refuse(w, status, 0, "the body could not be read")
+		g.turnAway(w, call, status, 0, "the body could not be read")
 		return
 	}
 	call.Body = body
 	if route.Kind == routing.Stream && !g.TakesStreams() {
-		refuse(w, http.StatusServiceUnavailable, minRetryAfter, "the node is about to stop")
+		g.turnAway(w, call, http.StatusServiceUnavailable, minRetryAfter, "the node is about to stop")
 		return
 	}
 	service := table.Service(route.Pick(rand.Float64()))
 	if service == nil {
-		refuse(w, http.StatusServiceUnavailable, time.Second, "the route's service is not configured")
+		g.turnAway(w, call, http.StatusServiceUnavailable, time.Second, "the route's service is not configured")
 		return
 	}
 	e := &exchange{g: g, w: w, ctx: r.Context(), call: call, route: route, service: service, team: team, started: now}
@@ -195,6 +195,16 @@
 	return buf.Bytes(), 0
 }
 
+// turnAway refuses a request before any server was chosen for it, with the line
+// that explains it.
+func (g *Gateway) turnAway(w http.ResponseWriter, c *Call, status int, retryAfter time.Duration, reason string) {
+	refuse(w, status, retryAfter, reason)
+	g.Log.Log(logrus.InfoLevel, telemetry.EventRequestTroubled, logrus.Fields{
+		telemetry.FieldRequest: c.ID, "host_name": c.Host, "path": c.Path, "config_version": g.Routes.Version(),
+		"outcome": "refused", "status": status, "reason": reason, "retry_after_ms": retryAfter.Milliseconds(),
+	}, "request refused")
+}
+
 // refuse answers a request that this node does not forward.
 func refuse(w http.ResponseWriter, status int, retryAfter time.Duration, reason string) {
 	h := w.Header()
@@ -237,7 +247,11 @@
 		retryAfter = 0
 	}
 	refuse(e.w, status, retryAfter, reason)
-	e.done("failed", status, reason)
+	outcome := "failed"
+	if status == http.StatusServiceUnavailable {
+		outcome = "refused"
+	}
+	e.done(outcome, status, reason)
 }
 
 // crashRetryAfter is what a client is told whose request crashes servers.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -166,6 +166,7 @@
 const (
 	refusalNoEngine  = "no engine is available"
 	refusalLongQueue = "engines cannot begin in time"
+	refusalNoRoom    = "no engine has enough free memory"
 )
 
 // refusal says why a stream is not placed, and when its client may come back.
@@ -229,7 +230,11 @@
 		return nil
 	}
 	st.note("turned away: wait=%dms limit=%dms free=%.2f retry after %dms", c.Wait.Milliseconds(), v.Limit.Milliseconds(), c.Free, v.RetryAfter.Milliseconds())
-	return &refusal{refusalLongQueue, v.RetryAfter}
+	reason := refusalLongQueue
+	if v.Full {
+		reason = refusalNoRoom
+	}
+	return &refusal{reason, v.RetryAfter}
 }
 
 // copied reports whether the stream's runs have copies.
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -72,6 +72,8 @@
 	Admit bool
 	// Limit is the longest wait with which the stream would have been admitted.
 	Limit time.Duration
+	// Full is set for a refusal for lack of memory alone.
+	Full bool
 	// RetryAfter is set for a refusal.
 	RetryAfter time.Duration
 }
@@ -101,7 +103,7 @@
 		limit, room = min(limit, lateWait), max(room, lateRoom)
 	}
 	if o.Wait > limit || o.Free < room {
-		return Verdict{Limit: limit, RetryAfter: c.retryAfter(now, o, o.Wait-limit, spread)}
+		return Verdict{Limit: limit, Full: o.Wait <= limit, RetryAfter: c.retryAfter(now, o, o.Wait-limit, spread)}
 	}
 	c.shares.add(now, o.Team, o.Work)
 	return Verdict{Admit: true, Limit: limit}
