mesh: datagrams in CBOR, and heartbeats that leave out what does not change

A peer that hears a brief heartbeat of a life that it does not know asks for a whole one (TestBriefHeartbeats).

--- a/internal/peer/mesh/members.go
+++ b/internal/peer/mesh/members.go
@@ -54,14 +54,27 @@
 	return aliveBeats*heartbeatFor(len(m.peers)) + aliveMargin
 }
 
+// unknown reports whether a datagram is of a life of a node that has not made
+// itself known yet, and does not do so either.
+func (m *members) unknown(msg message) bool {
+	if msg.Host == m.self || msg.Member != nil && msg.Member.Mesh != "" {
+		return false
+	}
+	p := m.peers[msg.Host]
+	return p == nil || p.Incarnation < msg.Incarnation
+}
+
 // accept takes a datagram unless it is of this node, of an earlier life of its
 // sender, or of a sender that is not known yet.
 func (m *members) accept(now time.Time, msg message) (restarted, ok bool) {
 	if msg.Member != nil {
 		x := *msg.Member
 		x.Host, x.Incarnation = msg.Host, msg.Incarnation
-		*msg.Member = x
-		return m.hear(now, x)
+		restarted, ok = m.hear(now, x)
+		if ok {
+			*msg.Member = m.peers[x.Host].Member // whole, also if the datagram was brief
+		}
+		return restarted, ok
 	}
 	p := m.peers[msg.Host]
 	if p == nil || p.Incarnation != msg.Incarnation {
@@ -81,6 +94,12 @@
 	if p != nil && x.Incarnation < p.Incarnation {
 		return false, false
 	}
+	if x.Mesh == "" {
+		if p == nil || p.Incarnation != x.Incarnation {
+			return false, false
+		}
+		x = x.full(p.Member)
+	}
 	restarted = p != nil && x.Incarnation > p.Incarnation
 	m.peers[x.Host] = &peer{Member: x, heard: now, told: now}
 	return restarted, true
--- a/internal/peer/mesh/members_test.go
+++ b/internal/peer/mesh/members_test.go
@@ -95,11 +95,45 @@
 			t.Error(err)
 		}
 	}
-	if _, err := decode([]byte("{")); err == nil {
+	if _, err := decode([]byte{0xa2, 0x61}); err == nil {
 		t.Error("half a datagram was read")
 	}
 }
 
+// Guards against brief heartbeats of a life of a host that has not said who it is,
+// and against losing its addresses with each of them.
+func TestBriefHeartbeats(t *testing.T) {
+	m := newMembers("self")
+	x := member("a", 2)
+	short := x.brief()
+	datagram := message{Host: "a", Incarnation: 2, Member: &short}
+	if _, ok := m.accept(at(0), datagram); ok || !m.unknown(datagram) {
+		t.Error("a brief heartbeat of an unknown host was taken, or it is not asked")
+	}
+	m.hear(at(0), x)
+	short.StoreAgeMs = 40
+	if _, ok := m.accept(at(100), datagram); !ok || m.unknown(datagram) {
+		t.Error("a brief heartbeat of a known host was refused")
+	}
+	if datagram.Member.Mesh != x.Mesh {
+		t.Error("what is passed on of a brief heartbeat lacks the address")
+	}
+	if list := m.alive(at(100)); len(list) != 1 || list[0].Mesh != x.Mesh || list[0].Clients != x.Clients || list[0].StoreAgeMs != 40 {
+		t.Errorf("alive %+v", list)
+	}
+	short = x.brief()
+	later := message{Host: "a", Incarnation: 3, Member: &short}
+	if _, ok := m.accept(at(200), later); ok || !m.unknown(later) {
+		t.Error("a brief heartbeat of a new life was taken with the addresses of the old one, or it is not asked")
+	}
+	if old := (message{Host: "a", Incarnation: 1, Member: &short}); m.unknown(old) {
+		t.Error("an earlier life is asked who it is")
+	}
+	long, _ := encode(message{Host: "a", Incarnation: 2, Member: &x})
+	brief, _ := encode(datagram)
+	t.Logf("%d bytes, brief %d", len(long), len(brief))
+}
+
 // Guards against news of an earlier life of a host, and of one that is unknown.
 func TestNewsWithoutHeartbeat(t *testing.T) {
 	m := newMembers("self")
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -20,6 +20,9 @@
 	heartbeatLeast   = 300 * time.Millisecond
 	heartbeatPerNode = 12 * time.Millisecond
 	heartbeatMost    = time.Second
+	// fullEvery is the number of heartbeats of which one says all of a node. A peer
+	// that missed it asks.
+	fullEvery = 8
 	// batch is how long news of placements wait for others to share a datagram.
 	batch = 5 * time.Millisecond
 	// ringSize bounds the news that wait. The oldest lose their worth first, and
@@ -125,7 +128,10 @@
 }
 
 // Announce tells all peers of this node's state at once.
-func (m *Mesh) Announce() { m.broadcast(message{Member: m.describe()}) }
+func (m *Mesh) Announce() {
+	x := m.describe().brief()
+	m.broadcast(message{Member: &x})
+}
 
 // Placed implements gateway.Announcer.
 func (m *Mesh) Placed(p fleet.Placed) { m.push(Event{Kind: EventPlaced, Placed: &p}, false) }
@@ -183,12 +189,16 @@
 	defer beat.Stop()
 	var due <-chan time.Time // set while news wait for the end of a batch
 	m.broadcast(message{Member: m.describe(), Hello: true})
-	for {
+	for beats := 1; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-beat.C:
-			m.broadcast(message{Member: m.describe()})
+			x := m.describe()
+			if beats++; beats%fullEvery != 0 {
+				*x = x.brief()
+			}
+			m.broadcast(message{Member: x})
 			m.expire(time.Now())
 			beat.Reset(m.interval())
 		case <-m.pending:
@@ -275,7 +285,7 @@
 func (m *Mesh) receive(ctx context.Context) {
 	buf := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, _, err := m.conn.ReadFromUDPAddrPort(buf)
+		n, source, err := m.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -287,14 +297,18 @@
 		if err != nil {
 			continue // not a datagram of this protocol
 		}
-		m.take(time.Now(), msg)
+		m.take(time.Now(), source, msg)
 	}
 }
 
-func (m *Mesh) take(now time.Time, msg message) {
+func (m *Mesh) take(now time.Time, source netip.AddrPort, msg message) {
 	m.mu.Lock()
+	unknown := m.members.unknown(msg)
 	restarted, ok := m.members.accept(now, msg)
 	m.mu.Unlock()
+	if unknown {
+		m.sendTo(source.String(), m.encoded(message{Member: m.describe(), Hello: true}))
+	}
 	if !ok {
 		return
 	}
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -11,7 +11,7 @@
 package mesh
 
 import (
-	"encoding/json"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/gateway"
@@ -31,16 +31,17 @@
 	Leaving State = "leaving"
 )
 
-// Member is a node as its peers see it.
+// Member is a node as its peers see it. A brief one leaves out what does not
+// change in one life of the node; see Member.brief.
 type Member struct {
 	Host        ident.HostID      `json:"-"` // stands in the message
 	Incarnation ident.Incarnation `json:"-"`
-	DataCentre  ident.DataCentre  `json:"d"`
-	Mesh        string            `json:"m"` // address for datagrams and state calls
-	Clients     string            `json:"c"` // address for clients
+	DataCentre  ident.DataCentre  `json:"d,omitempty"`
+	Mesh        string            `json:"m,omitempty"` // address for datagrams and state calls
+	Clients     string            `json:"c,omitempty"` // address for clients
 	State       State             `json:"s"`
 	// Carries is the number of requests a second that the host can carry.
-	Carries float64 `json:"w"`
+	Carries float64 `json:"w,omitempty"`
 	// ConfigVersion is the newest version that the node has.
 	ConfigVersion int64 `json:"v"`
 	// StoreAgeMs is the age of the node's newest answer from the platform's
@@ -53,6 +54,18 @@
 	Usage map[string]gateway.Usage `json:"u,omitempty"`
 }
 
+// brief returns what changes in one life of a node.
+func (m Member) brief() Member {
+	m.DataCentre, m.Mesh, m.Clients, m.Carries = "", "", "", 0
+	return m
+}
+
+// full adds to a brief Member what an earlier one said.
+func (m Member) full(earlier Member) Member {
+	m.DataCentre, m.Mesh, m.Clients, m.Carries = earlier.DataCentre, earlier.Mesh, earlier.Clients, earlier.Carries
+	return m
+}
+
 // EventKind says what an Event is about.
 type EventKind string
 
@@ -108,10 +121,13 @@
 	Removed ident.BackendID `json:"x,omitempty"`
 }
 
-func encode(m message) ([]byte, error) { return json.Marshal(m) }
+// Datagrams are CBOR, with the names of the json tags as keys: among hundreds of
+// nodes most of what hosts send each other are heartbeats, and the binary form is
+// little more than half as long.
+func encode(m message) ([]byte, error) { return cbor.Marshal(m) }
 
 func decode(p []byte) (message, error) {
 	var m message
-	err := json.Unmarshal(p, &m)
+	err := cbor.Unmarshal(p, &m)
 	return m, err
 }
