--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -20,6 +20,10 @@
 	// proofFor is the age up to which a peer's answer proves that the list is
 	// current.
 	proofFor = 900 * time.Millisecond
+	// rereadAfter is the least time between two reads of a node that is not the
+	// reader. After an outage entries come back within milliseconds of each other,
+	// and the reader tells of them in the meantime.
+	rereadAfter = 300 * time.Millisecond
 	// dueCheck is how often a node that does not read looks whether it must.
 	dueCheck = 150 * time.Millisecond
 )
@@ -37,6 +41,9 @@
 // readDue decides for a node that is not the reader. own is the age of its own
 // newest answer, revision how far it has read.
 func readDue(own time.Duration, revision int64, peers []mesh.Member) bool {
+	if own < rereadAfter {
+		return false
+	}
 	age := own
 	for _, m := range peers {
 		if m.ServersChanged > revision {
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -33,10 +33,12 @@
 	return now.UnixNano()-n.lapsesAt.Load() < int64(lapseWindow)
 }
 
-// tellRead lets the other nodes know at once that this one has read the list.
+// tellRead lets the other nodes know at once that the reader has read the list.
 // The configuration is read again too if the store was away.
 func (n *Node) tellRead() {
-	n.mesh.Announce()
+	if n.isReader(time.Now()) {
+		n.mesh.Announce()
+	}
 	if n.config.failing.Load() {
 		n.config.retryNow()
 	}
