--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -112,13 +112,30 @@
 	f.servers[e.ID] = &Server{
 		Entry:     e,
 		firstSeen: now,
-		pace:      1,
+		pace:      f.meanPace(e.Service),
 		runs:      map[runKey]*run{},
 		copies:    map[runKey]int{},
 		prompts:   map[uint64]cached{},
 	}
 }
 
+// meanPace is the pace expected of an engine that is not known yet: that of the
+// others of its service, so that all hosts do not rush to it.
+func (f *Fleet) meanPace(service string) float64 {
+	const unit = 1e-6 // whole numbers, so that the order of the map does not matter
+	sum, count := 0, 0
+	for _, s := range f.servers {
+		if s.Service == service {
+			sum += int(s.pace / unit)
+			count++
+		}
+	}
+	if count == 0 {
+		return 1
+	}
+	return float64(sum) * unit / float64(count)
+}
+
 // Found adds a server that is not on the list yet, which was found at the
 // address of one that was lost while the list could not be read.
 func (f *Fleet) Found(now time.Time, e Entry) bool {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -193,6 +193,10 @@
 		f.End("peer", Placed{Run: uint64(run), Server: "b0"})
 	}
 	now := at(300_000)
+	f.Put(now, Entry{ID: "c9", Born: 2, Service: service, Address: "10.0.0.99:1", DataCentre: "c", Sequence: 1})
+	if known, fresh := f.FirstToken(f.Server("a0"), now, p), f.FirstToken(f.Server("c9"), now, p); fresh <= known {
+		t.Errorf("an engine that has just come is expected to take %v, others of the usual pace %v: all hosts would rush to it", fresh, known)
+	}
 	slow, usual := f.FirstToken(f.Server("b0"), now, p), f.FirstToken(f.Server("a0"), now, p)
 	if ratio := float64(slow) / float64(usual); ratio < 1.4 || ratio > 1.6 {
 		t.Errorf("an engine that takes 1.5 times as long is expected to take %.2f times as long", ratio)
