--- a/internal/fleetsim/play_test.go
+++ b/internal/fleetsim/play_test.go
@@ -91,6 +91,7 @@
 // a hundred where all could have been admitted. The table that it logs stands in
 // docs/placement.md.
 func TestAgainstBaselines(t *testing.T) {
+	t.Parallel()
 	for _, l := range loads {
 		load := l.pattern.Load()
 		var product Outcome
@@ -110,6 +111,7 @@
 // Guards against load that does not come down after a burst: streams that arrive
 // some seconds after its end are served in time.
 func TestBurstPasses(t *testing.T) {
+	t.Parallel()
 	load := pattern(usualRate, burst(8)).Load()
 	load.Arrivals = slices.DeleteFunc(load.Arrivals, func(a Arrival) bool { return a.At > 26*time.Second })
 	before := Play(deployment(ByExpectedTime, true), Load{Arrivals: slices.DeleteFunc(slices.Clone(load.Arrivals), func(a Arrival) bool { return a.At > 20*time.Second })})
@@ -124,6 +126,7 @@
 // leaves the 95th percentile of the others' time to the first event within a
 // tenth of what it is without that team's burst.
 func TestTeamOfTenfoldLoad(t *testing.T) {
+	t.Parallel()
 	const team = "team-5"
 	change := func(factor float64) Pattern {
 		return pattern(usualRate, func(p *Pattern) {
@@ -162,6 +165,7 @@
 // Guards against less work done the more is offered: at three times the load
 // that the engines can serve in time, nine tenths of it are still served in time.
 func TestGoodputUnderOverload(t *testing.T) {
+	t.Parallel()
 	perSecond := func(rate float64) float64 {
 		p := pattern(rate, nil)
 		return float64(Play(deployment(ByExpectedTime, true), p.Load()).InTime) / p.Length.Seconds()
@@ -183,6 +187,7 @@
 // sooner after a loss and fewer prompt tokens are read again, for more tokens
 // copied. The table that it logs stands in docs/platform.md.
 func TestResumeWeight(t *testing.T) {
+	t.Parallel()
 	load := pattern(usualRate, lossesInTurn).Load()
 	var last Outcome
 	for i, weight := range []float64{0, 0.25, 0.5, 0.75, 1} {
@@ -208,6 +213,7 @@
 
 // Guards against plays that differ from run to run.
 func TestPlayRepeats(t *testing.T) {
+	t.Parallel()
 	load := pattern(highRate, lossesInTurn).Load()
 	first, second := Play(deployment(ByExpectedTime, true), load), Play(deployment(ByExpectedTime, true), load)
 	if fmt.Sprint(first) != fmt.Sprint(second) {
