front, fleet: an older list of servers, of a peer, no longer replaces a newer one

A list carried no revision, so that one read earlier brought back servers that had left, took those away that had just come, and made a leaving server usable again; the host also did not try the store for up to 4 s while peers told of changes.

A list says how far it was read and an older one is ignored, as is an answer of the store that peers have overtaken; an older report of a server does not replace a newer one; news of a peer end the pause after 1 s.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -96,6 +96,9 @@
 	defer f.mu.Unlock()
 	s := f.servers[e.ID]
 	if s != nil && s.Born == e.Born && s.Address == e.Address && s.Service == e.Service {
+		if e.Born != 0 && e.Sequence < s.Sequence {
+			return // an older list, of a peer
+		}
 		s.unlisted = false
 		if e.Sequence > s.Sequence {
 			s.reportAt = now
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -218,6 +218,25 @@
 	}
 }
 
+// Guards against a leaving server that gets work again because a peer's list, read
+// while the store refuses this host, is older than what the host knows.
+func TestOlderListOfPeer(t *testing.T) {
+	f := testFleet(1)
+	e := f.Server("a0").Entry
+	e.Sequence, e.Draining = 5, true
+	f.Put(at(0), e)
+	e.Sequence, e.Draining = 4, false
+	f.Put(at(100), e)
+	if f.takes("a0", at(100)) {
+		t.Error("an older report replaced a newer one")
+	}
+	e.Born, e.Sequence = 2, 1 // it has started again under its id
+	f.Put(at(200), e)
+	if !f.takes("a0", at(200)) {
+		t.Error("the first report of a new life was refused")
+	}
+}
+
 // Guards against memory that copies take under overload, and against streams
 // without a copy while data centres are lost in turn.
 func TestRoomForCopies(t *testing.T) {
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -26,6 +26,9 @@
 	// given up soon after the store is back, and a slow store still answers.
 	callFirst = 400 * time.Millisecond
 	callSteps = 3
+	// retryNews is the least time after a failed call until news of a peer end the
+	// pause: the store refuses this node only, and the peer knows of a change.
+	retryNews = time.Second
 	// outageAfter is the time without an answer after which the store counts as
 	// lost. Rows that vanish right after an outage may have lapsed.
 	outageAfter = 1500 * time.Millisecond
@@ -62,8 +65,9 @@
 	revision atomic.Int64
 	// failing is set while calls fail.
 	failing atomic.Bool
-	// answered is the time of the newest answer in Unix nanoseconds.
-	answered atomic.Int64
+	// answered is the time of the newest answer and called that of the newest call,
+	// in Unix nanoseconds.
+	answered, called atomic.Int64
 
 	mu sync.Mutex
 	// abandon ends the call under way; nil between calls. It is guarded by mu.
@@ -101,6 +105,7 @@
 			continue
 		}
 		revision := f.revision.Load()
+		f.called.Store(time.Now().UnixNano())
 		rows, err := f.read(ctx, revision, failed)
 		now := time.Now()
 		switch {
@@ -129,9 +134,11 @@
 			f.log.Log(logrus.InfoLevel, telemetry.EventStoreBack, logrus.Fields{"table": f.table, "outage_ms": now.Sub(since).Milliseconds()}, "the store answers again")
 		}
 		f.lock.Lock()
-		if revision == 0 {
+		switch {
+		case rows.Revision < f.revision.Load(): // a peer has told of more meanwhile
+		case revision == 0:
 			f.replace(rows, lost)
-		} else if len(rows.Rows) > 0 {
+		case len(rows.Rows) > 0:
 			f.apply(rows, lost)
 		}
 		f.revision.Store(max(rows.Revision, f.revision.Load()))
@@ -216,6 +223,14 @@
 	}
 }
 
+// retryForNews ends a pause because a peer knows of a change that this node has
+// not read.
+func (f *follower) retryForNews(now time.Time) {
+	if f.failing.Load() && now.Sub(time.Unix(0, f.called.Load())) >= retryNews {
+		f.retryNow()
+	}
+}
+
 // retryNow ends a pause, since the store answers again.
 func (f *follower) retryNow() {
 	select {
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -42,6 +42,8 @@
 type stateDocument struct {
 	Config  []byte        `json:"config,omitempty"`
 	Servers []fleet.Entry `json:"servers,omitempty"`
+	// Revision is how far the list of servers has been read.
+	Revision int64 `json:"revision,omitempty"`
 }
 
 // serveState answers a peer that cannot read the store. The query says whether
@@ -51,7 +53,9 @@
 	doc := stateDocument{Config: n.rawConfig}
 	n.mu.Unlock()
 	if r.URL.Query().Has("servers") {
-		doc.Servers = n.fleet.Entries()
+		n.servers.lock.Lock()
+		doc.Servers, doc.Revision = n.fleet.Entries(), n.servers.revision.Load()
+		n.servers.lock.Unlock()
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(doc) // the peer asks again if it gets no answer
@@ -65,6 +69,7 @@
 	}
 	if m.ServersChanged > n.servers.revision.Load() {
 		n.servers.nudge()
+		n.servers.retryForNews(time.Now())
 	}
 	if m.ConfigVersion > n.routes.Version() && n.fetching.CompareAndSwap(false, true) {
 		go func() {
@@ -120,13 +125,17 @@
 	if !servers || len(doc.Servers) == 0 {
 		return
 	}
-	n.takeServers(doc.Servers)
+	n.takeServers(doc.Servers, doc.Revision)
 }
 
-// takeServers takes over a peer's list of servers.
-func (n *Node) takeServers(list []fleet.Entry) {
+// takeServers takes over a peer's list of servers, unless it is older than what
+// this node knows: a server that left would get work again.
+func (n *Node) takeServers(list []fleet.Entry, revision int64) {
 	n.servers.lock.Lock()
 	defer n.servers.lock.Unlock()
+	if revision < n.servers.revision.Load() {
+		return
+	}
 	now := time.Now()
 	listed := make(map[ident.BackendID]bool, len(list))
 	for _, e := range list {
@@ -138,6 +147,8 @@
 			n.removeServer(now, id, false)
 		}
 	}
+	n.servers.revision.Store(revision)
+	n.changesFrom = revision
 	n.listed.Store(true)
 }
 
