overload: a stream that goes on is not refused for lack of memory

Found by reading: one of which the client has a part was let through whatever it had to wait, but not past a full memory. TestDecide failed before.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -14,6 +14,7 @@
 package overload
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -94,7 +95,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	over := c.shares.over(now, o.Team, o.Work)
-	limit, room := o.limit(), 0.0
+	limit, room := o.limit(), math.Inf(-1)
 	if !o.Continues {
 		limit = time.Duration(float64(limit) / over)
 		room = sharedRoom * (1 - 1/over)
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -36,6 +36,7 @@
 		{"late already, little wait", func(o *Offer) { o.Late, o.Wait = true, 300*time.Millisecond }, true},
 		{"late already, as much wait as new ones", func(o *Offer) { o.Late, o.Wait = true, time.Second }, false},
 		{"late already, memory nearly full", func(o *Offer) { o.Late, o.Free = true, 0.02 }, false},
+		{"client has a part of the answer, no room in memory", func(o *Offer) { o.Continues, o.Free = true, -0.1 }, true},
 		{"client has a part of the answer", func(o *Offer) { o.Continues, o.Wait = true, 8*time.Second }, true},
 	}
 	for _, c := range cases {
--- a/internal/overload/shares.go
+++ b/internal/overload/shares.go
@@ -48,15 +48,14 @@
 }
 
 // over returns by how much a team's work exceeds an equal share of the work of
-// all active teams; 1 if it does not.
-// work is the time to read one prompt.
-func (s *shares) over(now time.Time, team string, work time.Duration) float64 {
+// all active teams; 1 if it does not. prompt is the time to read one prompt.
+func (s *shares) over(now time.Time, team string, prompt time.Duration) float64 {
 	s.decay(now)
 	var total time.Duration
 	for _, work := range s.work {
 		total += work
 	}
-	if total == 0 || len(s.work) < 2 || s.work[team] < leastPrompts*work {
+	if total == 0 || len(s.work) < 2 || s.work[team] < leastPrompts*prompt {
 		return 1
 	}
 	over := float64(s.work[team]) / float64(total) * float64(len(s.work)) / leastOver
