--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -217,7 +217,11 @@
 	if st.opened {
 		return nil
 	}
-	waited := st.g.Overload.Waited(now, st.route.Name, st.left(now))
+	// The client's own time counts: that of the route changes with the configuration.
+	waited := time.Duration(0)
+	if st.call.Timeout > 0 {
+		waited = st.g.Overload.Waited(now, st.route.Name, st.call.Timeout-now.Sub(st.started))
+	}
 	engines := st.g.Fleet.Count(now, st.service.Name)
 	_, peers := st.g.Budgets.Others(st.service.Name)
 	v := st.g.Overload.Decide(now, overload.Offer{
