retryshare: divide the retry budget among hosts, lend parts of it

Two of three servers leave, the last one refuses most calls, and each call went to it four times within 8 ms; the limit was held against what the hosts report to each other, up to a second late.

Ruled out: a smaller fraction of the reported sum (late by construction).

Change: each host has a share of its own; hosts that need more borrow from others by datagram, and the lender counts a loan before it answers. A call is sent once more at most to a server that refused it as full, after a pause, and never to one that runs it. Hedges may use half of a share. Streams wait up to 2 s for a part of the budget.

Replaces TestRetriesStayBelowSharedLimit, which allowed 100 retries above the limit, by TestHostsTogetherStayWithinLimit, which allows none in any window, and TestUsageOfDeadHosts, whose subject is gone, by TestSilentHostsStayKnown.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -19,6 +19,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/overload"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
 	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
+	"github.com/yuccahatch/yuccahatch/internal/retryshare"
 	"github.com/yuccahatch/yuccahatch/internal/routing"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
@@ -61,6 +62,7 @@
 	config    *follower
 	servers   *follower
 	assembler changeAssembler
+	loans     loanTable
 	// lastChangeRevision is the revision up to which this node's list of servers was
 	// current when the node last applied changes to it, from the store or a peer. It
 	// is the start of the next set of changes that the node sends as the reader: a
@@ -129,6 +131,10 @@
 		Heartbeat:     n.onHeartbeat,
 		Crash:         func(now time.Time, x gateway.Crash) { n.gateway.RecordCrash(now, x) },
 		ServerChanges: n.onServerChanges,
+		Lend: func(now time.Time, service string, requested int) int {
+			return n.gateway.Budgets.Lend(now, service, requested)
+		},
+		Lent: n.onLoan,
 	})
 	if err != nil {
 		return nil, err
@@ -136,12 +142,13 @@
 	n.gateway = &gateway.Gateway{
 		Codec: codec, Routes: &n.routes, Fleet: n.fleet, Pool: n.pool, Self: s.Host,
 		Announce: n.mesh, Log: log, Metrics: gateway.NewMetrics(scope),
-		Budgets: &gateway.RetryBudgets{
-			Ratio: s.Retry.Ratio, BaseRetries: s.Retry.Slack, Window: s.Retry.Window,
-			PeerUsage: func(service string) (gateway.Usage, int) { return n.mesh.Usage(time.Now(), service) },
-		},
-		Overload: &overload.Controller{},
-		Leaving:  n.leaving.Load, AcceptsStreams: n.acceptsStreams,
+		Budgets: retryshare.New(
+			retryshare.Limits{Ratio: s.Retry.Ratio, Base: s.Retry.Slack, Window: s.Retry.Window},
+			now, func() int { return n.mesh.CountKnown() + 1 }),
+		Borrow:     n.borrow,
+		AlivePeers: func() int { return n.mesh.CountAlive(time.Now()) },
+		Overload:   &overload.Controller{},
+		Leaving:    n.leaving.Load, AcceptsStreams: n.acceptsStreams,
 	}
 	n.Tune(DefaultTuning())
 	n.config = n.newFollower(TableConfig, configPollWait, n.applyConfig, n.applyConfig)
@@ -201,7 +208,7 @@
 		ConfigVersion: n.routes.Version(), Capacity: n.settings.capacity(),
 	}
 	if n.gateway != nil { // nil while New calls mesh.New, which calls member
-		m.Usage = n.gateway.Budgets.LocalUsage(now)
+		m.Usage = n.gateway.Budgets.Usage(now)
 		m.ServersChanged = n.serverChangeRevision.Load()
 		m.StoreAgeMs = n.servers.age(now).Milliseconds()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/overload"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
 	"github.com/yuccahatch/yuccahatch/internal/quarantine"
+	"github.com/yuccahatch/yuccahatch/internal/retryshare"
 	"github.com/yuccahatch/yuccahatch/internal/routing"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
@@ -59,12 +60,17 @@
 	Announce Announcer
 	Log      *telemetry.EventLog
 	Metrics  *Metrics
-	Budgets  *RetryBudgets
+	Budgets  *retryshare.Budget
+	// Borrow asks other hosts for retries to a service and reports whether one of
+	// them lent some.
+	Borrow   func(ctx context.Context, service string) bool
 	Overload *overload.Controller
 	// ResumeWeight is the fraction of the streams whose runs have copies, 0 to 1.
 	ResumeWeight Weight
 	// Leaving reports whether the node is about to stop.
 	Leaving func() bool
+	// AlivePeers returns the number of other hosts that are alive.
+	AlivePeers func() int
 	// AcceptsStreams reports whether a new stream may begin. A refused stream has
 	// not run, and its client sends it to another node.
 	AcceptsStreams func() bool
@@ -95,7 +101,13 @@
 	refusedCount     int
 	unavailableCount int
 	connectFailures  int
-	exclude          fleet.Exclude
+	// exclude lists the servers that failed the request, to which it is sent again
+	// only if there is no other.
+	exclude fleet.Exclude
+	// unavailable lists the servers to which a call is not sent: those that run it
+	// now and those that refused it as full. refusedBy lists the latter.
+	unavailable, refusedBy fleet.Exclude
+	awaitedRoom            bool // see awaitRoom
 	// cachedFingerprint is the fingerprint of the request; empty until it
 	// is computed.
 	cachedFingerprint quarantine.Fingerprint
@@ -233,6 +245,12 @@
 // not 0, further attempts are retries, which the retry budget limits.
 func (e *exchange) attemptsReceived() int { return e.sentCount + e.refusedCount - e.connectFailures }
 
+// mayRetry reports whether a further attempt may be sent after a failure, and counts
+// it against the retry budget if so.
+func (e *exchange) mayRetry(now time.Time) bool {
+	return e.attemptsReceived() == 0 || e.g.Budgets.Take(now, e.service.Name, retryshare.Needed)
+}
+
 // fail sends an error to the client of a request that failed before any part of an
 // answer was passed on. The error states that the request did not run only if no
 // server can have run it.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -48,52 +48,6 @@
 	}
 }
 
-// budgetAt returns the budgets of a host whose peers, others in number, have the
-// given total usage.
-func budgetAt(usage Usage, others int) *RetryBudgets {
-	return &RetryBudgets{Ratio: 0.8, BaseRetries: 150, Window: 10 * time.Second, PeerUsage: func(string) (Usage, int) { return usage, others }}
-}
-
-// takeAll takes retries until the budget is used up and returns their number.
-func takeAll(b *RetryBudgets, now time.Time) (n int) {
-	for n < 10_000 && b.Take(now, "s") {
-		n++
-	}
-	return n
-}
-
-// Reproduces the loss of a data centre as seen by one host: all its streams are
-// retried at once. The host may use the part of the limit that other hosts do not
-// use, all hosts together stay below the limit, and the budget is available again
-// after the window has passed.
-func TestRetriesStayBelowSharedLimit(t *testing.T) {
-	start := time.Unix(1_000_000, 0)
-	idlePeers := budgetAt(Usage{Requests: 100}, 5)
-	n := takeAll(idlePeers, start)
-	if limit := 0.8*100 + 150; float64(n) > limit || float64(n) < limit/2 {
-		t.Errorf("%d retries beside idle hosts, limit %v", n, limit)
-	}
-	if more := takeAll(idlePeers, start.Add(5*time.Second)); more != 0 {
-		t.Errorf("%d more retries in the same window", more)
-	}
-	if later := takeAll(idlePeers, start.Add(11*time.Second)); later != n {
-		t.Errorf("%d retries in the next window, want %d", later, n)
-	}
-	busyPeers := budgetAt(Usage{Requests: 100, Retries: 200}, 5)
-	if n := takeAll(busyPeers, start); n == 0 || n > 150/6 {
-		t.Errorf("%d retries beside hosts that used up the limit, want a part of the fixed number", n)
-	}
-	// Six hosts that have not yet received each other's newest retries.
-	total := 0
-	for range 6 {
-		b := budgetAt(Usage{Requests: 80, Retries: 150}, 5)
-		total += takeAll(b, start)
-	}
-	if total+150 > 80+150+100 {
-		t.Errorf("%d retries by hosts with outdated usage of each other", total)
-	}
-}
-
 // Guards against clients retrying together that were refused together.
 func TestRetryAfterJitter(t *testing.T) {
 	seen := map[time.Duration]bool{}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -5,10 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
+	"github.com/yuccahatch/yuccahatch/internal/retryshare"
 )
 
 const (
@@ -28,6 +31,10 @@
 	// maxAnswerBytes is the maximum number of bytes of an answer's body that are
 	// read and held in memory.
 	maxAnswerBytes = 8 << 20
+	// refusalPause is the shortest time after which a call is sent again to a server
+	// that refused it as full. A server with a full queue has room again a few
+	// milliseconds later, and the pause leaves that room to other calls first.
+	refusalPause = 50 * time.Millisecond
 	// serverWait is how long a call waits for a server when none is usable.
 	serverWait = 250 * time.Millisecond
 )
@@ -59,11 +66,14 @@
 	for {
 		now := time.Now()
 		s, ok := e.chooseServer(now)
+		if !ok && e.awaitRoom(now) {
+			continue
+		}
 		if !ok {
-			e.fail("no backend server is available", retryAfter(200*time.Millisecond))
+			e.fail(e.noServerReason(), retryAfter(200*time.Millisecond))
 			return
 		}
-		if e.attemptsReceived() > 0 && !e.g.Budgets.Take(now, e.service.Name) {
+		if !e.mayRetry(now) {
 			e.fail("the retry budget is used up", retryAfter(300*time.Millisecond))
 			return
 		}
@@ -75,9 +85,8 @@
 			return
 		case r.notRun:
 			e.countRefusal(r)
-			e.exclude = append(e.exclude, s.ID)
 			if e.refusedCount > maxRefusals {
-				e.fail("backend servers refuse the call", retryAfter(200*time.Millisecond))
+				e.fail(e.noServerReason(), retryAfter(200*time.Millisecond))
 				return
 			}
 		default:
@@ -97,7 +106,7 @@
 	defer cancel()
 	replies := make(chan *reply, e.route.Attempts+maxRefusals+1)
 	running := 0
-	launch := func() bool {
+	launch := func(p retryshare.Priority) bool {
 		now := time.Now()
 		if e.sentCount+running >= max(1, e.route.Attempts) || e.refusedCount > maxRefusals {
 			return false
@@ -106,16 +115,16 @@
 		if !ok {
 			return false
 		}
-		if running+e.attemptsReceived() > 0 && !e.g.Budgets.Take(now, e.service.Name) {
+		if running+e.attemptsReceived() > 0 && !e.g.Budgets.Take(now, e.service.Name, p) {
 			return false
 		}
-		e.exclude = append(e.exclude, s.ID)
+		e.unavailable = append(e.unavailable, s.ID)
 		running++
 		go func() { replies <- e.attempt(ctx, s, streamMaxIdle) }()
 		return true
 	}
-	if !launch() {
-		e.fail("no backend server is available", retryAfter(200*time.Millisecond))
+	if !launch(retryshare.Needed) {
+		e.fail(e.noServerReason(), retryAfter(200*time.Millisecond))
 		return
 	}
 	delay := time.Duration(hedgeFraction * float64(e.route.LatencyTarget))
@@ -131,11 +140,12 @@
 		select {
 		case r := <-replies:
 			running--
-			switch {
-			case r.notRun:
+			e.unavailable = slices.DeleteFunc(e.unavailable, func(id ident.BackendID) bool { return id == r.server.ID })
+			if r.notRun {
 				e.countRefusal(r)
-			default:
+			} else {
 				e.sentCount++
+				e.exclude = append(e.exclude, r.server.ID)
 			}
 			if r.succeeded() {
 				e.sendReply(r)
@@ -147,9 +157,11 @@
 			} else if r.err != nil {
 				e.addStep("%s: %v", r.server.ID, r.err)
 			}
-			launch()
+			if !launch(retryshare.Needed) && running == 0 && e.awaitRoom(time.Now()) {
+				launch(retryshare.Needed)
+			}
 		case <-hedge.C:
-			if launch() {
+			if launch(retryshare.Optional) {
 				e.addStep("hedged")
 			}
 		case <-timeout.C:
@@ -165,30 +177,68 @@
 		e.sendReply(last)
 		return
 	}
-	e.fail("backend servers failed", retryAfter(200*time.Millisecond))
+	reason := "backend servers failed"
+	if e.sentCount == 0 {
+		reason = e.noServerReason()
+	}
+	e.fail(reason, retryAfter(200*time.Millisecond))
 }
 
-// countRefusal counts an attempt that did not run.
+// countRefusal counts an attempt that did not run. A server that refused the call as
+// full is not asked again at once: it would refuse it again, and the repeats of all
+// hosts would use up the retry budget that other calls need.
 func (e *exchange) countRefusal(r *reply) {
 	e.refusedCount++
 	if r.connectFailed {
 		e.connectFailures++
+		e.exclude = append(e.exclude, r.server.ID)
+		return
+	}
+	e.refusedBy = append(e.refusedBy, r.server.ID)
+	e.unavailable = append(e.unavailable, r.server.ID)
+	e.addStep("%s refused the call", r.server.ID)
+}
+
+// noServerReason is the reason given to a client whose call no server takes.
+func (e *exchange) noServerReason() string {
+	if e.refusedCount > e.connectFailures {
+		return "backend servers refuse the call"
 	}
+	return "no backend server is available"
+}
+
+// awaitRoom waits for refusalPause, up to twice as long, if servers have refused the
+// call as full, and then allows another attempt at them. It does so once per call, and
+// reports whether it did. The random part keeps calls that were refused together from
+// returning together.
+func (e *exchange) awaitRoom(now time.Time) bool {
+	pause := retryAfter(refusalPause)
+	if len(e.refusedBy) == 0 || e.awaitedRoom || e.timeLeft(now) < 4*pause {
+		return false
+	}
+	e.awaitedRoom = true
+	select {
+	case <-time.After(pause):
+	case <-e.ctx.Done():
+		return false
+	}
+	e.unavailable = slices.DeleteFunc(e.unavailable, func(id ident.BackendID) bool { return slices.Contains(e.refusedBy, id) })
+	e.refusedBy = nil
+	return true
 }
 
 // chooseServer chooses a server for a call, waiting up to serverWait when none
-// is usable. It prefers servers that are not excluded.
+// is usable. It prefers servers that are not excluded, and returns none at once if
+// the only ones left already run the call or refused it as full.
 func (e *exchange) chooseServer(now time.Time) (*fleet.Server, bool) {
 	until := now.Add(min(serverWait, e.timeLeft(now)))
 	for {
-		choice, ok := e.g.Fleet.ChoosePlain(now, e.service.Name, e.exclude)
-		if !ok && len(e.exclude) > 0 {
-			choice, ok = e.g.Fleet.ChoosePlain(now, e.service.Name, nil)
-		}
-		if ok {
-			return choice.Server, true
+		for _, exclude := range []fleet.Exclude{slices.Concat(e.exclude, e.unavailable), e.unavailable} {
+			if choice, ok := e.g.Fleet.ChoosePlain(now, e.service.Name, exclude); ok {
+				return choice.Server, true
+			}
 		}
-		if !now.Before(until) {
+		if len(e.unavailable) > 0 || !now.Before(until) {
 			return nil, false
 		}
 		select {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -32,6 +32,10 @@
 	// not count as attempts of the route, but a stream that loses so many is
 	// likely to be the cause.
 	maxLosses = 6
+	// retryWait is the maximum time that a stream waits for the retry budget, and
+	// retryPollInterval is how often it looks.
+	retryWait         = 2 * time.Second
+	retryPollInterval = 80 * time.Millisecond
 	// noEngineRetryAfter is the value from which the Retry-After of an answer is
 	// derived when no engine is usable. Engines restart within seconds.
 	noEngineRetryAfter = 400 * time.Millisecond
@@ -100,7 +104,7 @@
 			st.refuseStream(refused)
 			return
 		}
-		if e.attemptsReceived() > 0 && !e.g.Budgets.Take(now, e.service.Name) {
+		if !st.awaitRetry(now) {
 			st.failStream("the retry budget is used up")
 			return
 		}
@@ -134,6 +138,28 @@
 	}
 }
 
+// awaitRetry reports whether a further attempt may be sent, like mayRetry. If this host
+// has used up its share of the retry budget, it borrows from others, and otherwise waits
+// until a part of its share is free again: a stream that pauses is worth more than one
+// that breaks.
+func (st *streamState) awaitRetry(now time.Time) bool {
+	until := now.Add(min(retryWait, st.timeLeft(now)))
+	for {
+		if st.mayRetry(now) || st.g.Borrow(st.ctx, st.service.Name) && st.mayRetry(time.Now()) {
+			return true
+		}
+		if now = time.Now(); !now.Before(until) {
+			return false
+		}
+		select {
+		case <-time.After(retryPollInterval):
+		case <-st.ctx.Done():
+			return false
+		}
+		now = time.Now()
+	}
+}
+
 // failStream ends a stream that cannot continue.
 func (st *streamState) failStream(reason string) {
 	st.refuseStream(&refusal{reason, retryAfter(400 * time.Millisecond)})
@@ -236,12 +262,11 @@
 		waited = st.g.Overload.TimeWaited(now, st.route.Name, st.call.Timeout-now.Sub(st.started))
 	}
 	engines := st.g.Fleet.CountUsable(now, st.service.Name)
-	_, peers := st.g.Budgets.PeerUsage(st.service.Name)
 	v := st.g.Overload.Decide(now, overload.Request{
 		Team: st.team, Prefill: c.Prefill, QueueWait: c.QueueWait, FreeMemory: c.FreeMemory, Objective: st.route.LatencyTarget, TimeLeft: st.timeLeft(now),
 		Late:           waited+c.Prefill > st.route.LatencyTarget && st.route.LatencyTarget > 0,
 		Resumed:        st.sentCount > 0 || st.call.After > 0,
-		EnginesPerHost: float64(engines) / float64(peers+1),
+		EnginesPerHost: float64(engines) / float64(st.g.AlivePeers()+1),
 	}, rand.Float64())
 	if v.Admit {
 		return nil
--- a/internal/peer/mesh/members.go
+++ b/internal/peer/mesh/members.go
@@ -6,7 +6,6 @@
 	"sort"
 	"time"
 
-	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
@@ -159,24 +158,16 @@
 	return list
 }
 
-// usageRetention is the duration of silence up to which the last known usage of a
-// node is counted.
-const usageRetention = 10 * time.Second
-
-// usage returns the sum of what the other nodes sent to a service in the last
-// window, and the number of nodes that are alive.
-func (m *members) usage(now time.Time, service string) (total gateway.Usage, nodes int) {
+// countAlive returns the number of nodes that have been silent for less than
+// aliveTimeout.
+func (m *members) countAlive(now time.Time) int {
+	count := 0
 	for _, p := range m.peers {
-		silent := now.Sub(p.lastSeen)
-		if silent < usageRetention {
-			total.Requests += p.Usage[service].Requests
-			total.Retries += p.Usage[service].Retries
-		}
-		if silent < m.aliveTimeout() {
-			nodes++
+		if now.Sub(p.lastSeen) < m.aliveTimeout() {
+			count++
 		}
 	}
-	return total, nodes
+	return count
 }
 
 func (m *members) addresses() []string {
--- a/internal/peer/mesh/members_test.go
+++ b/internal/peer/mesh/members_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
-	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/retryshare"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -54,19 +54,18 @@
 	}
 }
 
-// Guards against a retry budget that leaves out the retries that a host sent shortly
-// before it failed. They count for 10 s after the host's latest datagram
-// (usageRetention), although the host itself does not count as alive any more.
-func TestUsageOfDeadHosts(t *testing.T) {
+// Guards against a share of the retry budget that grows when hosts fall silent: a host
+// that is cut off from the others would use their shares too. Hosts count as known for
+// removeAfter.
+func TestSilentHostsStayKnown(t *testing.T) {
 	m := newMembers("self")
-	x := member("a", 1)
-	x.Usage = map[string]gateway.Usage{"s": {Requests: 10, Retries: 4}}
-	m.update(at(0), x)
-	if u, n := m.usage(at(5000), "s"); u.Retries != 4 || n != 0 {
-		t.Errorf("5 s after the latest datagram: usage %+v, %d hosts alive; want 4 retries and no host alive", u, n)
+	m.update(at(0), member("a", 1))
+	m.expire(at(60_000))
+	if n := m.countAlive(at(60_000)); n != 0 {
+		t.Errorf("%d hosts alive after a minute of silence", n)
 	}
-	if u, _ := m.usage(at(11_000), "s"); u.Retries != 0 {
-		t.Errorf("11 s after the latest datagram: usage %+v, want no retries", u)
+	if n := len(m.peers); n != 1 {
+		t.Errorf("%d hosts known, want 1", n)
 	}
 }
 
@@ -74,7 +73,7 @@
 func TestDatagramSize(t *testing.T) {
 	x := member("front-some-data-centre-12", 1787316988019115878)
 	x.DataCentre, x.Mesh, x.Clients = "some-data-centre", "10.200.100.100:65000", "10.200.100.100:65001"
-	x.Usage = map[string]gateway.Usage{"service1a": {Requests: 1000, Retries: 100}, "service2a": {Requests: 1000, Retries: 100}}
+	x.Usage = map[string]retryshare.Usage{"service1a": {Requests: 1000, Retries: 100}, "service2a": {Requests: 1000, Retries: 100}}
 	var events []Event
 	for range eventsPerDatagram {
 		events = append(events, Event{Kind: EventPlaced, Placed: &fleet.Placement{
@@ -87,7 +86,7 @@
 			ID: "i-7f3a91c2aa", Incarnation: 1787316988019, Service: "service1a", Address: "10.200.100.100:65000", DataCentre: "some-data-centre", Slots: 64, Draining: true, Sequence: 100,
 		}})
 	}
-	for _, m := range []message{{Member: &x, Hello: true}, {Events: events}, {ServerChanges: &ServerChanges{From: 1 << 40, To: 1 << 40, Parts: 9, Rows: rows}}} {
+	for _, m := range []message{{Member: &x, Hello: true}, {Events: events}, {LoanRequest: &Loan{Service: "service1a", Number: 1 << 40, Retries: 2}}, {ServerChanges: &ServerChanges{From: 1 << 40, To: 1 << 40, Parts: 9, Rows: rows}}} {
 		m.Host, m.Incarnation = x.Host, x.Incarnation
 		p, err := encode(m)
 		if err != nil {
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -61,6 +61,10 @@
 	// ServerChanges is called for changes of the list of servers that a peer has
 	// read.
 	ServerChanges func(ServerChanges)
+	// Lend returns how many of the requested retries to a service this node lends.
+	Lend func(now time.Time, service string, requested int) int
+	// Lent is called for each answer to a request for a loan.
+	Lent func(time.Time, Loan)
 }
 
 // New opens the UDP socket of the node. self returns the description of the node
@@ -175,12 +179,25 @@
 // Crashed implements gateway.Announcer.
 func (m *Mesh) Crashed(x gateway.Crash) { m.enqueue(Event{Kind: EventCrash, Crash: &x}, false) }
 
-// Usage returns the sum of what the other nodes sent to a service in the last
-// window, and the number of other nodes that are alive.
-func (m *Mesh) Usage(now time.Time, service string) (total gateway.Usage, nodes int) {
+// CountAlive returns the number of other nodes that have sent a datagram recently.
+func (m *Mesh) CountAlive(now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.members.usage(now, service)
+	return m.members.countAlive(now)
+}
+
+// CountKnown returns the number of other nodes that are known, including those that
+// are silent.
+func (m *Mesh) CountKnown() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.members.peers)
+}
+
+// RequestLoan asks a node to lend retries. The answer, if there is one, is passed to
+// Handlers.Lent.
+func (m *Mesh) RequestLoan(to Member, x Loan) {
+	m.sendTo(to.Mesh, m.encoded(message{LoanRequest: &x}))
 }
 
 func (m *Mesh) enqueue(e Event, urgent bool) {
@@ -333,6 +350,7 @@
 	if msg.ServerChanges != nil {
 		m.ServerChanges(*msg.ServerChanges)
 	}
+	m.handleLoans(now, msg)
 	if msg.Member == nil {
 		return
 	}
@@ -342,6 +360,22 @@
 	m.Heartbeat(*msg.Member)
 }
 
+// handleLoans answers a request for a loan, and passes a loan on to Lent.
+func (m *Mesh) handleLoans(now time.Time, msg message) {
+	if x := msg.Loan; x != nil {
+		m.Lent(now, *x)
+	}
+	x := msg.LoanRequest
+	if x == nil {
+		return
+	}
+	m.mu.Lock()
+	borrower := m.members.peers[msg.Host].Mesh // accepted, so it is known
+	m.mu.Unlock()
+	answer := Loan{Service: x.Service, Number: x.Number, Retries: m.Lend(now, x.Service, x.Retries)}
+	m.sendTo(borrower, m.encoded(message{Loan: &answer}))
+}
+
 func (m *Mesh) apply(now time.Time, host ident.HostID, e Event) {
 	switch {
 	case e.Kind == EventFound && e.Found != nil:
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -17,6 +17,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/retryshare"
 )
 
 // State is the state of a node as announced in its heartbeats.
@@ -52,7 +53,7 @@
 	// at which a backend server joined, left or changed its state.
 	ServersChanged int64 `json:"r"`
 	// Usage is the use of each service by the node in the last window.
-	Usage map[string]gateway.Usage `json:"u,omitempty"`
+	Usage map[string]retryshare.Usage `json:"u,omitempty"`
 }
 
 // brief returns m without the fields that do not change during one incarnation.
@@ -107,6 +108,18 @@
 	Hello bool `json:"q,omitempty"`
 	// ServerChanges are changes of the list of servers that the sender has read.
 	ServerChanges *ServerChanges `json:"l,omitempty"`
+	// LoanRequest asks the receiver to lend retries; Loan is the answer.
+	LoanRequest *Loan `json:"b,omitempty"`
+	Loan        *Loan `json:"g,omitempty"`
+}
+
+// Loan is a number of retries to a service that one host lends to another. In a
+// request it is the number that the sender needs. The answer has the Number of the
+// request; its Retries are 0 if the receiver has none to spare.
+type Loan struct {
+	Service string `json:"v"`
+	Number  uint64 `json:"n"` // unique within one incarnation of the borrower
+	Retries int    `json:"r"`
 }
 
 // ServerChanges is one part of the changes of the list of servers between two
