gateway, fleet: honour Server-Leaving and Retry-After of servers

Change: every answer of a server, also to probes and copy calls, is read for both. Leaving holds for the incarnation whatever the list says and is sent to all peers. A server in its Retry-After counts as full: no requests, probes or copy calls go there. Put reports whether the list changed, so that the reader still passes on the list's own word about a server that is known to leave.

--- /dev/null
+++ b/internal/fleet/announced.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// What servers say about themselves in the headers of their answers.
+
+// maxQuiet bounds the time for which a server may ask to be left alone. A server that
+// asks for more still gets a request now and then.
+const maxQuiet = 2 * time.Minute
+
+// RecordLeaving records that an incarnation of a server has said in an answer that it
+// is leaving. It reports whether this was not known, in which case the caller should
+// notify the peers. A later report of the list that still calls the server ready does
+// not change it: that report may be older, and a server that leaves does not return
+// under the same incarnation.
+func (f *Fleet) RecordLeaving(id ident.BackendID, incarnation int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	if s == nil || s.Incarnation != incarnation || s.leaving {
+		return false
+	}
+	known := s.Draining
+	s.leaving, s.Draining = true, true
+	return !known
+}
+
+// RecordRetryAfter records that a server refused a request and wants no other from this
+// node for the given time.
+func (f *Fleet) RecordRetryAfter(now time.Time, s *Server, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if until := now.Add(min(d, maxQuiet)); until.After(s.quietUntil) {
+		s.quietUntil = until
+	}
+}
+
+// IsQuiet reports whether a server wants no request from this node now.
+func (f *Fleet) IsQuiet(s *Server, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(s.quietUntil)
+}
+
+// QuietFor returns the time until the first server of a service accepts requests, if
+// all usable ones have asked to be left alone. It returns 0 otherwise.
+func (f *Fleet) QuietFor(now time.Time, service string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var shortest time.Duration
+	for _, s := range f.servers {
+		if !f.usable(s, service, now) {
+			continue
+		}
+		left := s.quietUntil.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
+// accepts reports whether s is usable and has not asked to be left alone.
+func (f *Fleet) accepts(s *Server, service string, now time.Time) bool {
+	return f.usable(s, service, now) && !now.Before(s.quietUntil)
+}
--- /dev/null
+++ b/internal/fleet/announced_test.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against work for a server that says it is leaving, against a newer report of
+// the list that brings it back, and against marking its successor with the same id.
+func TestRecordLeaving(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	f := New("h", start)
+	entry := Entry{ID: "a", Incarnation: 7, Service: "s", Address: "10.0.0.1:80", Sequence: 1}
+	f.Put(start, entry)
+	if f.RecordLeaving("a", 6) || f.RecordLeaving("b", 7) {
+		t.Error("a server was marked by an answer of another one")
+	}
+	if !f.RecordLeaving("a", 7) || f.RecordLeaving("a", 7) {
+		t.Error("want the first answer, and only that, to be news")
+	}
+	entry.Sequence = 2
+	if f.Put(start, entry) {
+		t.Error("a report that does not differ from the one before counts as a change")
+	}
+	if _, ok := f.ChoosePlain(start, "s", nil); ok {
+		t.Error("a server that is leaving was chosen")
+	}
+	entry.Sequence, entry.Draining = 3, true
+	if !f.Put(start, entry) {
+		t.Error("the list's own word that the server is draining is not passed on as a change")
+	}
+	f.Put(start, Entry{ID: "a", Incarnation: 8, Service: "s", Address: "10.0.0.1:80", Sequence: 1})
+	if _, ok := f.ChoosePlain(start, "s", nil); !ok {
+		t.Error("the next incarnation was not chosen")
+	}
+}
+
+// Guards against work, copies and queries for a server in the time in which it wants no
+// requests, and against counting it as lost.
+func TestRecordRetryAfter(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	f := New("h", start)
+	f.Put(start, Entry{ID: "a", Incarnation: 1, Service: "s", Address: "10.0.0.1:80", DataCentre: "x", Sequence: 1})
+	f.Put(start, Entry{ID: "b", Incarnation: 1, Service: "s", Address: "10.0.0.2:80", DataCentre: "y", Sequence: 1})
+	a, b := f.Server("a"), f.Server("b")
+	f.RecordRetryAfter(start, a, 2*time.Second)
+	f.RecordRetryAfter(start, a, time.Second) // the longer time holds
+	now := start.Add(1900 * time.Millisecond)
+	for range 20 {
+		if c, ok := f.ChoosePlain(now, "s", nil); !ok || c.Server != b {
+			t.Fatalf("chose %+v", c)
+		}
+	}
+	if f.ChooseBackup(now, b, 88_000, Prompt{Tokens: 10}, nil) != nil || len(f.Accepting(now, "s")) != 1 || f.Accepts(a, now) {
+		t.Error("the server counts as accepting work")
+	}
+	if !f.IsUsable(a, now) || f.QuietFor(now, "s") != 0 {
+		t.Error("the server counts as lost, or the other one as quiet")
+	}
+	f.RecordRetryAfter(now, b, 24*365*time.Hour)
+	if d := f.QuietFor(now, "s"); d != 100*time.Millisecond {
+		t.Errorf("first server accepts work in %v, want 100 ms", d)
+	}
+	if !f.Accepts(a, start.Add(2*time.Second)) || !f.Accepts(b, now.Add(maxQuiet)) {
+		t.Error("a server is left alone for longer than it asked, or for longer than maxQuiet")
+	}
+}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -67,7 +67,8 @@
 	return s.Service == service && !s.Draining && !now.Before(s.lostUntil) && !f.inLostDataCentre(s, now)
 }
 
-// candidates returns the usable servers of a service. If there is none, it returns
+// candidates returns the usable servers of a service that have not asked to be left
+// alone. If there is none, it returns
 // the servers that are only suspected to be lost: the suspicion may be wrong, and
 // trying a server is better than refusing the request. If there are none of those
 // either and includeUnreachable is set, it returns the servers that were found
@@ -77,7 +78,7 @@
 	var usable, suspected, unreachable []*Server
 	for _, s := range f.servers {
 		switch {
-		case s.Service != service || s.Draining || slices.Contains(exclude, s.ID):
+		case s.Service != service || s.Draining || now.Before(s.quietUntil) || slices.Contains(exclude, s.ID):
 		case f.usable(s, service, now):
 			usable = append(usable, s)
 		case !s.unreachable || !now.Before(s.lostUntil):
@@ -156,7 +157,7 @@
 	var bestUsed int
 	var bestHash uint64
 	for _, s := range f.servers {
-		if s.ID == primary.ID || s.DataCentre == primary.DataCentre || !f.usable(s, primary.Service, now) || slices.Contains(exclude, s.ID) {
+		if s.ID == primary.ID || s.DataCentre == primary.DataCentre || !f.accepts(s, primary.Service, now) || slices.Contains(exclude, s.ID) {
 			continue
 		}
 		used := s.usedTokens()
@@ -260,7 +261,15 @@
 	return count
 }
 
-// IsUsable reports whether new work may be sent to a server now.
+// Accepts reports whether new work may be sent to a server now.
+func (f *Fleet) Accepts(s *Server, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[s.ID] == s && f.accepts(s, s.Service, now)
+}
+
+// IsUsable reports whether a server is running as far as known and is not leaving. It
+// may have asked to be left alone.
 func (f *Fleet) IsUsable(s *Server, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -100,14 +100,16 @@
 
 // Put adds or updates a server from its entry in the list. It ignores entries of an
 // earlier incarnation and, if Incarnation is not 0, entries of the same incarnation
-// with a lower Sequence.
-func (f *Fleet) Put(now time.Time, e Entry) {
+// with a lower Sequence. It reports whether the list shows a change: a new server or
+// incarnation, or one that begins or ceases to be draining. A server that is known to be
+// draining from its answers changes in the list once more.
+func (f *Fleet) Put(now time.Time, e Entry) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[e.ID]
 	if s != nil && s.Incarnation == e.Incarnation && s.Address == e.Address && s.Service == e.Service {
 		if e.Incarnation != 0 && e.Sequence < s.Sequence {
-			return // from an older list, received from a peer
+			return false // from an older list, received from a peer
 		}
 		s.unlisted = false
 		if e.Sequence > s.Sequence {
@@ -116,20 +118,24 @@
 				s.lostUntil = time.Time{}
 			}
 		}
-		s.Draining, s.Sequence, s.removedAt = e.Draining, e.Sequence, time.Time{}
-		return
+		changed = s.listedDraining != e.Draining
+		s.listedDraining, s.Draining = e.Draining, e.Draining || s.leaving
+		s.Sequence, s.removedAt = e.Sequence, time.Time{}
+		return changed
 	}
 	if s != nil && e.Incarnation < s.Incarnation {
-		return // a delayed report of an earlier incarnation
+		return false // a delayed report of an earlier incarnation
 	}
 	f.servers[e.ID] = &Server{
-		Entry:         e,
-		firstSeen:     now,
-		slowdown:      f.meanSlowdown(e.Service),
-		runs:          map[runKey]*run{},
-		copies:        map[runKey]int{},
-		cachedPrompts: map[uint64]cachedPrompt{},
+		Entry:          e,
+		firstSeen:      now,
+		listedDraining: e.Draining,
+		slowdown:       f.meanSlowdown(e.Service),
+		runs:           map[runKey]*run{},
+		copies:         map[runKey]int{},
+		cachedPrompts:  map[uint64]cachedPrompt{},
 	}
+	return true
 }
 
 // meanSlowdown returns the mean slowdown of the known engines of a service. It is
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -171,13 +171,14 @@
 	return false
 }
 
-// Usable returns the usable servers of a service in no particular order.
-func (f *Fleet) Usable(now time.Time, service string) []*Server {
+// Accepting returns the servers of a service to which new work may be sent, in no
+// particular order.
+func (f *Fleet) Accepting(now time.Time, service string) []*Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []*Server
 	for _, s := range f.servers {
-		if f.usable(s, service, now) {
+		if f.accepts(s, service, now) {
 			list = append(list, s)
 		}
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -59,7 +59,8 @@
 // Server is one incarnation of a backend server. Unless noted otherwise, fields are
 // guarded by the mutex of the Fleet.
 type Server struct {
-	// Entry does not change except for Draining and Sequence.
+	// Entry does not change except for Draining and Sequence, which are guarded by the
+	// mutex of the Fleet.
 	Entry
 	// lastDataNanos is the time of the latest data from the server, in nanoseconds since
 	// Fleet.epoch. It is written by the goroutines that read streams.
@@ -87,6 +88,14 @@
 	// fullUntil is the end of the period after a refusal during which other servers
 	// are preferred.
 	fullUntil time.Time
+	// listedDraining is the value of Draining in the list.
+	listedDraining bool
+	// leaving is set if the server said in an answer that it is leaving. Draining is
+	// then set too, whatever the list says.
+	leaving bool
+	// quietUntil is the end of the time for which the server wants no request from this
+	// node.
+	quietUntil time.Time
 	// removedAt is the time at which the entry was found missing from the list right
 	// after an outage of the platform's store, see Fleet.Remove; zero if it is listed.
 	removedAt time.Time
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -125,14 +125,12 @@
 		n.log.LogError(logrus.WarnLevel, telemetry.EventBackendListed, err, nil, "invalid entry of a backend server")
 		return n.removeServer(now, id, false)
 	}
-	old := n.fleet.Server(e.ID)
-	changed := old == nil || old.Incarnation != e.Incarnation || old.Draining != e.Draining
+	changed := n.fleet.Put(now, e)
 	if changed {
 		n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
 			telemetry.FieldBackend: e.ID, "address": e.Address, "service": e.Service, "leaving": e.Draining, "sequence": e.Sequence,
 		}, "backend server listed")
 	}
-	n.fleet.Put(now, e)
 	return changed
 }
 
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
+)
+
+// readAnswer decodes the head of an answer of a server and records what the server says
+// in it about itself. It is called for every answer, also to probes.
+func (g *Gateway) readAnswer(s *fleet.Server, response *http.Response) Answer {
+	a := g.Codec.Answer(response.StatusCode, response.Header)
+	if a.Leaving && g.Fleet.RecordLeaving(s.ID, s.Incarnation) {
+		g.Announce.ServerLeaving(s.ID, s.Incarnation)
+		g.Log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
+			telemetry.FieldBackend: s.ID, "address": s.Address, "service": s.Service, "leaving": true, "source": "answer",
+		}, "backend server is leaving")
+	}
+	if a.RetryAfter > 0 {
+		g.Fleet.RecordRetryAfter(time.Now(), s, a.RetryAfter)
+	}
+	for _, header := range a.Invalid {
+		g.reportInvalid(s, header)
+	}
+	return a
+}
+
+// reportInvalid counts an invalid header, and logs it once for each server and value.
+func (g *Gateway) reportInvalid(s *fleet.Server, header string) {
+	g.Metrics.invalidHeaders.Inc(1)
+	if g.invalid.isNew(s.ID, header) {
+		g.Log.Log(logrus.WarnLevel, telemetry.EventBackendState, logrus.Fields{
+			telemetry.FieldBackend: s.ID, "address": s.Address, "header": header,
+		}, "invalid header from backend server ignored")
+	}
+}
+
+// maxInvalidHeaders is the maximum number of invalid headers that are remembered.
+// Further ones are counted, but not logged.
+const maxInvalidHeaders = 256
+
+// invalidHeaders remembers the invalid headers that have been logged.
+type invalidHeaders struct {
+	mu     sync.Mutex
+	logged map[invalidHeader]bool // guarded by mu
+}
+
+type invalidHeader struct {
+	server ident.BackendID
+	header string
+}
+
+// isNew reports whether the header has not been logged yet and should be now.
+func (i *invalidHeaders) isNew(server ident.BackendID, header string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	key := invalidHeader{server, header}
+	if i.logged[key] || len(i.logged) >= maxInvalidHeaders {
+		return false
+	}
+	if i.logged == nil {
+		i.logged = map[invalidHeader]bool{}
+	}
+	i.logged[key] = true
+	return true
+}
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -75,6 +75,15 @@
 	// Forwardable reports whether the answer may be passed on: its head carries
 	// the server's proof, and its body is not encoded.
 	Forwardable bool
+	// Leaving reports whether the server states that it is about to stop. It accepts
+	// requests for a short time only.
+	Leaving bool
+	// RetryAfter is how long the server wants no further request from this node, if it
+	// refused this one; 0 if it does not say.
+	RetryAfter time.Duration
+	// Invalid lists the headers whose values were invalid and are ignored, as
+	// "name: value".
+	Invalid []string
 	// Load is the load that the server reported; nil if it reported none.
 	Load *fleet.Load
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,7 +39,7 @@
 func (w *Weight) Load() float64 { return math.Float64frombits(w.bits.Load()) }
 
 // Announcer notifies peers of the runs that this node places, of the progress of
-// these runs and their copies, and of the servers that it finds lost.
+// these runs and their copies, and of the servers that it finds lost or leaving.
 type Announcer interface {
 	RunPlaced(p fleet.Placement)
 	FirstEvent(p fleet.Placement)
@@ -47,6 +47,7 @@
 	CopyAdded(p fleet.Placement)
 	CopyRemoved(p fleet.Placement)
 	ServerLost(server ident.BackendID, how fleet.Loss)
+	ServerLeaving(server ident.BackendID, incarnation int64)
 	Crashed(x Crash)
 }
 
@@ -77,6 +78,7 @@
 
 	locating locator
 	crashes  crashTracker
+	invalid  invalidHeaders
 
 	mu      sync.Mutex
 	lastRun uint64 // guarded by mu
--- a/internal/gateway/locate.go
+++ b/internal/gateway/locate.go
@@ -40,7 +40,7 @@
 		return
 	}
 	done := g.locating.begin(now, service, func(finished func()) {
-		g.queryCachedPrompts(g.Fleet.Usable(now, service))
+		g.queryCachedPrompts(g.Fleet.Accepting(now, service))
 		finished()
 	})
 	timeout := time.NewTimer(locateTimeout)
@@ -74,7 +74,7 @@
 	var wg sync.WaitGroup
 	for _, s := range servers {
 		wg.Go(func() {
-			response, body, err := g.call(addressOf(s), method, target)
+			response, body, err := g.call(s, method, target)
 			if err == nil && response.StatusCode == http.StatusOK {
 				g.Fleet.RecordCachedPrompts(time.Now(), s, g.Codec.CachedPrompts(body))
 			}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 type Metrics struct {
 	scope          tally.Scope
 	probes         tally.Counter
+	invalidHeaders tally.Counter
 	resumes        map[string]tally.Counter
 	resumeTime     tally.Histogram
 	firstEventTime tally.Histogram
@@ -28,8 +29,9 @@
 // NewMetrics registers the metrics of a Gateway.
 func NewMetrics(scope tally.Scope) *Metrics {
 	return &Metrics{
-		scope:  scope,
-		probes: telemetry.Probes.Counter(scope),
+		scope:          scope,
+		probes:         telemetry.Probes.Counter(scope),
+		invalidHeaders: telemetry.InvalidHeaders.Counter(scope),
 		resumes: map[string]tally.Counter{
 			resumeFromCopy:   telemetry.ResumesTotal.Counter(scope, resumeFromCopy),
 			resumeFromPrompt: telemetry.ResumesTotal.Counter(scope, resumeFromPrompt),
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		if !ok {
-			e.fail(e.noServerReason(), retryAfter(200*time.Millisecond))
+			e.fail(e.noServerReason(), e.noServerRetryAfter())
 			return
 		}
 		if !e.mayRetry(now) {
@@ -86,7 +86,7 @@
 		case r.notRun:
 			e.countRefusal(r)
 			if e.refusedCount > maxRefusals {
-				e.fail(e.noServerReason(), retryAfter(200*time.Millisecond))
+				e.fail(e.noServerReason(), e.noServerRetryAfter())
 				return
 			}
 		default:
@@ -124,7 +124,7 @@
 		return true
 	}
 	if !launch(retryshare.Needed) {
-		e.fail(e.noServerReason(), retryAfter(200*time.Millisecond))
+		e.fail(e.noServerReason(), e.noServerRetryAfter())
 		return
 	}
 	delay := time.Duration(hedgeFraction * float64(e.route.LatencyTarget))
@@ -181,7 +181,7 @@
 	if e.sentCount == 0 {
 		reason = e.noServerReason()
 	}
-	e.fail(reason, retryAfter(200*time.Millisecond))
+	e.fail(reason, e.noServerRetryAfter())
 }
 
 // countRefusal counts an attempt that did not run. A server that refused the call as
@@ -199,6 +199,12 @@
 	e.addStep("%s refused the call", r.server.ID)
 }
 
+// noServerRetryAfter is the time after which a client whose call no server takes may
+// retry: not before one of the servers accepts requests again.
+func (e *exchange) noServerRetryAfter() time.Duration {
+	return max(e.g.Fleet.QuietFor(time.Now(), e.service.Name), retryAfter(200*time.Millisecond))
+}
+
 // noServerReason is the reason given to a client whose call no server takes.
 func (e *exchange) noServerReason() string {
 	if e.refusedCount > e.connectFailures {
@@ -238,7 +244,7 @@
 				return choice.Server, true
 			}
 		}
-		if len(e.unavailable) > 0 || !now.Before(until) {
+		if len(e.unavailable) > 0 || !now.Before(until) || e.g.Fleet.QuietFor(now, e.service.Name) > until.Sub(now) {
 			return nil, false
 		}
 		select {
@@ -297,7 +303,7 @@
 	})
 	if err == nil {
 		r.status, r.header = response.StatusCode, response.Header
-		answer := g.Codec.Answer(response.StatusCode, response.Header)
+		answer := g.readAnswer(s, response)
 		r.notRun, replaced = answer.NotExecuted, answer.Replaced
 		r.body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 		if err != nil {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -15,31 +16,39 @@
 // report its state.
 const probeTimeout = 120 * time.Millisecond
 
+// errQuiet is the error of a call that is not sent because its server has asked to be
+// left alone.
+var errQuiet = errors.New("the server accepts no requests for some time")
+
 // call makes one call over a new connection to a server, within probeTimeout. It
 // is used for calls that an engine answers without occupying a slot.
-func (g *Gateway) call(address backendconn.Server, method, target string) (*http.Response, []byte, error) {
+func (g *Gateway) call(s *fleet.Server, method, target string) (*http.Response, []byte, error) {
+	if g.Fleet.IsQuiet(s, time.Now()) {
+		return nil, nil, errQuiet
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	g.Metrics.probes.Inc(1)
-	c, err := g.Pool.Get(ctx, address, 0)
+	c, err := g.Pool.Get(ctx, addressOf(s), 0)
 	if err != nil {
 		return nil, nil, err
 	}
 	defer g.Pool.Close(c)
-	return g.exchangeSmall(ctx, c, &backendconn.Request{
-		Method: method, Target: target, Host: address.Address, Header: http.Header{},
+	return g.exchangeSmall(ctx, s, c, &backendconn.Request{
+		Method: method, Target: target, Host: s.Address, Header: http.Header{},
 		Matches: func(http.Header) bool { return true },
 	})
 }
 
 // exchangeSmall makes one exchange and reads the body of the answer into memory,
 // up to 1 MiB. It waits for the answer until ctx ends.
-func (g *Gateway) exchangeSmall(ctx context.Context, c *backendconn.Conn, r *backendconn.Request) (*http.Response, []byte, error) {
+func (g *Gateway) exchangeSmall(ctx context.Context, s *fleet.Server, c *backendconn.Conn, r *backendconn.Request) (*http.Response, []byte, error) {
 	r.Watch = func(time.Time, time.Duration) error { return ctx.Err() }
 	response, err := c.Exchange(ctx, r)
 	if err != nil {
 		return nil, nil, err
 	}
+	g.readAnswer(s, response)
 	body, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
 	return response, body, err
 }
@@ -49,7 +58,10 @@
 // incarnation.
 func (g *Gateway) probe(s *fleet.Server) bool {
 	method, target := g.Codec.Probe()
-	response, body, err := g.call(addressOf(s), method, target)
+	response, body, err := g.call(s, method, target)
+	if errors.Is(err, errQuiet) {
+		return true // it answered a moment ago, and its connections show a loss
+	}
 	if err != nil || response.StatusCode >= http.StatusInternalServerError {
 		return false
 	}
@@ -63,7 +75,7 @@
 // service; no other service has engines.
 func (g *Gateway) Successor(s *fleet.Server, service *routing.Service) (fleet.Entry, bool) {
 	method, target := g.Codec.Probe()
-	response, body, err := g.call(addressOf(s), method, target)
+	response, body, err := g.call(s, method, target)
 	if err != nil || response.StatusCode != http.StatusOK {
 		return fleet.Entry{}, false
 	}
@@ -75,7 +87,7 @@
 		g.Fleet.RecordData(s, time.Now())
 		return fleet.Entry{}, false
 	}
-	response, _, err = g.call(addressOf(s), http.MethodGet, service.HealthPath)
+	response, _, err = g.call(s, http.MethodGet, service.HealthPath)
 	if err != nil || response.StatusCode != http.StatusOK {
 		return fleet.Entry{}, false
 	}
--- a/internal/gateway/protect.go
+++ b/internal/gateway/protect.go
@@ -82,7 +82,7 @@
 // requests a new one when the holder is lost or an on-demand copy is due for
 // renewal.
 func (p *copyManager) maintain(now time.Time) {
-	if now.Sub(p.lastCheck) < copyCheckInterval || !p.enabled() {
+	if now.Sub(p.lastCheck) < copyCheckInterval || !p.enabled() || p.st.g.Fleet.IsQuiet(p.server, now) {
 		return
 	}
 	p.lastCheck = now
@@ -207,7 +207,7 @@
 			c = last
 		}
 	}
-	if c == nil || c.name == "" {
+	if c == nil || c.name == "" || g.Fleet.IsQuiet(source, time.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
@@ -217,7 +217,7 @@
 		return // the source is unreachable; the holder frees the copy by itself
 	}
 	method, target := g.Codec.FreeCall(c.name)
-	response, _, err := g.exchangeSmall(ctx, conn, &backendconn.Request{
+	response, _, err := g.exchangeSmall(ctx, source, conn, &backendconn.Request{
 		Method: method, Target: target, Host: source.Address, Header: http.Header{},
 		Matches: func(http.Header) bool { return true },
 	})
@@ -239,7 +239,7 @@
 		return "", 0, false
 	}
 	method, target, body := g.Codec.CopyCall(run, to)
-	response, answer, err := g.exchangeSmall(ctx, c, &backendconn.Request{
+	response, answer, err := g.exchangeSmall(ctx, s, c, &backendconn.Request{
 		Method: method, Target: target, Host: s.Address, Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
 		Matches: func(http.Header) bool { return true },
 	})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -217,7 +217,7 @@
 func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, refused *refusal) {
 	if c := st.lostCopy; c != nil {
 		st.lostCopy = nil
-		if st.g.Fleet.IsUsable(c.holder, now) {
+		if st.g.Fleet.Accepts(c.holder, now) {
 			a.CopySource, a.CopyName = c.source, c.name
 			st.resumeMode = resumeFromCopy
 			return c.holder, st.backupFor(now, c.holder), a, nil
@@ -237,8 +237,8 @@
 			}
 			return choice.Server, st.backupFor(now, choice.Server), a, nil
 		}
-		if !now.Before(until) {
-			return nil, nil, a, &refusal{refusalNoEngine, retryAfter(noEngineRetryAfter)}
+		if quiet := st.g.Fleet.QuietFor(now, st.service.Name); quiet > until.Sub(now) || !now.Before(until) {
+			return nil, nil, a, &refusal{refusalNoEngine, max(quiet, retryAfter(noEngineRetryAfter))}
 		}
 		select {
 		case <-time.After(enginePollInterval):
@@ -338,7 +338,7 @@
 		g.Pool.Close(c)
 		return st.attemptLost(s, nil, err, false)
 	}
-	answer := g.Codec.Answer(response.StatusCode, response.Header)
+	answer := g.readAnswer(s, response)
 	if answer.NotExecuted {
 		_, _ = io.CopyN(io.Discard, response.Body, 4<<10) // a short text; if it is longer, the connection is not reused
 		g.Pool.Put(addressOf(s), c, response)
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -173,6 +173,11 @@
 	m.enqueue(Event{Kind: EventLost, Server: server, Loss: how}, true)
 }
 
+// ServerLeaving implements gateway.Announcer.
+func (m *Mesh) ServerLeaving(server ident.BackendID, incarnation int64) {
+	m.enqueue(Event{Kind: EventLeaving, Server: server, Incarnation: incarnation}, true)
+}
+
 // Found announces a server that is not on the list yet to all peers.
 func (m *Mesh) Found(e fleet.Entry) { m.enqueue(Event{Kind: EventFound, Found: &e}, true) }
 
@@ -384,6 +389,8 @@
 		m.Crash(now, *e.Crash)
 	case e.Kind == EventLost:
 		m.fleet.RecordLoss(now, e.Server, e.Loss)
+	case e.Kind == EventLeaving:
+		m.fleet.RecordLeaving(e.Server, e.Incarnation)
 	case e.Placed == nil:
 	case e.Kind == EventPlaced:
 		m.fleet.AddRun(now, host, *e.Placed)
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -81,8 +81,10 @@
 	// EventCopyDropped cancels a copy that was announced.
 	EventCopyDropped EventKind = "dropped"
 	EventLost        EventKind = "lost"
-	EventFound       EventKind = "found"
-	EventCrash       EventKind = "crash"
+	// EventLeaving reports a server that said in an answer that it is leaving.
+	EventLeaving EventKind = "leaving"
+	EventFound   EventKind = "found"
+	EventCrash   EventKind = "crash"
 )
 
 // Event is an observation or action of one node that its peers take into account
@@ -92,6 +94,8 @@
 	Placed *fleet.Placement `json:"p,omitempty"`
 	Server ident.BackendID  `json:"b,omitempty"`
 	Loss   fleet.Loss       `json:"l,omitempty"`
+	// Incarnation is that of Server; it is set for EventLeaving.
+	Incarnation int64 `json:"i,omitempty"`
 	// Found is a server that was found at the address of a lost one.
 	Found *fleet.Entry   `json:"f,omitempty"`
 	Crash *gateway.Crash `json:"c,omitempty"`
