--- a/internal/fleet/announced_test.go
+++ b/internal/fleet/announced_test.go
@@ -65,3 +65,27 @@
 		t.Error("a server is left alone for longer than it asked, or for longer than maxQuiet")
 	}
 }
+
+// Guards against a server that left and is used again because an older row of it
+// returns, and against ignoring a newer row of it.
+func TestOlderRowOfRemovedServer(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	f := New("h", start)
+	entry := Entry{ID: "a", Incarnation: 7, Service: "s", Address: "10.0.0.1:80", Sequence: 19}
+	f.Put(start, entry)
+	f.Remove(start, "a", false)
+	for _, older := range []Entry{{ID: "a", Incarnation: 7, Sequence: 15}, {ID: "a", Incarnation: 7, Sequence: 19}, {ID: "a", Incarnation: 6, Sequence: 40}} {
+		if f.Put(start, older) || f.Server("a") != nil {
+			t.Errorf("row %+v was accepted", older)
+		}
+	}
+	entry.Sequence = 20
+	if !f.Put(start, entry) || f.Server("a") == nil {
+		t.Error("a newer row was ignored")
+	}
+	f.Remove(start, "a", false)
+	f.Expire(start.Add(departedTTL + time.Second))
+	if !f.Put(start.Add(departedTTL+time.Second), entry) {
+		t.Error("an old departure is still remembered")
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,6 +30,9 @@
 	// listed again soon. No work may be sent to a stopped server later than 2 s after
 	// its entry was removed, and reading the list takes up to 600 ms of these 2 s.
 	lapsedEntryGrace = 1200 * time.Millisecond
+	// departedTTL is how long older rows of a server that was removed are ignored. A
+	// restored copy of the store is some seconds old.
+	departedTTL = time.Minute
 	// missingTTL is how long after its loss the node searches for the successor of a
 	// server.
 	missingTTL = 10 * time.Second
@@ -75,7 +78,8 @@
 
 	mu               sync.Mutex
 	servers          map[ident.BackendID]*Server
-	dataCentreLostAt map[dataCentreKey]time.Time // time of the latest loss of each data centre, per service
+	departed         map[ident.BackendID]departure // servers that were removed less than departedTTL ago
+	dataCentreLostAt map[dataCentreKey]time.Time   // time of the latest loss of each data centre, per service
 }
 
 // New returns an empty fleet for the host self.
@@ -84,6 +88,7 @@
 		epoch:            now,
 		self:             self,
 		servers:          map[ident.BackendID]*Server{},
+		departed:         map[ident.BackendID]departure{},
 		dataCentreLostAt: map[dataCentreKey]time.Time{},
 	}
 }
@@ -113,19 +118,23 @@
 		}
 		s.unlisted = false
 		if e.Sequence > s.Sequence {
-			s.entryReportedAt = now
+			s.entryReportedAt, s.removedAt = now, time.Time{}
 			if now.Sub(s.lostAt) > maxReportAge {
 				s.lostUntil = time.Time{}
 			}
 		}
 		changed = s.listedDraining != e.Draining
 		s.listedDraining, s.Draining = e.Draining, e.Draining || s.leaving
-		s.Sequence, s.removedAt = e.Sequence, time.Time{}
+		s.Sequence = e.Sequence
 		return changed
 	}
 	if s != nil && e.Incarnation < s.Incarnation {
 		return false // a delayed report of an earlier incarnation
 	}
+	if d, ok := f.departed[e.ID]; ok && d.covers(e) {
+		return false // an older row, from a list of a peer or a restored copy of the store
+	}
+	delete(f.departed, e.ID)
 	f.servers[e.ID] = &Server{
 		Entry:          e,
 		firstSeen:      now,
@@ -219,7 +228,7 @@
 		s.removedAt = now
 		return
 	}
-	delete(f.servers, id)
+	f.remove(now, s)
 }
 
 // Expire removes servers whose lapsedEntryGrace has passed, and runs and cached
@@ -227,9 +236,14 @@
 func (f *Fleet) Expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for id, s := range f.servers {
+	for id, d := range f.departed {
+		if now.Sub(d.at) > departedTTL {
+			delete(f.departed, id)
+		}
+	}
+	for _, s := range f.servers {
 		if !s.removedAt.IsZero() && now.Sub(s.removedAt) > lapsedEntryGrace {
-			delete(f.servers, id)
+			f.remove(now, s)
 		}
 		for key, r := range s.runs {
 			if now.Sub(r.started) > runTTL {
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
@@ -53,11 +55,10 @@
 	// due reports whether the table should be read now and, if not, how long to
 	// wait before due is called again. It is nil for tables that are always
 	// followed.
-	due func(now time.Time, revision int64) (bool, time.Duration)
+	due func(now time.Time, position ident.StorePosition) (bool, time.Duration)
 	// replace installs a full listing of the table; apply applies changed rows.
-	// outage is true for the first answer after the store was lost.
-	replace func(rows Rows, outage bool)
-	apply   func(rows Rows, outage bool)
+	replace func(rows Rows, c readContext)
+	apply   func(rows Rows, c readContext)
 	// onRead is called after every answer. onRecovered is called before onRead
 	// for the first answer after a failed call. Both may be nil.
 	onRead, onRecovered func()
@@ -70,16 +71,21 @@
 	retry chan struct{}
 
 	// applyMu is held while changes are applied, whether they were read by this
-	// follower or received from a peer, and while revision advances.
+	// follower or received from a peer, and while position advances.
 	applyMu sync.Mutex
-	// revision is the store revision up to which the table has been read; 0 means
-	// that the table must be listed in full.
-	revision atomic.Int64
+	// position is the position in the store up to which the table has been read; zero
+	// if it has not been read yet.
+	position atomicPosition
+	// listNext is set if the table must be listed in full.
+	listNext atomic.Bool
 	// failing is true while calls fail.
 	failing atomic.Bool
 	// lastAnswer and lastCall are the times of the latest answer and of the start
-	// of the latest call, in Unix nanoseconds; 0 if there was none.
-	lastAnswer, lastCall atomic.Int64
+	// of the latest call.
+	lastAnswer, lastCall atomicTime
+
+	invalidEras tally.Counter // nil in tests
+	eraReported bool          // an invalid era has been logged; guarded by applyMu
 
 	mu sync.Mutex
 	// cancelCall cancels the Follow call in progress; nil if there is none.
@@ -87,6 +93,15 @@
 	cancelCall context.CancelCauseFunc
 }
 
+// readContext describes the circumstances of an answer of the store.
+type readContext struct {
+	// outage is set for the first answer after the store was lost.
+	outage bool
+	// restored is set for the first answer of a new era: the store has lost its latest
+	// changes. A store that begins to state its era has not.
+	restored bool
+}
+
 // errCallRestarted is the cancellation cause of a Follow call that is sent again
 // because its answer may never arrive.
 var errCallRestarted = errors.New("store call restarted because the store answers again")
@@ -94,11 +109,7 @@
 // age returns the time since the latest answer of the store, or one hour if there
 // has been none.
 func (f *follower) age(now time.Time) time.Duration {
-	at := f.lastAnswer.Load()
-	if at == 0 {
-		return time.Hour
-	}
-	return now.Sub(time.Unix(0, at))
+	return min(time.Hour, f.lastAnswer.since(now))
 }
 
 // readNow ends a wait for the table to become due, so that due is checked again
@@ -120,9 +131,9 @@
 			f.sleep(ctx, wait)
 			continue
 		}
-		revision := f.revision.Load()
-		f.lastCall.Store(time.Now().UnixNano())
-		rows, err := f.read(ctx, revision, failed)
+		position, list := f.position.Load(), f.mustList()
+		f.lastCall.Store(time.Now())
+		rows, err := f.read(ctx, position, list, failed)
 		now := time.Now()
 		switch {
 		case ctx.Err() != nil:
@@ -130,7 +141,7 @@
 		case errors.Is(err, errCallRestarted):
 			continue
 		case errors.Is(err, ErrHistoryGone):
-			f.revision.Store(0)
+			f.listNext.Store(true)
 			continue
 		case err != nil:
 			failed++
@@ -149,20 +160,11 @@
 		if lost {
 			f.log.Log(logrus.InfoLevel, telemetry.EventStoreBack, logrus.Fields{"table": f.table, "outage_ms": now.Sub(failingSince).Milliseconds()}, "store is answering again")
 		}
-		f.applyMu.Lock()
-		switch {
-		case rows.Revision < f.revision.Load(): // changes from a peer have advanced the revision past this answer
-		case revision == 0:
-			f.replace(rows, lost)
-		case len(rows.Rows) > 0:
-			f.apply(rows, lost)
-		}
-		f.revision.Store(max(rows.Revision, f.revision.Load()))
-		f.applyMu.Unlock()
+		f.install(rows, list, lost)
 		recovered := !failingSince.IsZero()
 		failingSince, lost, backoff, failed = time.Time{}, false, retryInitial, 0
 		f.failing.Store(false)
-		f.lastAnswer.Store(now.UnixNano())
+		f.lastAnswer.Store(now)
 		if recovered && f.onRecovered != nil {
 			f.onRecovered()
 		}
@@ -172,6 +174,50 @@
 	}
 }
 
+// mustList reports whether the table must be listed in full.
+func (f *follower) mustList() bool { return f.listNext.Load() || f.position.Load().IsZero() }
+
+// install applies an answer of the store. list is set for a full listing, and outage
+// for the first answer after the store was lost. An answer is ignored if changes
+// received from a peer have advanced the position past it.
+func (f *follower) install(rows Rows, list, outage bool) {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	f.reportEra(rows.InvalidEra)
+	position := f.position.Load()
+	if rows.Position.Before(position) {
+		return
+	}
+	c := readContext{outage: outage, restored: position.Era > 0 && rows.Position.Era > position.Era}
+	if c.restored {
+		f.log.Log(logrus.WarnLevel, telemetry.EventStoreBack, logrus.Fields{
+			"table": f.table, "era": rows.Position.Era, "revision": rows.Position.Revision, "previous_era": position.Era, "previous_revision": position.Revision,
+		}, "store was restored from an older copy")
+	}
+	switch {
+	case list:
+		f.replace(rows, c)
+		f.listNext.Store(false)
+	case len(rows.Rows) > 0:
+		f.apply(rows, c)
+	}
+	f.position.Store(rows.Position)
+}
+
+// reportEra counts an invalid era, and logs the first one. The lock applyMu is held.
+func (f *follower) reportEra(value string) {
+	if value == "" {
+		return
+	}
+	if f.invalidEras != nil {
+		f.invalidEras.Inc(1)
+	}
+	if !f.eraReported {
+		f.eraReported = true
+		f.log.Log(logrus.WarnLevel, telemetry.EventStoreBack, logrus.Fields{"table": f.table, "value": value}, "invalid era of the store ignored")
+	}
+}
+
 // nextBackoff returns the delay that follows last in a series of failed calls.
 func nextBackoff(last time.Duration, reader bool) time.Duration {
 	if reader {
@@ -181,10 +227,10 @@
 }
 
 func (f *follower) shouldRead(now time.Time) (time.Duration, bool) {
-	if f.due == nil || f.revision.Load() == 0 {
+	if f.due == nil || f.mustList() {
 		return 0, true
 	}
-	ok, wait := f.due(now, f.revision.Load())
+	ok, wait := f.due(now, f.position.Load())
 	return wait, ok
 }
 
@@ -192,20 +238,20 @@
 // consecutive failures.
 func callTimeout(failed int) time.Duration { return callTimeoutMin << (failed % callTimeoutSteps) }
 
-func (f *follower) read(ctx context.Context, revision int64, failed int) (Rows, error) {
-	if revision == 0 || f.pollWait == 0 {
+func (f *follower) read(ctx context.Context, position ident.StorePosition, list bool, failed int) (Rows, error) {
+	if list || f.pollWait == 0 {
 		timeoutCtx, cancel := context.WithTimeout(ctx, callTimeout(failed))
 		defer cancel()
 		ctx = timeoutCtx
 	}
-	if revision == 0 {
+	if list {
 		return f.store.List(ctx, f.table)
 	}
 	ctx, cancelCall := context.WithCancelCause(ctx)
 	defer cancelCall(nil)
 	f.setCancelCall(cancelCall)
 	defer f.setCancelCall(nil)
-	rows, err := f.store.Follow(ctx, f.table, revision, f.pollWait)
+	rows, err := f.store.Follow(ctx, f.table, position, f.pollWait)
 	if err != nil && errors.Is(context.Cause(ctx), errCallRestarted) {
 		err = errCallRestarted
 	}
@@ -245,7 +291,7 @@
 // node has not read. It does nothing unless calls are failing and the latest call
 // was started at least peerRetryDelay ago.
 func (f *follower) retryOnPeerChange(now time.Time) {
-	if f.failing.Load() && now.Sub(time.Unix(0, f.lastCall.Load())) >= peerRetryDelay {
+	if f.failing.Load() && f.lastCall.since(now) >= peerRetryDelay {
 		f.retryNow()
 	}
 }
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -63,36 +63,44 @@
 	servers   *follower
 	assembler changeAssembler
 	loans     loanTable
-	// lastChangeRevision is the revision up to which this node's list of servers was
+	// registerAgain signals register to write this node's row again.
+	registerAgain chan struct{}
+	// peerHeard is closed by peerHeardOnce at the first heartbeat of a peer.
+	peerHeard     chan struct{}
+	peerHeardOnce sync.Once
+	// lastChangePosition is the position up to which this node's list of servers was
 	// current when the node last applied changes to it, from the store or a peer. It
 	// is the start of the next set of changes that the node sends as the reader: a
-	// peer that has read up to it needs only that set. Unlike serverChangeRevision,
-	// it is not the revision of a change itself. Guarded by servers.applyMu.
-	lastChangeRevision int64
+	// peer that has read up to it needs only that set. Unlike serversChanged, it is
+	// not the position of a change itself. Guarded by servers.applyMu.
+	lastChangePosition ident.StorePosition
 
 	// Settings that Reload may change, in nanoseconds.
 	addressTTL atomic.Int64
 	grace      atomic.Int64 // Settings.Grace; 0 if there is no grace period
 
 	leaving       atomic.Bool
-	leavingSince  atomic.Int64 // Unix nanoseconds
-	serversLoaded atomic.Bool  // the list of servers has been read at least once
+	leavingSince  atomicTime
+	serversLoaded atomic.Bool // the list of servers has been read at least once
 	inFlight      atomic.Int64
 	// storeRecoveredAt is the time at which the latest outage of the store, as
 	// seen by this node, ended. sharedOutageEndedAt is the same for outages that
-	// affected all nodes. Both are in Unix nanoseconds, 0 if there was none.
-	storeRecoveredAt    atomic.Int64
-	sharedOutageEndedAt atomic.Int64
+	// affected all nodes. Both are zero if there was none.
+	storeRecoveredAt    atomicTime
+	sharedOutageEndedAt atomicTime
 	// storeUnreachable is true while neither this node nor any peer can read the
 	// store.
 	storeUnreachable atomic.Bool
-	// serverChangeRevision is the store revision at which the newest change of a
-	// server was made, among the changes that this node has read from the store
-	// itself; 0 if it has read none since the first listing. For a change of unknown
-	// revision it is the revision up to which the list was read. Reports that only
-	// show that a server is alive are not changes. Heartbeats carry it, and a peer
-	// that has not read up to it reads the list.
-	serverChangeRevision atomic.Int64
+	// serversChanged is the position of the newest change of a server, among the changes
+	// that this node has read from the store itself; zero if it has read none since the
+	// first listing. For a change of unknown version it is the position up to which the
+	// list was read. Reports that only show that a server is alive are not changes.
+	// Heartbeats carry it, and a peer that has not read up to it reads the list.
+	serversChanged atomicPosition
+	// serversListed is the position of the latest full list that this node has taken
+	// over as it was, from the store at the start or from a peer. The node does not know
+	// which changes were made before it. Heartbeats carry it.
+	serversListed atomicPosition
 	// peersReadStore is true if a peer has been able to read the store during the
 	// current outage of the store as seen by this node.
 	peersReadStore atomic.Bool
@@ -152,6 +160,7 @@
 	}
 	n.Tune(DefaultTuning())
 	n.config = n.newFollower(TableConfig, configPollWait, n.applyConfig, n.applyConfig)
+	n.registerAgain, n.peerHeard = make(chan struct{}, 1), make(chan struct{})
 	// serversDue determines when the list of servers is read, so the store must
 	// answer at once: the wait is 0.
 	n.servers = n.newFollower(TableServers, 0, n.replaceServers, n.applyServers)
@@ -163,10 +172,11 @@
 	return n, nil
 }
 
-func (n *Node) newFollower(t Table, wait time.Duration, replace, apply func(Rows, bool)) *follower {
+func (n *Node) newFollower(t Table, wait time.Duration, replace, apply func(Rows, readContext)) *follower {
 	return &follower{
 		store: n.store, table: t, log: n.log, pollWait: wait,
 		replace: replace, apply: apply, wake: make(chan struct{}, 1), retry: make(chan struct{}, 1),
+		invalidEras: telemetry.InvalidEras.Counter(n.scope),
 	}
 }
 
@@ -205,11 +215,12 @@
 	m := mesh.Member{
 		Host: n.settings.Host, Incarnation: n.incarnation, DataCentre: n.settings.DataCentre,
 		Mesh: n.settings.Mesh, Clients: n.settings.Clients, State: mesh.Starting,
-		ConfigVersion: n.routes.Version(), Capacity: n.settings.capacity(),
+		ConfigVersion: n.routes.Version(), ConfigEra: n.routes.Era(), Capacity: n.settings.capacity(),
 	}
 	if n.gateway != nil { // nil while New calls mesh.New, which calls member
 		m.Usage = n.gateway.Budgets.Usage(now)
-		m.ServersChanged = n.serverChangeRevision.Load()
+		m.ServersChanged, m.ServersListed, m.ServersRead = n.serversChanged.Load(), n.serversListed.Load(), n.servers.position.Load()
+		m.Settled = now.Sub(n.started) >= settledAfter
 		m.StoreAgeMs = n.servers.age(now).Milliseconds()
 	}
 	switch {
@@ -221,37 +232,62 @@
 	return m
 }
 
-func (n *Node) applyConfig(rows Rows, _ bool) {
+// applyConfig installs the configuration that was read from the store. Before its first
+// one, the node asks a peer for a newer one: the store may have been restored from an
+// older copy, while the peers still run what the operator wrote since.
+func (n *Node) applyConfig(rows Rows, _ readContext) {
+	if n.routes.Current() == nil {
+		n.awaitPeer()
+		n.readNewestConfig()
+	}
 	for _, r := range rows.Rows {
 		if r.Key == configKey && !r.Removed {
-			n.installConfig(r.Value, "store")
+			n.installConfig(r.Value, rows.Position.Era, "store")
 		}
 	}
 }
 
-// installConfig decodes a configuration and installs it if it is newer than the
-// one in force. source is "store" or the id of the peer that sent it.
-func (n *Node) installConfig(raw []byte, source string) {
+// installConfig decodes a configuration that was read in an era of the store and
+// installs it if it is newer than the one in force. source is "store" or the id of the
+// peer that sent it.
+func (n *Node) installConfig(raw []byte, era int64, source string) {
 	c, err := n.decoder.DecodeConfig(raw)
 	if err != nil {
 		n.log.LogError(logrus.ErrorLevel, telemetry.EventConfigRefused, err, logrus.Fields{"source": source}, "cannot decode configuration")
 		return
 	}
-	if !n.routes.InstallIfNewer(routing.NewTable(c)) {
-		return
-	}
+	c.Era = era
 	n.mu.Lock()
-	n.rawConfig = raw
+	installed := n.routes.InstallIfNewer(routing.NewTable(c))
+	if installed {
+		n.rawConfig = raw
+	}
 	n.mu.Unlock()
+	if !installed {
+		return
+	}
 	n.log.Log(logrus.InfoLevel, telemetry.EventConfigApplied, logrus.Fields{
-		"version": c.Version, "source": source, "routes": len(c.Routes), "teams": len(c.Teams),
+		"version": c.Version, "era": c.Era, "source": source, "routes": len(c.Routes), "teams": len(c.Teams),
 	}, "configuration in force")
 }
 
-// register writes this node's row to the store and reads the rows of the other
-// nodes. It retries with backoff until both succeed or the context ends.
+// register keeps this node's row in the store: it writes the row at the start, and
+// again after the store was restored from an older copy, which may lack it.
 func (n *Node) register(ctx context.Context) {
 	n.mesh.Seed(n.settings.Seeds)
+	for {
+		n.writeRow(ctx)
+		select {
+		case <-n.registerAgain:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// writeRow writes this node's row to the store and reads the rows of the other nodes.
+// It retries with backoff until both succeed or the context ends.
+func (n *Node) writeRow(ctx context.Context) {
 	raw, err := json.Marshal(n.member(time.Now()))
 	if err != nil {
 		panic(err) // mesh.Member can always be encoded
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -34,6 +34,12 @@
 	// configuration version that a peer already has before it fetches that version
 	// from the peer.
 	configFetchDelay = 150 * time.Millisecond
+	// firstPeerWait is how long after its start a node waits for the first heartbeat of a
+	// peer before it installs its first configuration. Peers answer within milliseconds.
+	firstPeerWait = 150 * time.Millisecond
+	// departedTimeout is the timeout of a starting node's question which servers have
+	// left. Without an answer the node starts all the same.
+	departedTimeout = 200 * time.Millisecond
 	// stateTimeout is the timeout of a request for a peer's state.
 	stateTimeout = 700 * time.Millisecond
 	// maxStateBytes is the maximum number of bytes read of a peer's state.
@@ -45,21 +51,29 @@
 type stateDocument struct {
 	Config  []byte        `json:"config,omitempty"`
 	Servers []fleet.Entry `json:"servers,omitempty"`
-	// Revision is the store revision up to which Servers has been read.
-	Revision int64 `json:"revision,omitempty"`
+	// ConfigEra is the era of the store in which Config was read.
+	ConfigEra int64 `json:"config_era,omitempty"`
+	// Departed lists the servers that were removed a short time ago.
+	Departed []fleet.Departed `json:"departed,omitempty"`
+	// Position is the position in the store up to which Servers has been read.
+	Position ident.StorePosition `json:"position,omitzero"`
 }
 
 // serveState serves this node's state to a peer that cannot read the store. The
-// list of servers is included if the query has the key "servers".
+// list of servers is included if the query has the key "servers", and the list of those
+// that have left if it has the key "departed".
 func (n *Node) serveState(w http.ResponseWriter, r *http.Request) {
 	n.mu.Lock()
-	doc := stateDocument{Config: n.rawConfig}
+	doc := stateDocument{Config: n.rawConfig, ConfigEra: n.routes.Era()}
 	n.mu.Unlock()
 	if r.URL.Query().Has("servers") {
 		n.servers.applyMu.Lock()
-		doc.Servers, doc.Revision = n.fleet.Entries(), n.servers.revision.Load()
+		doc.Servers, doc.Position = n.fleet.Entries(), n.servers.position.Load()
 		n.servers.applyMu.Unlock()
 	}
+	if r.URL.Query().Has("departed") {
+		doc.Departed = n.fleet.Departed()
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(doc) // the peer retries if it gets no answer
 }
@@ -68,25 +82,78 @@
 // if the peer can read the store again, and fetches the changes that the peer has
 // read and this node has not.
 func (n *Node) onHeartbeat(m mesh.Member) {
+	n.peerHeardOnce.Do(func() { close(n.peerHeard) })
 	if m.StoreAgeMs < storeRecoveredAge.Milliseconds() && n.storeUnreachable.Swap(false) {
 		n.config.retryNow()
 		n.servers.retryNow()
 	}
-	if m.ServersChanged > n.servers.revision.Load() {
+	if n.servers.position.Load().Before(m.ServersChanged) {
 		n.servers.readNow()
 		n.servers.retryOnPeerChange(time.Now())
 	}
-	if m.ConfigVersion > n.routes.Version() && n.fetchingState.CompareAndSwap(false, true) {
+	n.advanceTo(m)
+	if n.hasOlderConfig(m) && n.fetchingState.CompareAndSwap(false, true) {
 		go func() {
 			defer n.fetchingState.Store(false)
 			time.Sleep(configFetchDelay)
-			if m.ConfigVersion > n.routes.Version() {
+			if n.hasOlderConfig(m) {
 				n.readPeerState(context.Background(), m, false)
 			}
 		}()
 	}
 }
 
+// awaitPeer waits until a peer has been heard, at the latest until firstPeerWait after
+// the start. A node without seeds does not wait.
+func (n *Node) awaitPeer() {
+	left := firstPeerWait - time.Since(n.started)
+	if len(n.settings.Seeds) == 0 || left <= 0 {
+		return
+	}
+	select {
+	case <-n.peerHeard:
+	case <-time.After(left):
+	}
+}
+
+// readNewestConfig installs the newest configuration of the peers, if one has any.
+func (n *Node) readNewestConfig() {
+	var newest mesh.Member
+	for _, m := range n.mesh.Alive(time.Now()) {
+		if m.ConfigVersion > newest.ConfigVersion {
+			newest = m
+		}
+	}
+	if n.hasOlderConfig(newest) {
+		n.readPeerState(context.Background(), newest, false)
+	}
+}
+
+// readDeparted asks a peer which servers have left a short time ago. It is called before
+// the first list of servers is installed: a restored store may still list them.
+func (n *Node) readDeparted() {
+	ctx, cancel := context.WithTimeout(context.Background(), departedTimeout)
+	defer cancel()
+	for _, m := range n.mesh.Alive(time.Now()) {
+		if m.State != mesh.Ready {
+			continue
+		}
+		doc, err := fetchState(ctx, m.Mesh, "departed")
+		if err != nil {
+			n.log.LogError(logrus.WarnLevel, telemetry.EventPeerCallFailed, err, logrus.Fields{telemetry.FieldPeer: m.Host}, "cannot ask a peer for the servers that have left")
+			return
+		}
+		n.fleet.AddDeparted(time.Now(), doc.Departed)
+		return
+	}
+}
+
+// hasOlderConfig reports whether a peer has a newer configuration than this node.
+func (n *Node) hasOlderConfig(m mesh.Member) bool {
+	version, era := n.routes.Version(), n.routes.Era()
+	return m.ConfigVersion > version || m.ConfigVersion == version && m.ConfigEra > era
+}
+
 // readFreshestPeer fetches the state of the peer with the newest answer of the
 // store if the data of this node is stale. It also updates storeUnreachable and
 // peersReadStore.
@@ -122,27 +189,31 @@
 // readPeerState fetches the state of a peer and applies it: the configuration,
 // and the list of servers if servers is true.
 func (n *Node) readPeerState(ctx context.Context, m mesh.Member, servers bool) {
-	doc, err := fetchState(ctx, m.Mesh, servers)
+	query := ""
+	if servers {
+		query = "servers"
+	}
+	doc, err := fetchState(ctx, m.Mesh, query)
 	if err != nil {
 		n.log.LogError(logrus.WarnLevel, telemetry.EventPeerCallFailed, err, logrus.Fields{telemetry.FieldPeer: m.Host}, "cannot fetch the state of a peer")
 		return
 	}
 	if len(doc.Config) > 0 {
-		n.installConfig(doc.Config, string(m.Host))
+		n.installConfig(doc.Config, doc.ConfigEra, string(m.Host))
 	}
 	if !servers || len(doc.Servers) == 0 {
 		return
 	}
-	n.applyPeerServers(doc.Servers, doc.Revision)
+	n.applyPeerServers(doc.Servers, doc.Position)
 }
 
 // applyPeerServers replaces the list of servers by that of a peer. A list older
 // than this node's own is ignored, since it may hold servers that have left, which
 // would be sent requests again.
-func (n *Node) applyPeerServers(list []fleet.Entry, revision int64) {
+func (n *Node) applyPeerServers(list []fleet.Entry, position ident.StorePosition) {
 	n.servers.applyMu.Lock()
 	defer n.servers.applyMu.Unlock()
-	if revision < n.servers.revision.Load() {
+	if position.Before(n.servers.position.Load()) {
 		return
 	}
 	now := time.Now()
@@ -156,19 +227,16 @@
 			n.removeServer(now, id, false)
 		}
 	}
-	n.servers.revision.Store(revision)
-	n.lastChangeRevision = revision
+	n.servers.position.Store(position)
+	n.lastChangePosition = position
+	n.serversListed.Store(position)
 	n.serversLoaded.Store(true)
 }
 
-func fetchState(ctx context.Context, address string, servers bool) (stateDocument, error) {
+func fetchState(ctx context.Context, address, query string) (stateDocument, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	target := "http://" + address + statePath
-	if servers {
-		target += "?servers"
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+statePath+"?"+query, nil)
 	if err != nil {
 		return stateDocument{}, newError(CodePeerState).Errorf("peer %s: %v", address, err)
 	}
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -8,11 +8,15 @@
 )
 
 // One node, the reader, reads the servers' reports from the store for all nodes.
-// Its heartbeats carry the revision at which a server last joined, left or changed
-// its state. The other nodes read the list themselves only if that revision is
-// newer than theirs, or if no peer shows that their list is current. Nearly all
+// Its heartbeats carry the position in the store at which a server last joined, left or
+// changed its state. The other nodes read the list themselves only if that position is
+// later than theirs, or if no peer shows that their list is current. Nearly all
 // reports only show that a server is alive; these cost one store call for the
 // whole deployment instead of one per node.
+//
+// A node that has just started, or has taken over the list of a peer, does not know
+// which changes were made before. Its heartbeats show a list to be current only if that
+// list has been read up to the position at which the node began.
 
 const (
 	// readInterval is the interval at which the reader reads the list of servers.
@@ -26,6 +30,9 @@
 	// not the reader. After an outage, entries reappear within milliseconds of each
 	// other, and the reader announces them in the meantime.
 	minRereadInterval = 300 * time.Millisecond
+	// settledAfter is the uptime after which a node is preferred as the reader. By then
+	// the other nodes have read past the position at which it began.
+	settledAfter = 10 * time.Second
 	// dueCheckInterval is the interval at which a node that is not the reader
 	// checks whether it must read the list itself.
 	dueCheckInterval = 150 * time.Millisecond
@@ -33,67 +40,113 @@
 
 // serversDue reports whether this node should read the list of servers now and,
 // if not, how long to wait before the next check.
-func (n *Node) serversDue(now time.Time, revision int64) (bool, time.Duration) {
+func (n *Node) serversDue(now time.Time, position ident.StorePosition) (bool, time.Duration) {
 	own := n.servers.age(now)
 	peers := n.mesh.Alive(now)
-	if n.settings.Host == electReader(n.settings.Host, own, peers) {
+	if n.settings.Host == electReader(n.readerCandidate(now), peers) {
 		return own >= readInterval, readInterval - own
 	}
-	return readDue(own, revision, peers), dueCheckInterval
+	return readDue(own, position, peers), dueCheckInterval
 }
 
 // readDue reports whether a node that is not the reader should read the list. own
-// is the age of its newest store answer, revision the revision up to which it has
+// is the age of its newest store answer, position the position up to which it has
 // read.
-func readDue(own time.Duration, revision int64, peers []mesh.Member) bool {
+func readDue(own time.Duration, position ident.StorePosition, peers []mesh.Member) bool {
 	if own < minRereadInterval {
 		return false
 	}
 	age := own
 	for _, m := range peers {
-		if m.ServersChanged > revision {
+		if position.Before(m.ServersChanged) {
 			return true
 		}
-		age = min(age, time.Duration(m.StoreAgeMs)*time.Millisecond)
+		if showsCurrent(m, position) {
+			age = min(age, time.Duration(m.StoreAgeMs)*time.Millisecond)
+		}
 	}
 	return age > maxFreshAge
 }
 
-// electReader returns the reader: the node with the lowest host id among those
-// that can read the store, or among all if none can. Peers that are leaving are
-// not eligible. All nodes agree within one heartbeat; until then, some reads are
+// showsCurrent reports whether a list that has been read up to a position holds every
+// change that a peer knows of or may have missed.
+func showsCurrent(m mesh.Member, position ident.StorePosition) bool {
+	return !position.Before(m.ServersChanged) && !position.Before(m.ServersListed)
+}
+
+// advanceTo moves the position of this node's list to that of a peer's, if the list
+// already holds all changes up to there.
+func (n *Node) advanceTo(m mesh.Member) {
+	n.servers.applyMu.Lock()
+	defer n.servers.applyMu.Unlock()
+	position := n.servers.position.Load()
+	if !position.IsZero() && position.Era == m.ServersRead.Era && showsCurrent(m, position) {
+		n.servers.position.Advance(m.ServersRead)
+	}
+}
+
+// readerCandidate is what decides whether a node is the reader.
+type readerCandidate struct {
+	host    ident.HostID
+	leaving bool
+	fresh   bool // it can read the store
+	settled bool // see settledAfter
+}
+
+// precedes reports whether c is the reader rather than other.
+func (c readerCandidate) precedes(other readerCandidate) bool {
+	switch {
+	case c.leaving != other.leaving:
+		return other.leaving
+	case c.fresh != other.fresh:
+		return c.fresh
+	case c.settled != other.settled:
+		return c.settled
+	}
+	return c.host < other.host
+}
+
+// electReader returns the reader among this node and its peers: a node that is not
+// leaving before one that is, one that can read the store before one that cannot, one
+// that has run for some time before one that has just started, and then the one with
+// the lowest host id. All nodes agree within one heartbeat; until then, some reads are
 // made twice.
-func electReader(self ident.HostID, own time.Duration, peers []mesh.Member) ident.HostID {
-	reader, fresh := self, own < maxFreshAge
+func electReader(self readerCandidate, peers []mesh.Member) ident.HostID {
+	reader := self
 	for _, m := range peers {
-		if m.State == mesh.Leaving {
-			continue
-		}
-		peerFresh := time.Duration(m.StoreAgeMs)*time.Millisecond < maxFreshAge
-		if peerFresh && !fresh || peerFresh == fresh && m.Host < reader {
-			reader, fresh = m.Host, peerFresh
+		age := time.Duration(m.StoreAgeMs) * time.Millisecond
+		c := readerCandidate{host: m.Host, leaving: m.State == mesh.Leaving, fresh: age < maxFreshAge, settled: m.Settled}
+		if c.precedes(reader) {
+			reader = c
 		}
 	}
-	return reader
+	return reader.host
+}
+
+// readerCandidate describes this node for electReader.
+func (n *Node) readerCandidate(now time.Time) readerCandidate {
+	return readerCandidate{
+		host: n.settings.Host, leaving: n.leaving.Load(), fresh: n.servers.age(now) < maxFreshAge, settled: now.Sub(n.started) >= settledAfter,
+	}
 }
 
 // isReader reports whether this node is the reader, whose reads the other nodes
 // wait for.
 func (n *Node) isReader(now time.Time) bool {
-	return n.settings.Host == electReader(n.settings.Host, n.servers.age(now), n.mesh.Alive(now))
+	return n.settings.Host == electReader(n.readerCandidate(now), n.mesh.Alive(now))
 }
 
 // serversAge returns the age of this node's list of servers. It is the age of the
 // newest store answer among those of this node and of the peers that have read no
-// change newer than this node's revision.
+// change that this node's list lacks.
 func (n *Node) serversAge(now time.Time) time.Duration {
 	age := n.servers.age(now)
-	revision := n.servers.revision.Load()
-	if revision == 0 {
+	position := n.servers.position.Load()
+	if position.IsZero() {
 		return age
 	}
 	for _, m := range n.mesh.Alive(now) {
-		if m.ServersChanged <= revision {
+		if showsCurrent(m, position) {
 			age = min(age, time.Duration(m.StoreAgeMs)*time.Millisecond)
 		}
 	}
@@ -103,8 +156,8 @@
 // changeAssembler collects the parts of a set of changes that a peer has read and
 // sent in several datagrams. Guarded by servers.applyMu of the node.
 type changeAssembler struct {
-	from  int64
-	to    int64
+	from  ident.StorePosition
+	to    ident.StorePosition
 	parts map[int]mesh.ServerChanges
 }
 
@@ -128,13 +181,13 @@
 
 // onServerChanges applies changes of the list that the reader has read and sent.
 // If this node has not read up to the start of these changes, it ignores them. It
-// reads the list itself when the reader's next heartbeat carries a revision that
-// this node does not have.
+// reads the list itself when the reader's next heartbeat carries a position that
+// this node has not reached.
 func (n *Node) onServerChanges(x mesh.ServerChanges) {
 	n.servers.applyMu.Lock()
 	defer n.servers.applyMu.Unlock()
-	revision := n.servers.revision.Load()
-	if revision < x.From || revision >= x.To {
+	position := n.servers.position.Load()
+	if position.Before(x.From) || !position.Before(x.To) {
 		return
 	}
 	rows, complete := n.assembler.add(x)
@@ -149,8 +202,9 @@
 			n.fleet.Put(now, r.Server)
 		}
 	}
-	n.servers.revision.Store(x.To)
-	n.lastChangeRevision = x.To
+	n.servers.position.Store(x.To)
+	n.lastChangePosition = x.To
+	n.serversChanged.Advance(x.To)
 }
 
 // IsReader reports whether this node is the one that reads the servers' reports
--- a/internal/front/reader_test.go
+++ b/internal/front/reader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,7 +16,18 @@
 )
 
 func peer(host ident.HostID, state mesh.State, ageMs, changed int64) mesh.Member {
-	return mesh.Member{Host: host, State: state, StoreAgeMs: ageMs, ServersChanged: changed}
+	return mesh.Member{Host: host, State: state, StoreAgeMs: ageMs, ServersChanged: position(1, changed)}
+}
+
+// settledPeer returns a peer that has run for some time and can read the store.
+func settledPeer(host ident.HostID) mesh.Member {
+	m := peer(host, mesh.Ready, 10, 0)
+	m.Settled = true
+	return m
+}
+
+func position(era, revision int64) ident.StorePosition {
+	return ident.StorePosition{Era: era, Revision: revision}
 }
 
 // Guards against two hosts that both act as reader, and against none doing so.
@@ -32,13 +44,18 @@
 		{"the first cannot reach the store", 0, []mesh.Member{peer("a", mesh.Ready, 5000, 0)}, "m"},
 		{"the first is leaving", 0, []mesh.Member{peer("a", mesh.Leaving, 10, 0)}, "m"},
 		{"self cannot reach the store", time.Minute, []mesh.Member{peer("z", mesh.Ready, 10, 0)}, "z"},
+		{"the first has just started", 0, []mesh.Member{peer("a", mesh.Ready, 10, 0), settledPeer("z")}, "z"},
 		{"none can reach the store", time.Minute, []mesh.Member{peer("a", mesh.Ready, 60_000, 0), peer("z", mesh.Ready, 60_000, 0)}, "a"},
 	}
 	for _, test := range tests {
-		if got := electReader("m", test.own, test.peers); got != test.want {
+		self := readerCandidate{host: "m", fresh: test.own < maxFreshAge}
+		if got := electReader(self, test.peers); got != test.want {
 			t.Errorf("%s: reader %s, want %s", test.name, got, test.want)
 		}
 	}
+	if got := electReader(readerCandidate{host: "a", leaving: true, fresh: true}, []mesh.Member{peer("z", mesh.Ready, 10, 0)}); got != "z" {
+		t.Errorf("a node that is leaving is the reader, want %s", got)
+	}
 }
 
 // Guards against a host that relies on peers whose data is no newer than its own,
@@ -58,8 +75,27 @@
 		{"own answer is new", 500 * time.Millisecond, nil, false},
 		{"own answer is old, no peers", time.Minute, nil, true},
 	}
+	// A reader that began at 150 does not know of a change at 120.
+	started := peer("a", mesh.Ready, 0, 0)
+	started.ServersListed = position(1, 150)
+	// The store lost everything after revision 60 and gave revision 70 to a change.
+	restored := peer("a", mesh.Ready, 0, 0)
+	restored.ServersChanged = position(2, 70)
+	older := peer("a", mesh.Ready, 0, 0)
+	older.ServersChanged = position(0, 500)
+	tests = append(tests, []struct {
+		name  string
+		own   time.Duration
+		peers []mesh.Member
+		want  bool
+	}{
+		{"the only reader has just started", time.Minute, []mesh.Member{started}, true},
+		{"another peer shows that the list is current", time.Minute, []mesh.Member{started, peer("b", mesh.Ready, 400, 100)}, false},
+		{"a change of a later era at an earlier revision", 400 * time.Millisecond, []mesh.Member{restored}, true},
+		{"a change of an earlier era at a later revision", time.Minute, []mesh.Member{older}, false},
+	}...)
 	for _, test := range tests {
-		if got := readDue(test.own, 100, test.peers); got != test.want {
+		if got := readDue(test.own, position(1, 100), test.peers); got != test.want {
 			t.Errorf("%s: due %t", test.name, got)
 		}
 	}
@@ -94,7 +130,7 @@
 }
 
 func (s *fakeStore) List(ctx context.Context, _ Table) (Rows, error) { return s.next(ctx, "list") }
-func (s *fakeStore) Follow(ctx context.Context, _ Table, _ int64, wait time.Duration) (Rows, error) {
+func (s *fakeStore) Follow(ctx context.Context, _ Table, _ ident.StorePosition, wait time.Duration) (Rows, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
@@ -104,7 +140,7 @@
 func (s *fakeStore) Put(context.Context, Table, string, []byte) error { return nil }
 
 func rows(revision int64, keys ...string) func() (Rows, error) {
-	r := Rows{Revision: revision}
+	r := Rows{Position: position(0, revision)}
 	for _, k := range keys {
 		r.Rows = append(r.Rows, Row{Key: k})
 	}
@@ -122,13 +158,16 @@
 		log:  telemetry.NewEventLog(telemetry.NewLogger(io.Discard, "error", "h", "d")),
 		wake: make(chan struct{}, 1), retry: make(chan struct{}, 1),
 	}
-	record := func(how string) func(Rows, bool) {
-		return func(r Rows, outage bool) {
+	record := func(how string) func(Rows, readContext) {
+		return func(r Rows, c readContext) {
 			for _, x := range r.Rows {
 				how := how
-				if outage {
+				if c.outage {
 					how += " after outage"
 				}
+				if c.restored {
+					how += " restored"
+				}
 				applied = append(applied, how+" "+x.Key)
 			}
 		}
@@ -159,6 +198,61 @@
 	})
 }
 
+// Guards against ignoring the rows of a restored store because their revisions are
+// lower than those read before, and against taking such a listing for an ordinary one.
+func TestFollowerAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		second := func(revision int64, key string) func() (Rows, error) {
+			return func() (Rows, error) {
+				return Rows{Rows: []Row{{Key: key}}, Position: position(2, revision)}, nil
+			}
+		}
+		applied, store := runFollower(t, 10*time.Second,
+			func() (Rows, error) { return Rows{Rows: []Row{{Key: "a"}}, Position: position(1, 50)}, nil },
+			failWith(ErrHistoryGone), second(20, "b"), second(21, "c"), failWith(errors.New("end")))
+		if len(applied) != 3 || applied[1] != "replace restored b" || applied[2] != "apply c" {
+			t.Errorf("applied: %v (calls %v)", applied, store.calls)
+		}
+	})
+}
+
+// Guards against ages that depend on the time of day: after a step back of some seconds
+// the reader did not read the list for as long.
+func TestAtomicTimeIsMonotonic(t *testing.T) {
+	var a atomicTime
+	if a.since(time.Now()) < time.Hour {
+		t.Error("a time that was never stored is recent")
+	}
+	now := time.Now()
+	a.Store(now)
+	if !strings.Contains(a.Load().String(), " m=") {
+		t.Errorf("the stored time %v has no monotonic reading", a.Load())
+	}
+}
+
+// Guards against a node that moves its list to the position of a peer although it lacks
+// changes up to there.
+func TestAdvanceToPeer(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		member mesh.Member
+		want   ident.StorePosition
+	}{
+		{"no change since", mesh.Member{ServersChanged: position(1, 90), ServersRead: position(1, 130)}, position(1, 130)},
+		{"a change that this node lacks", mesh.Member{ServersChanged: position(1, 110), ServersRead: position(1, 130)}, position(1, 100)},
+		{"the peer began later", mesh.Member{ServersListed: position(1, 110), ServersRead: position(1, 130)}, position(1, 100)},
+		{"the peer has read less", mesh.Member{ServersRead: position(1, 80)}, position(1, 100)},
+		{"another era", mesh.Member{ServersRead: position(2, 130)}, position(1, 100)},
+	} {
+		n := &Node{servers: &follower{}}
+		n.servers.position.Store(position(1, 100))
+		n.advanceTo(test.member)
+		if got := n.servers.position.Load(); got != test.want {
+			t.Errorf("%s: at %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
 // Guards against a node without data that still waits for a call that the store
 // never answered after the store has recovered.
 func TestFirstListAfterSilentCall(t *testing.T) {
@@ -170,7 +264,7 @@
 			if at == 0 {
 				at = time.Since(start)
 			}
-			return Rows{Rows: []Row{{Key: "a"}}, Revision: 5}, nil
+			return Rows{Rows: []Row{{Key: "a"}}, Position: position(0, 5)}, nil
 		})
 		if len(applied) == 0 || at > 600*time.Millisecond {
 			t.Errorf("applied %v, second call after %v", applied, at)
@@ -179,7 +273,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		slow := func() (Rows, error) {
 			time.Sleep(1200 * time.Millisecond)
-			return Rows{Rows: []Row{{Key: "a"}}, Revision: 5}, nil
+			return Rows{Rows: []Row{{Key: "a"}}, Position: position(0, 5)}, nil
 		}
 		if applied, store := runFollower(t, 5*time.Second, slow); len(applied) == 0 {
 			t.Errorf("no answer of a slow store was applied (calls %v)", store.calls)
--- a/internal/front/rediscover.go
+++ b/internal/front/rediscover.go
@@ -35,7 +35,7 @@
 		}
 		now := time.Now()
 		if n.serversAge(now) < storeStaleAfter {
-			if recoveredAt := n.storeRecoveredAt.Load(); recoveredAt != 0 && now.UnixNano()-recoveredAt > int64(2*lapseWindow) {
+			if !n.storeRecoveredAt.Load().IsZero() && n.storeRecoveredAt.since(now) > 2*lapseWindow {
 				n.fleet.DropUnlisted()
 			}
 			continue
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -82,7 +82,7 @@
 		return true
 	}
 	grace := time.Duration(n.grace.Load())
-	since := time.Since(time.Unix(0, n.leavingSince.Load()))
+	since := n.leavingSince.since(time.Now())
 	return grace == 0 || since < time.Duration(newStreamShare*float64(grace))
 }
 
@@ -91,7 +91,7 @@
 // the end of the grace period. Without a grace period it waits up to one hour.
 func (n *Node) leave(ctx context.Context) {
 	started := time.Now()
-	n.leavingSince.Store(started.UnixNano())
+	n.leavingSince.Store(started)
 	n.leaving.Store(true)
 	n.mesh.Announce()
 	n.log.Log(logrus.InfoLevel, telemetry.EventNodeLeaving, logrus.Fields{"in_flight": n.inFlight.Load()}, "node is leaving")
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -17,25 +17,39 @@
 // of servers that are alive may still be missing.
 const lapseWindow = 2 * time.Second
 
-// recordOutageEnd records the end of an outage of the store. It does nothing
-// unless afterOutage is set, that is, for the first answer after the outage. Entries
-// can lapse only in an outage that affects all nodes: while peers could read the
-// store, servers could report to it.
-func (n *Node) recordOutageEnd(afterOutage bool) {
-	if !afterOutage {
+// recordOutageEnd records the end of an outage of the store. Entries can lapse only in
+// an outage that affects all nodes: while peers could read the store, servers could
+// report to it. A store that was restored from an older copy may lack entries too, and
+// the servers write them again.
+func (n *Node) recordOutageEnd(c readContext) {
+	if !c.outage && !c.restored {
 		return
 	}
-	now := time.Now().UnixNano()
+	now := time.Now()
 	n.storeRecoveredAt.Store(now)
-	if !n.peersReadStore.Swap(false) {
+	if othersRead := n.peersReadStore.Swap(false); !othersRead || c.restored {
 		n.sharedOutageEndedAt.Store(now)
 	}
+	if c.restored {
+		n.onRestored()
+	}
+}
+
+// onRestored reads the configuration again and writes this node's row again after the
+// store was restored from an older copy. The call for the configuration may wait at a
+// revision that the store has not reached again.
+func (n *Node) onRestored() {
+	n.config.restartCall()
+	select {
+	case n.registerAgain <- struct{}{}:
+	default:
+	}
 }
 
 // mayHaveLapsed reports whether an entry that is missing now may have lapsed
 // during an outage of the store, while its server is alive.
 func (n *Node) mayHaveLapsed(now time.Time) bool {
-	return now.UnixNano()-n.sharedOutageEndedAt.Load() < int64(lapseWindow)
+	return n.sharedOutageEndedAt.since(now) < lapseWindow
 }
 
 // afterServersRead runs after each answer of the store to a read of the list of
@@ -51,42 +65,49 @@
 	}
 }
 
-// replaceServers replaces the list of servers with a full listing. afterOutage is
-// true for the first answer after an outage of the store.
-func (n *Node) replaceServers(rows Rows, afterOutage bool) {
+// replaceServers replaces the list of servers with a full listing.
+func (n *Node) replaceServers(rows Rows, c readContext) {
 	listed := make(map[ident.BackendID]bool, len(rows.Rows))
 	for _, r := range rows.Rows {
 		listed[ident.BackendID(r.Key)] = true
 	}
 	first := !n.serversLoaded.Load()
+	if first {
+		n.awaitPeer()
+		n.readDeparted()
+	}
 	now := time.Now()
-	n.applyServers(rows, afterOutage)
+	n.applyServers(rows, c)
 	lapsed := n.mayHaveLapsed(now)
 	for _, id := range n.fleet.IDs() {
 		if !listed[id] {
 			n.removeServer(now, id, lapsed)
-			n.recordServerChange(rows.Revision, rows.Revision)
+			n.serversChanged.Advance(rows.Position)
 		}
 	}
-	if first {
-		n.serverChangeRevision.Store(0) // the first listing after a start is not a change
+	switch {
+	case first: // not a change, but this node does not know what was changed before
+		n.serversChanged.Store(ident.StorePosition{})
+		n.serversListed.Store(rows.Position)
+	case c.restored: // peers must read the list of the new era too
+		n.serversChanged.Advance(rows.Position)
 	}
 	n.serversLoaded.Store(true)
 }
 
 // applyServers applies changed rows to the list of servers. If this node is the
-// reader, it also sends the changes to its peers. afterOutage is true for the first
-// answer after an outage of the store; its changes are not sent.
-func (n *Node) applyServers(rows Rows, afterOutage bool) {
-	n.recordOutageEnd(afterOutage)
+// reader, it also sends the changes to its peers, except those of the first answer
+// after an outage of the store or a restore.
+func (n *Node) applyServers(rows Rows, c readContext) {
+	n.recordOutageEnd(c)
 	now := time.Now()
-	from := n.lastChangeRevision
+	from := n.lastChangePosition
 	var changed []mesh.ServerChange
 	for _, r := range rows.Rows {
 		if !n.applyServer(now, r) {
 			continue
 		}
-		n.recordServerChange(r.Version, rows.Revision)
+		n.serversChanged.Advance(changePosition(r, rows.Position))
 		if s := n.fleet.Server(ident.BackendID(r.Key)); s != nil && !r.Removed {
 			changed = append(changed, mesh.ServerChange{Server: s.Entry})
 		} else {
@@ -96,21 +117,19 @@
 	if len(changed) == 0 {
 		return
 	}
-	n.lastChangeRevision = rows.Revision
-	if from > 0 && !afterOutage && n.isReader(now) {
-		n.mesh.AnnounceServerChanges(from, rows.Revision, changed)
+	n.lastChangePosition = rows.Position
+	if !from.IsZero() && !c.outage && !c.restored && n.isReader(now) {
+		n.mesh.AnnounceServerChanges(from, rows.Position, changed)
 	}
 }
 
-// recordServerChange advances serverChangeRevision to the version of a change, or,
-// if the version is 0 (unknown), to the revision up to which the list was read.
-func (n *Node) recordServerChange(version, revision int64) {
-	if version == 0 {
-		version = revision
-	}
-	if version > n.serverChangeRevision.Load() {
-		n.serverChangeRevision.Store(version)
+// changePosition returns the position at which a row was changed, or, if its version is
+// unknown, the position up to which the list was read.
+func changePosition(r Row, read ident.StorePosition) ident.StorePosition {
+	if r.Version == 0 {
+		return read
 	}
+	return ident.StorePosition{Era: read.Era, Revision: r.Version}
 }
 
 // applyServer applies one row and reports whether the server was added, removed or
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/routing"
 )
 
@@ -25,9 +26,10 @@
 // configKey is the key of the row that holds the configuration.
 const configKey = "config"
 
-// ErrHistoryGone is returned by Store.Follow if the store no longer has the
-// changes after the requested revision, so that the table must be listed again.
-var ErrHistoryGone = errors.New("the store has dropped its history")
+// ErrHistoryGone is returned by Store.Follow if the store does not have the changes
+// after the requested position, because it has dropped its history or a new era has
+// begun. The table must then be listed again.
+var ErrHistoryGone = errors.New("the store does not have the requested history")
 
 // Row is one row of a table.
 type Row struct {
@@ -38,21 +40,24 @@
 	Version int64
 }
 
-// Rows is the result of Store.List or Store.Follow. Revision is the revision to
-// pass to the next Follow.
+// Rows is the result of Store.List or Store.Follow. Position is the position to pass
+// to the next Follow.
 type Rows struct {
 	Rows     []Row
-	Revision int64
+	Position ident.StorePosition
+	// InvalidEra is the era that the store stated, if that is not a number. Position
+	// then has the newest era known.
+	InvalidEra string
 }
 
 // Store is the interface to the platform's store.
 type Store interface {
 	// List returns all rows of a table.
 	List(ctx context.Context, table Table) (Rows, error)
-	// Follow returns the rows that changed after the revision in after. If there are
+	// Follow returns the rows that changed after a position. If there are
 	// none, it blocks until a row changes, and returns no rows if none has changed
 	// within wait.
-	Follow(ctx context.Context, table Table, after int64, wait time.Duration) (Rows, error)
+	Follow(ctx context.Context, table Table, after ident.StorePosition, wait time.Duration) (Rows, error)
 	// Put creates or overwrites a row.
 	Put(ctx context.Context, table Table, key string, value []byte) error
 	// Remove deletes a row if it still has the given version.
--- a/internal/peer/mesh/members_test.go
+++ b/internal/peer/mesh/members_test.go
@@ -86,7 +86,7 @@
 			ID: "i-7f3a91c2aa", Incarnation: 1787316988019, Service: "service1a", Address: "10.200.100.100:65000", DataCentre: "some-data-centre", Slots: 64, Draining: true, Sequence: 100,
 		}})
 	}
-	for _, m := range []message{{Member: &x, Hello: true}, {Events: events}, {LoanRequest: &Loan{Service: "service1a", Number: 1 << 40, Retries: 2}}, {ServerChanges: &ServerChanges{From: 1 << 40, To: 1 << 40, Parts: 9, Rows: rows}}} {
+	for _, m := range []message{{Member: &x, Hello: true}, {Events: events}, {LoanRequest: &Loan{Service: "service1a", Number: 1 << 40, Retries: 2}}, {ServerChanges: &ServerChanges{From: ident.StorePosition{Era: 9, Revision: 1 << 40}, To: ident.StorePosition{Era: 9, Revision: 1 << 40}, Parts: 9, Rows: rows}}} {
 		m.Host, m.Incarnation = x.Host, x.Incarnation
 		p, err := encode(m)
 		if err != nil {
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -95,8 +95,8 @@
 const changesPerDatagram = 7
 
 // AnnounceServerChanges sends the changes of the list of servers between two
-// revisions to all peers.
-func (m *Mesh) AnnounceServerChanges(from, to int64, rows []ServerChange) {
+// positions in the store to all peers.
+func (m *Mesh) AnnounceServerChanges(from, to ident.StorePosition, rows []ServerChange) {
 	parts := (len(rows) + changesPerDatagram - 1) / changesPerDatagram
 	for part := range parts {
 		first := part * changesPerDatagram
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -46,12 +46,20 @@
 	Capacity float64 `json:"w,omitempty"`
 	// ConfigVersion is the version of the configuration in force at the node.
 	ConfigVersion int64 `json:"v"`
+	// ConfigEra is the era of the store in which the node read that configuration.
+	ConfigEra int64 `json:"e,omitempty"`
 	// StoreAgeMs is the time in milliseconds since the node's newest answer from
 	// the platform's store.
 	StoreAgeMs int64 `json:"a"`
-	// ServersChanged is the newest revision, among those that the node has read,
-	// at which a backend server joined, left or changed its state.
-	ServersChanged int64 `json:"r"`
+	// ServersChanged is the newest position in the store, among those that the node has
+	// read, at which a backend server joined, left or changed its state. The node does
+	// not know of the changes before ServersListed. ServersRead is the position up to
+	// which it has read the list.
+	ServersChanged ident.StorePosition `json:"r,omitzero"`
+	ServersListed  ident.StorePosition `json:"b,omitzero"`
+	ServersRead    ident.StorePosition `json:"p,omitzero"`
+	// Settled reports whether the node has run for some time.
+	Settled bool `json:"o,omitempty"`
 	// Usage is the use of each service by the node in the last window.
 	Usage map[string]retryshare.Usage `json:"u,omitempty"`
 }
@@ -127,13 +135,13 @@
 }
 
 // ServerChanges is one part of the changes of the list of servers between two
-// revisions.
+// positions in the store.
 type ServerChanges struct {
-	From  int64          `json:"f"`
-	To    int64          `json:"t"`
-	Part  int            `json:"p"` // counted from 0
-	Parts int            `json:"n"`
-	Rows  []ServerChange `json:"r"`
+	From  ident.StorePosition `json:"f"`
+	To    ident.StorePosition `json:"t"`
+	Part  int                 `json:"p"` // counted from 0
+	Parts int                 `json:"n"`
+	Rows  []ServerChange      `json:"r"`
 }
 
 // ServerChange is a server that joined or changed its state, or the id of one that
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -104,7 +104,10 @@
 
 // Config is one version of the deployment's complete configuration.
 type Config struct {
-	Version  int64
+	Version int64
+	// Era is the era of the platform's store in which the configuration was read. A
+	// store that lost a version may give its number to another one in a later era.
+	Era      int64
 	Routes   []Route
 	Services []Service
 	Teams    []Team
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -50,6 +50,20 @@
 	}
 }
 
+// Guards against taking another configuration with a known number for the known one,
+// after the store has lost the latter, and against going back to a lower number.
+func TestHolderAfterRestore(t *testing.T) {
+	var h Holder
+	for _, step := range []struct {
+		version, era int64
+		installed    bool
+	}{{7, 1, true}, {5, 2, false}, {7, 2, true}, {7, 2, false}, {7, 1, false}, {8, 2, true}, {8, 1, false}} {
+		if got := h.InstallIfNewer(NewTable(Config{Version: step.version, Era: step.era})); got != step.installed {
+			t.Errorf("version %d of era %d: installed %t", step.version, step.era, got)
+		}
+	}
+}
+
 // Guards against returning to an older configuration when the store and the peers
 // deliver versions in any order.
 func TestHolderVersionsIncrease(t *testing.T) {
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -37,6 +37,7 @@
 	ExplainObjects          = Metric{"explain_objects_total", Counter, "objects", []string{"outcome"}, "Writes of explanations to the object store by outcome."}
 	RoutedRequests          = Metric{"routed_requests_total", Counter, "requests", []string{"kind", "outcome"}, "Requests of a gateway by kind of route and outcome."}
 	RoutedSeconds           = Metric{"routed_request_seconds", Histogram, "seconds", []string{"kind"}, "Time from a request to the end of its answer, by kind of route."}
+	InvalidEras             = Metric{"store_invalid_eras_total", Counter, "answers", nil, "Answers of the platform's store whose era was invalid."}
 	InvalidHeaders          = Metric{"backend_invalid_headers_total", Counter, "headers", nil, "Headers of backend servers that were ignored because their values were invalid."}
 	Probes                  = Metric{"backend_probes_total", Counter, "calls", nil, "Calls that ask a backend server for its state."}
 	OrdersTotal             = Metric{"orders_total", Counter, "orders", []string{"outcome"}, "Orders sent to backend servers."}
@@ -54,6 +55,6 @@
 		&RingDropped, &Refused, &QueueLength,
 		&ContractSequence, &ContractFreshAgeSeconds, &Isolated,
 		&Peers, &PeerCalls, &PlatformCalls, &Claims, &Backends, &Quarantined, &ExplainObjects, &OrdersTotal,
-		&RoutedRequests, &RoutedSeconds, &InvalidHeaders, &Probes,
+		&RoutedRequests, &RoutedSeconds, &InvalidEras, &InvalidHeaders, &Probes,
 	}
 }
