fleet: a discovered server that was just removed does not end the process

Since removed servers are remembered, Put may refuse an entry, and AddDiscovered relied on it. TestDiscoveredServerThatWasRemoved failed first.

backendconn: bound the header of a response in bytes and call the watch while bytes arrive. A server that sent header bytes without end filled the memory, and one that sent a byte now and then was never given up. TestEndlessAnswers did not end before.

--- a/internal/fleet/announced_test.go
+++ b/internal/fleet/announced_test.go
@@ -89,3 +89,18 @@
 		t.Error("an old departure is still remembered")
 	}
 }
+
+// Guards against a process that ends because a server is discovered that has just been
+// removed from the list.
+func TestDiscoveredServerThatWasRemoved(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	f := New("h", start)
+	f.Put(start, Entry{ID: "a", Incarnation: 7, Service: "s", Address: "10.0.0.1:80", Sequence: 19})
+	f.Remove(start, "a", false)
+	if f.AddDiscovered(start, Entry{ID: "a", Incarnation: 7, Service: "s", Address: "10.0.0.1:80"}) {
+		t.Error("a server that has left was added")
+	}
+	if !f.AddDiscovered(start, Entry{ID: "a", Incarnation: 8, Service: "s", Address: "10.0.0.1:80"}) {
+		t.Error("its next incarnation was not added")
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -111,6 +111,11 @@
 func (f *Fleet) Put(now time.Time, e Entry) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.put(now, e)
+}
+
+// put implements Put. The lock is held.
+func (f *Fleet) put(now time.Time, e Entry) (changed bool) {
 	s := f.servers[e.ID]
 	if s != nil && s.Incarnation == e.Incarnation && s.Address == e.Address && s.Service == e.Service {
 		if e.Incarnation != 0 && e.Sequence < s.Sequence {
@@ -167,17 +172,14 @@
 
 // AddDiscovered adds a server that is not in the list yet and was discovered at the
 // address of a lost server while the list could not be read. It reports whether the
-// server was added; it does nothing if the server is already in the fleet.
+// server was added; it does nothing if the server is already in the fleet, or was
+// removed from it a short time ago.
 func (f *Fleet) AddDiscovered(now time.Time, e Entry) bool {
 	f.mu.Lock()
-	known := f.servers[e.ID] != nil
-	f.mu.Unlock()
-	if known {
+	defer f.mu.Unlock()
+	if f.servers[e.ID] != nil || !f.put(now, e) {
 		return false
 	}
-	f.Put(now, e)
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.servers[e.ID].unlisted = true
 	return true
 }
--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -26,7 +26,8 @@
 )
 
 const (
-	// watchInterval is the interval at which a blocked read calls the Watch.
+	// watchInterval is the interval at which reads call the Watch, also while bytes
+	// arrive.
 	watchInterval = 50 * time.Millisecond
 	// maxSyncBody is the size in bytes of the largest body that is written before
 	// the response is read. It fits into the socket buffers, so that the write does
@@ -41,11 +42,16 @@
 	// maxSkippedBody is the maximum number of body bytes that are read to skip the
 	// response to another request.
 	maxSkippedBody = 64 << 10
+	// maxHeadBytes is the maximum number of bytes that are read until the header of the
+	// response to a request is complete, including skipped responses. Beyond it, the
+	// server is sending something other than a response.
+	maxHeadBytes = 32 << 10
 )
 
-// Watch decides whether a read keeps waiting. It is called at least every
-// watchInterval with the time since the latest byte was received. If it returns an
-// error, the read ends with that error.
+// Watch decides whether a read keeps waiting. It is called every watchInterval with the
+// time since the latest byte was received, also while bytes arrive, so that a server
+// that sends some now and then cannot hold a request for ever. If it returns an error,
+// the read ends with that error.
 type Watch func(now time.Time, idle time.Duration) error
 
 // Request is one request to a backend server.
@@ -74,11 +80,16 @@
 	lastRead time.Time
 	// expires is the time after which the idle connection is not reused, since the
 	// server may close it.
-	expires     time.Time
-	reused      bool
-	watch       Watch
-	onRead      func(time.Time)
-	watchErr    error      // error with which watch ended a read; nil if it has not
+	expires   time.Time
+	reused    bool
+	watch     Watch
+	onRead    func(time.Time)
+	watchedAt time.Time // time of the latest call of watch
+	watchErr  error     // error with which watch ended a read; nil if it has not
+	// headLeft is the number of bytes that may still be read before the header is
+	// complete; it is not used while readingHead is false.
+	headLeft    int
+	readingHead bool
 	bodyWritten chan error // result of writing a body while the response is read; nil if there is none
 }
 
@@ -106,20 +117,45 @@
 			if c.onRead != nil {
 				c.onRead(now)
 			}
-			return n, nil
+			return n, c.checkRead(now, n)
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return 0, err
 		}
-		if c.watch != nil {
-			if err := c.watch(now, now.Sub(c.lastRead)); err != nil {
-				c.watchErr = err
-				return 0, err
-			}
+		if err := c.callWatch(now); err != nil {
+			return 0, err
 		}
 	}
 }
 
+// checkRead is called after n bytes were received. It counts the bytes of a header and
+// calls the watch if that is due.
+func (c *Conn) checkRead(now time.Time, n int) error {
+	if c.readingHead {
+		if c.headLeft -= n; c.headLeft < 0 {
+			return errHeadTooLarge
+		}
+	}
+	if now.Sub(c.watchedAt) < watchInterval {
+		return nil
+	}
+	return c.callWatch(now)
+}
+
+// callWatch calls the watch and records its error.
+func (c *Conn) callWatch(now time.Time) error {
+	c.watchedAt = now
+	if c.watch == nil {
+		return nil
+	}
+	c.watchErr = c.watch(now, now.Sub(c.lastRead))
+	return c.watchErr
+}
+
+// errHeadTooLarge ends a read when maxHeadBytes were received without a complete
+// header.
+var errHeadTooLarge = errors.New("no complete response header within the size limit")
+
 // usable reports whether an idle connection has not expired, is still open, and
 // has no unexpected bytes waiting.
 func (c *Conn) usable(now time.Time) bool {
@@ -156,6 +192,7 @@
 func (c *Conn) Exchange(ctx context.Context, r *Request) (*http.Response, error) {
 	c.watch, c.onRead = r.Watch, r.OnRead
 	c.lastRead = time.Now()
+	c.watchedAt = c.lastRead
 	if err := c.send(r); err != nil {
 		if c.aborted.Load() {
 			return nil, newError(CodeCancelled).Errorf("request cancelled while it was being sent")
@@ -163,6 +200,8 @@
 		return nil, newError(CodeSend).Errorf("sending to %s: %v", c.raw.RemoteAddr(), err)
 	}
 	request := &http.Request{Method: r.Method}
+	c.headLeft, c.readingHead = maxHeadBytes, true
+	defer func() { c.readingHead = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
--- /dev/null
+++ b/internal/peer/backendconn/endless_test.go
@@ -0,0 +1,141 @@
+package backendconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// maxEndlessMemory is half of the memory of the smallest hosts, 112 MB. The rest of the
+// process needs the other half.
+const maxEndlessMemory = 56 << 20
+
+// requestTime is the time after which a request of these tests is given up.
+const requestTime = 300 * time.Millisecond
+
+// readEndless sends a request and reads its response until it ends or requestTime is
+// over.
+func readEndless(p *Pool, s Server) (head string, err error) {
+	c, err := p.Get(context.Background(), s, time.Minute)
+	if err != nil {
+		return "", err
+	}
+	defer p.Close(c)
+	end := time.Now().Add(requestTime)
+	response, err := c.Exchange(context.Background(), &Request{
+		Method: "GET", Target: "/", Host: "h", Matches: hasMatchingID,
+		Watch: func(now time.Time, idle time.Duration) error {
+			if now.After(end) {
+				return NewSilentError(idle, "out of time")
+			}
+			return nil
+		},
+	})
+	if err != nil {
+		return "", err
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return "", c.BodyError(err)
+	}
+	return response.Status, nil
+}
+
+// measurePeak runs f and returns the growth of the heap while it runs.
+func measurePeak(f func()) uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	before, peak := stats.HeapInuse, stats.HeapInuse
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			runtime.ReadMemStats(&stats)
+			peak = max(peak, stats.HeapInuse)
+		}
+	})
+	f()
+	close(done)
+	wg.Wait()
+	return peak - before
+}
+
+// endlessAnswers are the ways in which a server may send bytes without end. Each writes
+// until the client closes the connection.
+var endlessAnswers = []struct {
+	name  string
+	head  string // sent once
+	piece string // repeated
+}{
+	{"status line", "HTTP/1.1 200 ", "OK "},
+	{"header line", "HTTP/1.1 200 OK\r\nX: ", "xxxxxxxxxxxxxxxx"},
+	{"header lines", "HTTP/1.1 200 OK\r\n", "X-Y: abcdefghij\r\n"},
+	{"informational responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	{"responses to others", "", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx"},
+	{"response to another without length", "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "xxxxxxxxxxxxxxxx"},
+	{"chunk size line", "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	{"chunk extension", "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n1;", "aaaaaaaa"},
+	{"tiny chunks with extensions", "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("a", 2000) + "\r\nx\r\n"},
+	{"trailer", "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Y: abcdefghij\r\n"},
+	{"body without length", "HTTP/1.1 200 OK\r\nId: r\r\n\r\n", "xxxxxxxxxxxxxxxx"},
+	{"no protocol at all", "", "zzzzzzzzzzzzzzzz"},
+}
+
+// sendEndlessly sends a server's bytes until the connection fails.
+func sendEndlessly(conn net.Conn, head, piece string) {
+	_, err := io.WriteString(conn, head)
+	block := strings.Repeat(piece, 1+4096/len(piece))
+	for err == nil {
+		_, err = io.WriteString(conn, block)
+	}
+}
+
+// Guards against a server that sends bytes without end, which would hold the request
+// and fill the memory: each such exchange ends with an error within the request's own
+// time, the connection is closed, and little memory is in use meanwhile.
+func TestEndlessAnswers(t *testing.T) {
+	const connections = 200
+	for _, test := range endlessAnswers {
+		t.Run(test.name, func(t *testing.T) {
+			var open sync.WaitGroup // connections on which the server sends
+			var reached atomic.Int64
+			s := serve(t, func(conn net.Conn, _ *http.Request) {
+				reached.Add(1)
+				open.Add(1)
+				defer open.Done()
+				sendEndlessly(conn, test.head, test.piece)
+			})
+			p := NewPool()
+			peak := measurePeak(func() {
+				var wg sync.WaitGroup
+				for range connections {
+					wg.Go(func() {
+						if body, err := readEndless(p, s); err == nil {
+							t.Errorf("answer %.40q taken as complete", body)
+						}
+					})
+				}
+				wg.Wait()
+			})
+			open.Wait() // returns only if all connections are closed
+			if n := reached.Load(); n < connections/2 {
+				t.Errorf("only %d connections were opened", n)
+			}
+			if peak > maxEndlessMemory {
+				t.Errorf("%d MiB in use with %d connections", peak>>20, connections)
+			}
+		})
+	}
+}
