gateway, mesh, front: bounds for bytes without end, stops that cut nothing, panics

Beyond 16 KiB an answer is now passed on as it arrives; its early end aborts the client's connection. Events have 64 KiB, answers to the node's own calls 256 KiB. - Bytes counted as progress: a stream whose engine sent a byte now and then neither moved nor reached its deadline. Clients that do not read, or send a body slowly, are bounded by the request's deadline.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,7 +63,14 @@
 	LossReplaced
 )
 
-func (l Loss) String() string { return [...]string{"reset", "refused", "silent", "replaced"}[l] }
+var lossNames = [...]string{"reset", "refused", "silent", "replaced"}
+
+func (l Loss) String() string {
+	if l < 0 || int(l) >= len(lossNames) {
+		return "unknown" // from a peer of another version
+	}
+	return lossNames[l]
+}
 
 type dataCentreKey struct {
 	service    string
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"runtime/debug"
@@ -142,7 +143,8 @@
 		Lend: func(now time.Time, service string, requested int) int {
 			return n.gateway.Budgets.Lend(now, service, requested)
 		},
-		Lent: n.onLoan,
+		Lent:     n.onLoan,
+		Panicked: n.logPanic,
 	})
 	if err != nil {
 		return nil, err
@@ -180,6 +182,11 @@
 	}
 }
 
+// logPanic logs an unexpected error in the handling of a datagram.
+func (n *Node) logPanic(v any) {
+	n.log.Log(logrus.ErrorLevel, telemetry.EventPanic, logrus.Fields{"work": "datagram", "error": fmt.Sprint(v), "stack": string(debug.Stack())}, "unexpected error, work given up")
+}
+
 // Ready reports whether the node can serve clients: it has a configuration and a
 // list of servers, and is not leaving.
 func (n *Node) Ready() bool {
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -43,7 +43,9 @@
 	// stateTimeout is the timeout of a request for a peer's state.
 	stateTimeout = 700 * time.Millisecond
 	// maxStateBytes is the maximum number of bytes read of a peer's state.
-	maxStateBytes = 16 << 20
+	maxStateBytes = 4 << 20
+	// maxStateHeaderBytes is the maximum size of the header of a peer's answer.
+	maxStateHeaderBytes = 32 << 10
 )
 
 // stateDocument is what a node has read from the store, as sent to peers. Config
@@ -233,6 +235,10 @@
 	n.serversLoaded.Store(true)
 }
 
+// stateClient is the HTTP client for requests to peers. They are too rare to keep
+// connections open.
+var stateClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxStateHeaderBytes}}
+
 func fetchState(ctx context.Context, address, query string) (stateDocument, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
@@ -240,8 +246,7 @@
 	if err != nil {
 		return stateDocument{}, newError(CodePeerState).Errorf("peer %s: %v", address, err)
 	}
-	request.Close = true // requests to a peer are too rare to keep a connection open
-	response, err := http.DefaultClient.Do(request)
+	response, err := stateClient.Do(request)
 	if err != nil {
 		return stateDocument{}, newError(CodePeerState).Errorf("peer %s: %v", address, err)
 	}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -27,6 +27,9 @@
 	killMargin = 500 * time.Millisecond
 	// headerTimeout is the maximum time for reading the header of a request.
 	headerTimeout = 10 * time.Second
+	// maxHeaderBytes is the maximum size of the header of a request. It is above the
+	// limits of configurations.
+	maxHeaderBytes = 64 << 10
 	// idleTimeout is the keep-alive time of idle client connections. It exceeds
 	// the idle time that configurations allow clients, so that a node does not
 	// close a connection that its client is about to reuse.
@@ -53,12 +56,14 @@
 	for _, worker := range []func(context.Context){n.mesh.Run, n.config.run, n.servers.run, n.register, n.housekeep, n.pruneLoop, n.rediscover} {
 		wg.Go(func() { worker(ctx) })
 	}
+	end := time.Now()
 	select {
 	case <-leave:
-		n.leave(ctx)
+		end = n.leave(ctx)
 	case <-ctx.Done():
 	}
-	shutdown, done := context.WithTimeout(context.WithoutCancel(ctx), killMargin/2)
+	// Requests that were accepted while the listeners close are still answered.
+	shutdown, done := context.WithTimeout(context.WithoutCancel(ctx), max(time.Until(end), killMargin/2))
 	defer done()
 	for _, s := range servers {
 		if err := s.Shutdown(shutdown); err != nil {
@@ -86,10 +91,12 @@
 	return grace == 0 || since < time.Duration(newStreamShare*float64(grace))
 }
 
-// leave announces that the node is leaving and returns when it has listened for
-// minLeaveTime and no requests are in flight, or at the latest killMargin before
-// the end of the grace period. Without a grace period it waits up to one hour.
-func (n *Node) leave(ctx context.Context) {
+// leave announces that the node is leaving and listens on for minLeaveTime. It returns the
+// time by which the requests in flight must have ended: killMargin before the end of the
+// grace period, or in one hour without a grace period. A node that listened until no
+// requests are in flight would, under load, accept requests until that end and cut them
+// off.
+func (n *Node) leave(ctx context.Context) time.Time {
 	started := time.Now()
 	n.leavingSince.Store(started)
 	n.leaving.Store(true)
@@ -100,12 +107,11 @@
 	if grace == 0 {
 		end = started.Add(time.Hour)
 	}
-	for time.Now().Before(end) && ctx.Err() == nil {
-		if time.Since(started) >= minLeaveTime && n.inFlight.Load() == 0 {
-			return
-		}
-		time.Sleep(20 * time.Millisecond)
+	select {
+	case <-time.After(min(minLeaveTime, time.Until(end))):
+	case <-ctx.Done():
 	}
+	return end
 }
 
 func (n *Node) listen(h Handlers) ([]*http.Server, error) {
@@ -134,7 +140,9 @@
 			n.log.LogError(logrus.ErrorLevel, telemetry.EventListenFailed, err, logrus.Fields{"address": s.address}, "cannot listen on address")
 			return nil, newError(CodeListen).Errorf("listening on %s: %v", s.address, err)
 		}
-		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLogger()}
+		server := &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLogger(),
+		}
 		list = append(list, server)
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -99,6 +99,10 @@
 	// IsAnswerTo reports whether an answer with the given header belongs to a
 	// call.
 	IsAnswerTo(c *Call, header http.Header) bool
+	// IsOwnAnswer reports whether an answer with the given header may belong to a call
+	// that the node makes for itself, such as a probe. An answer to a request of a client
+	// does not.
+	IsOwnAnswer(header http.Header) bool
 	// Answer reads the head of an answer.
 	Answer(status int, header http.Header) Answer
 	// Probe returns the call that requests the state of an engine. The engine
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -5,6 +5,10 @@
 	"strconv"
 )
 
+// maxEventBytes is the size from which on an incomplete event is taken for bytes that
+// are no event. Events are a few hundred bytes long.
+const maxEventBytes = 64 << 10
+
 // eventReader splits the bytes of an event stream into complete events.
 type eventReader struct{ pending []byte }
 
@@ -29,6 +33,9 @@
 	return event{id: eventID(raw), raw: raw}, true
 }
 
+// tooLarge reports whether the incomplete event that is buffered exceeds maxEventBytes.
+func (r *eventReader) tooLarge() bool { return len(r.pending) > maxEventBytes }
+
 // partial reports whether an incomplete event is buffered.
 func (r *eventReader) partial() bool { return len(r.pending) > 0 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -94,12 +94,17 @@
 		st.lastEventID = ev.id
 		wrote = true
 	}
+	if events.tooLarge() {
+		st.addStep("no event within %d bytes from %s", maxEventBytes, placed.Server)
+		return resultFailed, false
+	}
 	if !wrote {
 		return 0, true
 	}
 	if err := st.responseControl.Flush(); err != nil {
 		return resultAborted, false
 	}
+	watch.lastEventAt = time.Now()
 	st.recordFirstEvent(placed, watch)
 	return 0, true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,8 @@
 	if g.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	control := http.NewResponseController(w)
+	setWriteDeadline(control, now.Add(defaultTimeout))
 	call := g.Codec.Decode(r, now)
 	table := g.Routes.Current()
 	if table == nil {
@@ -144,7 +146,9 @@
 		}
 		team = t.Name
 	}
-	body, status := readBody(r, table.Limits.BodyBytes)
+	timeout := timeoutOf(call, route)
+	setWriteDeadline(control, now.Add(timeout+writeSlack))
+	body, status := readBodyWithin(control, r, table.Limits.BodyBytes, now.Add(max(timeout, minBodyTime)))
 	if status != 0 {
 		g.rejectCall(w, call, status, 0, "the body could not be read")
 		return
@@ -160,7 +164,7 @@
 		return
 	}
 	e := &exchange{g: g, w: w, ctx: r.Context(), call: call, route: route, service: service, team: team, started: now}
-	e.deadline = now.Add(timeoutOf(call, route))
+	e.deadline = now.Add(timeout)
 	e.waitForCrashCause(now)
 	if now = time.Now(); e.crashesServers(now) {
 		writeRefusal(w, http.StatusServiceUnavailable, crashRetryAfter, "the request crashes backend servers")
@@ -178,6 +182,16 @@
 	}
 }
 
+// writeSlack is how long after its deadline a request may still be answered.
+const writeSlack = 5 * time.Second
+
+// setWriteDeadline bounds the time for writing the answer of this request to a client
+// that does not read it. It is set for every request, since it holds for all later ones
+// of the connection.
+func setWriteDeadline(control *http.ResponseController, at time.Time) {
+	_ = control.SetWriteDeadline(at) // fails only if the client has disconnected
+}
+
 // timeoutOf returns the client's timeout, or defaultTimeout if it set none,
 // bounded by the timeout of the route.
 func timeoutOf(c *Call, r *routing.Route) time.Duration {
@@ -191,6 +205,20 @@
 	return timeout
 }
 
+// minBodyTime is the least time that a client has for sending the body of a request.
+const minBodyTime = time.Second
+
+// readBodyWithin is readBody with a deadline. The deadline is removed afterwards, since
+// the connection is read on to notice that the client disconnects.
+func readBodyWithin(control *http.ResponseController, r *http.Request, limit int64, deadline time.Time) ([]byte, int) {
+	if r.Body == http.NoBody {
+		return nil, 0
+	}
+	_ = control.SetReadDeadline(deadline) // fails only if the client has disconnected
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	return readBody(r, limit)
+}
+
 // readBody reads the whole body, since it may have to be sent more than once.
 // It returns a status other than 0 if the request must be refused for its body.
 func readBody(r *http.Request, limit int64) ([]byte, int) {
--- a/internal/gateway/locate.go
+++ b/internal/gateway/locate.go
@@ -13,6 +13,9 @@
 	// locateTimeout is the longest time for which a request waits for the engines'
 	// answers about their cached prompts. Reading the prompt again takes a second.
 	locateTimeout = 200 * time.Millisecond
+	// maxLocateCalls is the maximum number of calls of a round that run at once. It
+	// bounds the memory for their answers.
+	maxLocateCalls = 32
 	// locateMaxAge is the age up to which the engines' answers are reused.
 	locateMaxAge = 3 * time.Second
 )
@@ -72,8 +75,12 @@
 func (g *Gateway) queryCachedPrompts(servers []*fleet.Server) {
 	method, target := g.Codec.CachedPromptsCall()
 	var wg sync.WaitGroup
+	running := make(chan struct{}, maxLocateCalls)
 	for _, s := range servers {
+		running <- struct{}{}
 		wg.Go(func() {
+			defer g.recoverPanic("query of cached prompts")
+			defer func() { <-running }()
 			response, body, err := g.call(s, method, target)
 			if err == nil && response.StatusCode == http.StatusOK {
 				g.Fleet.RecordCachedPrompts(time.Now(), s, g.Codec.CachedPrompts(body))
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -28,9 +27,6 @@
 	// callSilenceLimit is how long a server may send nothing to a call before the
 	// call may treat it as lost.
 	callSilenceLimit = 500 * time.Millisecond
-	// maxAnswerBytes is the maximum number of bytes of an answer's body that are
-	// read and held in memory.
-	maxAnswerBytes = 8 << 20
 	// refusalPause is the shortest time after which a call is sent again to a server
 	// that refused it as full. A server with a full queue has room again a few
 	// milliseconds later, and the pause leaves that room to other calls first.
@@ -50,6 +46,8 @@
 	status        int
 	header        http.Header
 	body          []byte
+	// rest is the part of a large body that has not been read yet; nil if body is whole.
+	rest *answerRest
 }
 
 // succeeded reports whether the server answered the call with a status below
@@ -120,7 +118,7 @@
 		}
 		e.unavailable = append(e.unavailable, s.ID)
 		running++
-		go func() { replies <- e.attempt(ctx, s, streamMaxIdle) }()
+		go func() { replies <- e.attemptInBackground(ctx, s) }()
 		return true
 	}
 	if !launch(retryshare.Needed) {
@@ -258,6 +256,10 @@
 
 // sendReply passes a server's answer on to the client and records the outcome.
 func (e *exchange) sendReply(r *reply) {
+	if r.rest != nil {
+		e.streamReply(r)
+		return
+	}
 	e.writeAnswer(&bufferedAnswer{r.status, r.header, r.body})
 	outcome := "served"
 	if !r.succeeded() {
@@ -266,6 +268,18 @@
 	e.recordOutcome(outcome, r.status, "")
 }
 
+// attemptInBackground makes one attempt of an idempotent call in a goroutine of its own.
+// A panic there would end the process; it fails the attempt instead.
+func (e *exchange) attemptInBackground(ctx context.Context, s *fleet.Server) (r *reply) {
+	defer func() {
+		if v := recover(); v != nil {
+			e.g.logPanic("attempt", v)
+			r = &reply{server: s, err: backendconn.NewProtocolError("internal error")}
+		}
+	}()
+	return e.attempt(ctx, s, streamMaxIdle)
+}
+
 // attempt makes one attempt of a call.
 func (e *exchange) attempt(ctx context.Context, s *fleet.Server, maxIdle time.Duration) *reply {
 	g := e.g
@@ -280,7 +294,11 @@
 		}
 		return r
 	}
-	defer stop()
+	defer func() {
+		if r.rest == nil {
+			stop()
+		}
+	}()
 	now := time.Now()
 	started := now
 	lossCount := s.LossCount()
@@ -305,7 +323,11 @@
 		r.status, r.header = response.StatusCode, response.Header
 		answer := g.readAnswer(s, response)
 		r.notRun, replaced = answer.NotExecuted, answer.Replaced
-		r.body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+		r.body, err = readAnswerBody(response.Body)
+		if errors.Is(err, errAnswerTooLarge) && answer.Forwardable && !answer.NotExecuted {
+			r.rest = &answerRest{conn: c, response: response, stop: stop}
+			return r
+		}
 		if err != nil {
 			err = c.BodyError(err)
 		}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -36,12 +35,16 @@
 	defer g.Pool.Close(c)
 	return g.exchangeSmall(ctx, s, c, &backendconn.Request{
 		Method: method, Target: target, Host: s.Address, Header: http.Header{},
-		Matches: func(http.Header) bool { return true },
+		Matches: g.Codec.IsOwnAnswer,
 	})
 }
 
-// exchangeSmall makes one exchange and reads the body of the answer into memory,
-// up to 1 MiB. It waits for the answer until ctx ends.
+// maxStateBytes is the maximum size in bytes of an answer to a call of the node's own,
+// such as the list of the prompts that an engine has cached.
+const maxStateBytes = 256 << 10
+
+// exchangeSmall makes one exchange and reads the body of the answer into memory. A body
+// of more than maxStateBytes is an error. It waits for the answer until ctx ends.
 func (g *Gateway) exchangeSmall(ctx context.Context, s *fleet.Server, c *backendconn.Conn, r *backendconn.Request) (*http.Response, []byte, error) {
 	r.Watch = func(time.Time, time.Duration) error { return ctx.Err() }
 	response, err := c.Exchange(ctx, r)
@@ -49,7 +52,7 @@
 		return nil, nil, err
 	}
 	g.readAnswer(s, response)
-	body, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+	body, err := readAtMost(response.Body, maxStateBytes)
 	return response, body, err
 }
 
--- a/internal/gateway/protect.go
+++ b/internal/gateway/protect.go
@@ -130,11 +130,12 @@
 	g, server, id := p.st.g, p.server, string(p.st.call.ID)
 	go func() {
 		c := &runCopy{holder: holder, source: server.Address}
+		defer g.recoverPanic("copy of a run")
+		defer func() { answer <- c }()
 		var ok bool
 		if c.name, c.status, ok = g.copyRun(server, id, holder.Address); !ok {
 			c.name = ""
 		}
-		answer <- c
 	}()
 }
 
@@ -202,6 +203,7 @@
 // frees the new copy if one was made. Engines also free copies by themselves, but
 // only after seconds in which the memory is not available.
 func (g *Gateway) freeCopy(source *fleet.Server, c *runCopy, pending <-chan *runCopy) {
+	defer g.recoverPanic("release of a copy")
 	if pending != nil {
 		if last := <-pending; last.name != "" {
 			c = last
@@ -219,7 +221,7 @@
 	method, target := g.Codec.FreeCall(c.name)
 	response, _, err := g.exchangeSmall(ctx, source, conn, &backendconn.Request{
 		Method: method, Target: target, Host: source.Address, Header: http.Header{},
-		Matches: func(http.Header) bool { return true },
+		Matches: g.Codec.IsOwnAnswer,
 	})
 	if err != nil {
 		g.Pool.Close(conn)
@@ -241,7 +243,7 @@
 	method, target, body := g.Codec.CopyCall(run, to)
 	response, answer, err := g.exchangeSmall(ctx, s, c, &backendconn.Request{
 		Method: method, Target: target, Host: s.Address, Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
-		Matches: func(http.Header) bool { return true },
+		Matches: g.Codec.IsOwnAnswer,
 	})
 	if err != nil {
 		g.Pool.Close(c)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -58,6 +58,7 @@
 	// lastFailure is the latest complete answer with a failure status. It is
 	// passed on if no later attempt succeeds.
 	lastFailure     *bufferedAnswer
+	losses          int // engines that failed after they had received the request
 	responseControl *http.ResponseController
 }
 
@@ -81,7 +82,6 @@
 // serveStream serves a request that is answered by a series of events.
 func (e *exchange) serveStream() {
 	st := &streamState{exchange: e, lastEventID: e.call.After, responseControl: http.NewResponseController(e.w)}
-	losses := 0
 	if st.lastEventID > 0 {
 		e.g.locatePrompt(e.ctx, e.service.Name, e.call.Prompt.SuffixHash)
 	}
@@ -91,11 +91,11 @@
 			st.failStream("out of time")
 			return
 		}
-		if losses > 0 {
+		if st.losses > 0 {
 			e.waitForCrashCause(now)
 			now = time.Now()
 		}
-		if losses > 0 && e.crashesServers(now) {
+		if st.losses > 0 && e.crashesServers(now) {
 			st.failStream("the request crashes backend servers")
 			return
 		}
@@ -124,13 +124,13 @@
 			return
 		case resultNotRun:
 			e.refusedCount++
-			if e.refusedCount-e.unavailableCount >= maxRefusals+losses || e.unavailableCount >= maxUnavailable {
+			if e.refusedCount-e.unavailableCount >= maxRefusals+st.losses || e.unavailableCount >= maxUnavailable {
 				st.failStream("engines refuse the request as full")
 				return
 			}
 		case resultFailed:
-			losses++
-			if !e.route.Resumable || losses >= min(maxLosses, max(1, e.route.Attempts)) {
+			st.losses++
+			if st.attemptsLeft() <= 0 {
 				st.failStream("too many engines failed")
 				return
 			}
@@ -138,6 +138,21 @@
 	}
 }
 
+// attemptsLeft returns the number of further engines that may run the stream.
+func (st *streamState) attemptsLeft() int {
+	if !st.route.Resumable {
+		return 0
+	}
+	return min(maxLosses, max(1, st.route.Attempts)) - st.losses
+}
+
+// mayMove reports whether a stream whose engine is running but makes no progress can
+// resume elsewhere. Otherwise it keeps waiting: a slow stream is worth more than a broken
+// one.
+func (st *streamState) mayMove(now time.Time) bool {
+	return st.attemptsLeft() > 1 && len(st.g.Fleet.Accepting(now, st.service.Name)) > 1 && st.g.Budgets.HasLeft(now, st.service.Name)
+}
+
 // awaitRetry reports whether a further attempt may be sent, like mayRetry. If this host
 // has used up its share of the retry budget, it borrows from others, and otherwise waits
 // until a part of its share is free again: a stream that pauses is worth more than one
@@ -326,7 +341,7 @@
 	}()
 	e.addStep("to %s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, a.CopyName != "", placed.Backup, wait.Milliseconds(), st.lastEventID, c.Reused())
 
-	watch := &streamWatch{g: g, st: st, server: s, lossCountAtStart: s.LossCount(), expected: wait}
+	watch := &streamWatch{g: g, st: st, server: s, lossCountAtStart: s.LossCount(), started: now, expected: wait}
 	response, err := c.Exchange(e.ctx, &backendconn.Request{
 		Method: e.call.Method, Target: e.call.Target, Host: e.call.Host,
 		Header: g.Codec.Encode(e.call, a), Body: e.call.Body,
@@ -423,7 +438,7 @@
 // client at once, unless the head of an answer has already been sent.
 func (st *streamState) answeredWithFailure(s *fleet.Server, c *backendconn.Conn, response *http.Response, answer Answer) result {
 	st.sentCount++
-	body, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+	body, err := readAnswerBody(response.Body)
 	if err != nil {
 		st.g.Pool.Close(c)
 	} else {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -19,12 +19,13 @@
 	st               *streamState
 	server           *fleet.Server
 	lossCountAtStart uint32
+	started          time.Time
 	expected         time.Duration // expected time until the first event
 	eventDelivered   bool
+	lastEventAt      time.Time // delivery of the latest event
 	// idleAtProbe is how long the engine had sent nothing to the stream when it
 	// last answered a probe; 0 if it has sent bytes since.
 	idleAtProbe time.Duration
-	probes      int
 }
 
 const (
@@ -38,15 +39,15 @@
 	// probeFraction is the silence between events after which the engine is
 	// probed, as a fraction of the route's longest pause.
 	probeFraction = 0.42
-	// stallFactor is the silence between events after which a stream is moved to
-	// another engine although its engine still answers probes, as a multiple of
-	// the route's longest pause.
+	// stallFactor is the time without an event after which a stream is moved to
+	// another engine although its engine still answers probes or sends bytes, as a
+	// multiple of the route's longest pause.
 	stallFactor = 2.0
 	// suspectProbeDelay is the longest silence after which an engine in a data
 	// centre that was just lost is probed.
 	suspectProbeDelay = 120 * time.Millisecond
-	// maxFirstProbes is the maximum number of probes to an engine before
-	// the first event.
+	// maxFirstProbes is the number of probe delays after which a run that has not begun
+	// counts as stalled.
 	maxFirstProbes = 5
 )
 
@@ -65,16 +66,12 @@
 	if w.g.Fleet.InLostDataCentre(w.server, now) {
 		limit = min(limit, suspectProbeDelay)
 	}
-	if w.eventDelivered && idle > time.Duration(stallFactor*float64(w.route().MaxGap)) && w.route().MaxGap > 0 {
+	if w.stalled(now) && w.st.mayMove(now) {
 		return backendconn.NewStalledError(idle, "the run makes no progress")
 	}
 	if idle-w.idleAtProbe < limit {
 		return nil
 	}
-	w.probes++
-	if w.probes > maxFirstProbes && !w.eventDelivered {
-		return backendconn.NewStalledError(idle, "the run does not begin")
-	}
 	if !w.g.probe(w.server) {
 		return w.silentError(idle, "does not answer")
 	}
@@ -83,6 +80,17 @@
 	return nil
 }
 
+// stalled reports whether the run makes no progress. Only events count: an engine that
+// sends a byte now and then makes none. The first event may take longer, since the
+// prompt may have to wait.
+func (w *streamWatch) stalled(now time.Time) bool {
+	if !w.eventDelivered {
+		return now.Sub(w.started) > maxFirstProbes*w.probeDelay()
+	}
+	gap := w.route().MaxGap
+	return gap > 0 && now.Sub(w.lastEventAt) > time.Duration(stallFactor*float64(gap))
+}
+
 func (w *streamWatch) route() *routing.Route { return w.st.route }
 
 // probeDelay returns the time since the last byte or the last answered probe after
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -63,6 +63,8 @@
 	ServerChanges func(ServerChanges)
 	// Lend returns how many of the requested retries to a service this node lends.
 	Lend func(now time.Time, service string, requested int) int
+	// Panicked is called when a datagram causes a panic.
+	Panicked func(v any)
 	// Lent is called for each answer to a request for a loan.
 	Lent func(time.Time, Loan)
 }
@@ -327,12 +329,23 @@
 			time.Sleep(10 * time.Millisecond) // a socket error, such as an unreachable port
 			continue
 		}
-		msg, err := decode(buf[:n])
-		if err != nil {
-			continue // not a datagram of this protocol
+		m.handleDatagram(time.Now(), source, buf[:n])
+	}
+}
+
+// handleDatagram decodes and handles one datagram. Whatever it contains, the process
+// continues.
+func (m *Mesh) handleDatagram(now time.Time, source netip.AddrPort, p []byte) {
+	defer func() {
+		if v := recover(); v != nil {
+			m.Panicked(v)
 		}
-		m.handle(time.Now(), source, msg)
+	}()
+	msg, err := decode(p)
+	if err != nil {
+		return // not a datagram of this protocol
 	}
+	m.handle(now, source, msg)
 }
 
 func (m *Mesh) handle(now time.Time, source netip.AddrPort, msg message) {
@@ -375,10 +388,13 @@
 		return
 	}
 	m.mu.Lock()
-	borrower := m.members.peers[msg.Host].Mesh // accepted, so it is known
+	borrower := m.members.peers[msg.Host]
 	m.mu.Unlock()
+	if borrower == nil {
+		return
+	}
 	answer := Loan{Service: x.Service, Number: x.Number, Retries: m.Lend(now, x.Service, x.Retries)}
-	m.sendTo(borrower, m.encoded(message{Loan: &answer}))
+	m.sendTo(borrower.Mesh, m.encoded(message{Loan: &answer}))
 }
 
 func (m *Mesh) apply(now time.Time, host ident.HostID, e Event) {
--- a/internal/retryshare/retryshare.go
+++ b/internal/retryshare/retryshare.go
@@ -140,6 +140,14 @@
 	return true
 }
 
+// HasLeft reports whether a needed retry could be sent now. It counts none.
+func (b *Budget) HasLeft(now time.Time, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.countsOf(now, service)
+	return float64(c.retries()+1) <= b.ownShare(now, c)
+}
+
 // Lend returns how many of the requested retries this host leaves to another one. It
 // counts them as its own. A host lends all that it has not used, since it can borrow
 // again itself.
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -61,6 +61,9 @@
 	EventRequestTroubled Event = "request_troubled"
 	// EventBackendLost: the first evidence that a backend server is lost.
 	EventBackendLost Event = "backend_lost"
+	// EventPanic is an unexpected error of which only the request or message that caused
+	// it is affected.
+	EventPanic Event = "panic"
 	// EventBackendListed: a backend server was added to the list, changed, removed or
 	// found without the list, or its entry is invalid.
 	EventBackendListed Event = "backend_listed"
