mesh, gateway: fewer datagrams and inquiries with many hosts

After the loss of all hosts each of them asked all 312 engines for the prompts that they hold.

Change: events that only free resources wait for the next datagram, 2 ms for each host; with more than 25 hosts a brief heartbeat is left out once after events; a node asks the 32 engines that placement prefers for a prompt. A datagram no longer describes the whole node to fill in its sender.

--- a/internal/fleet/announced_test.go
+++ b/internal/fleet/announced_test.go
@@ -1,8 +1,12 @@
 package fleet
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
 // Guards against work for a server that says it is leaving, against a newer report of
@@ -104,3 +108,45 @@
 		t.Error("its next incarnation was not added")
 	}
 }
+
+// Reproduces the load of a large deployment, 94 streams a second of six seconds on 312
+// engines, and guards against asking so few engines for a prompt that the one which read
+// it is missed.
+func TestLikelyHolders(t *testing.T) {
+	const (
+		engines  = 312
+		spacing  = time.Second / 94
+		lifetime = 6 * time.Second
+		streams  = 3000
+		asked    = 32
+	)
+	start := time.Unix(1_000_000, 0)
+	f := New("h", start)
+	for i := range engines {
+		f.Put(start, Entry{ID: ident.BackendID(fmt.Sprintf("i-%03d", i)), Incarnation: 1, Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), DataCentre: "d", Sequence: 1})
+	}
+	var running []Placement
+	found := 0
+	for i := range streams {
+		now := start.Add(time.Duration(i) * spacing)
+		if ended := len(running) - int(lifetime/spacing); ended > 0 {
+			f.RemoveRun("h", running[0])
+			running = running[1:]
+		}
+		p := Prompt{Tokens: 8200, MaxOutput: 900, SuffixHash: uint64(i)*0x9e3779b97f4a7c15 + 1}
+		choice, ok := f.ChooseEngine(now, "s", 88_000, p, nil)
+		if !ok {
+			t.Fatal("no engine")
+		}
+		if slices.Contains(f.LikelyHolders(now, "s", p.SuffixHash, asked), choice.Server) {
+			found++
+		}
+		placed := Placement{Run: uint64(i), Server: choice.Server.ID, Tokens: 9100, SuffixHash: p.SuffixHash, Prefill: choice.Prefill}
+		f.AddRun(now, "h", placed)
+		f.RecordPromptRead(now.Add(choice.Prefill), "h", placed)
+		running = append(running, placed)
+	}
+	if found < streams*9/10 {
+		t.Errorf("%d of %d prompts are on one of the %d engines that are asked", found, streams, asked)
+	}
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/ident"
@@ -171,6 +173,17 @@
 	return false
 }
 
+// LikelyHolders returns up to limit servers of a service to which new work may be sent,
+// in the order in which placement prefers them for the prompt whose last part has the
+// given hash.
+func (f *Fleet) LikelyHolders(now time.Time, service string, suffixHash uint64, limit int) []*Server {
+	list := f.Accepting(now, service)
+	slices.SortFunc(list, func(a, b *Server) int {
+		return cmp.Compare(rendezvousHash(suffixHash, b), rendezvousHash(suffixHash, a))
+	})
+	return list[:min(limit, len(list))]
+}
+
 // Accepting returns the servers of a service to which new work may be sent, in no
 // particular order.
 func (f *Fleet) Accepting(now time.Time, service string) []*Server {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,6 +4,9 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
 // Guards against splitting an event in two, delivering it without its end, or
@@ -62,3 +65,27 @@
 		t.Errorf("%d different times out of 100, want at least 50", len(seen))
 	}
 }
+
+// Guards against asking an engine twice within locateMaxAge, and against requests that
+// do not wait for the answers of engines which another request has asked.
+func TestLocatorSharesInquiries(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	f := fleet.New("h", start)
+	var servers []*fleet.Server
+	for _, id := range []ident.BackendID{"a", "b", "c"} {
+		f.Put(start, fleet.Entry{ID: id, Incarnation: 1, Service: "s"})
+		servers = append(servers, f.Server(id))
+	}
+	var l locator
+	all, unasked := l.begin(start, servers[:2])
+	if len(all) != 2 || len(unasked) != 2 {
+		t.Fatalf("first: %d inquiries, %d to ask", len(all), len(unasked))
+	}
+	second, unasked := l.begin(start.Add(time.Second), servers[1:])
+	if len(second) != 2 || len(unasked) != 1 || unasked[0].server != servers[2] || second[0] != all[1] {
+		t.Errorf("second: %d inquiries, %d to ask", len(second), len(unasked))
+	}
+	if _, unasked := l.begin(start.Add(locateMaxAge), servers[:1]); len(unasked) != 1 {
+		t.Error("an old answer is used again")
+	}
+}
--- a/internal/gateway/locate.go
+++ b/internal/gateway/locate.go
@@ -2,90 +2,117 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
 const (
 	// locateTimeout is the longest time for which a request waits for the engines'
 	// answers about their cached prompts. Reading the prompt again takes a second.
 	locateTimeout = 200 * time.Millisecond
-	// maxLocateCalls is the maximum number of calls of a round that run at once. It
+	// maxLocateCalls is the maximum number of calls for one prompt that run at once. It
 	// bounds the memory for their answers.
 	maxLocateCalls = 32
-	// locateMaxAge is the age up to which the engines' answers are reused.
+	// locateMaxAge is the age up to which an engine's answer is reused.
 	locateMaxAge = 3 * time.Second
+	// maxLocateEngines is the maximum number of engines that are asked for one prompt.
+	// Placement prefers the first engines in the order of the prompt's hash, so the one
+	// that read the prompt is nearly always among them.
+	maxLocateEngines = 32
 )
 
-// locator lets all requests that wait for the engines' answers share one round
-// of queries.
+// locator remembers which engines were asked a short time ago, so that requests that
+// wait for the answers of the same engines share them.
 //
 // Load pattern: all nodes are lost at once and restart without any state. Within
 // milliseconds clients reconnect to resume their answers, and the engines still
-// have their prompts cached.
+// have their prompts cached. With hundreds of nodes and engines, a node that asked all
+// engines would cost as many calls as all its streams together.
 type locator struct {
-	mu        sync.Mutex
-	service   string        // guarded by mu
-	startedAt time.Time     // guarded by mu; start of the newest round
-	done      chan struct{} // guarded by mu; closed when the round has ended
+	mu    sync.Mutex
+	asked map[ident.BackendID]*inquiry // guarded by mu
 }
 
-// locatePrompt queries the engines of a service for the prompts that they have
+// inquiry is a call for the prompts that an engine has cached. done is closed when the
+// answer has been recorded or the call has failed.
+type inquiry struct {
+	at   time.Time
+	done chan struct{}
+}
+
+// locatePrompt asks the engines of a service that may hold a prompt for what they have
 // cached, unless the fleet already records an engine that holds the prompt with the
 // given hash of its last part. It is used for requests that resume an answer. It
-// returns when the round has ended, after locateTimeout, or when ctx ends.
+// returns when the engines have answered, after locateTimeout, or when ctx ends.
 func (g *Gateway) locatePrompt(ctx context.Context, service string, part uint64) {
 	now := time.Now()
 	if part == 0 || g.Fleet.IsPromptCached(now, service, part) {
 		return
 	}
-	done := g.locating.begin(now, service, func(finished func()) {
-		g.queryCachedPrompts(g.Fleet.Accepting(now, service))
-		finished()
-	})
+	likely := g.Fleet.LikelyHolders(now, service, part, maxLocateEngines)
+	asked, unasked := g.locating.begin(now, likely)
+	go g.queryCachedPrompts(unasked)
 	timeout := time.NewTimer(locateTimeout)
 	defer timeout.Stop()
-	select {
-	case <-done:
-	case <-timeout.C:
-	case <-ctx.Done():
+	for _, q := range asked {
+		select {
+		case <-q.done:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-// begin starts a round, unless the newest one is for the same service and
-// younger than locateMaxAge, and returns a channel that is closed when the
-// round has ended.
-func (l *locator) begin(now time.Time, service string, round func(finished func())) <-chan struct{} {
+// question is an engine that has to be asked and the inquiry for it.
+type question struct {
+	server  *fleet.Server
+	inquiry *inquiry
+}
+
+// begin returns the inquiries for the given engines, and the engines that must be asked
+// because the latest inquiry for them is older than locateMaxAge.
+func (l *locator) begin(now time.Time, servers []*fleet.Server) (all []*inquiry, unasked []question) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.done != nil && l.service == service && now.Sub(l.startedAt) < locateMaxAge {
-		return l.done
+	maps.DeleteFunc(l.asked, func(_ ident.BackendID, q *inquiry) bool { return now.Sub(q.at) >= locateMaxAge })
+	if l.asked == nil {
+		l.asked = map[ident.BackendID]*inquiry{}
 	}
-	done := make(chan struct{})
-	l.service, l.startedAt, l.done = service, now, done
-	go round(func() { close(done) })
-	return done
+	for _, s := range servers {
+		q := l.asked[s.ID]
+		if q == nil {
+			q = &inquiry{at: now, done: make(chan struct{})}
+			l.asked[s.ID] = q
+			unasked = append(unasked, question{s, q})
+		}
+		all = append(all, q)
+	}
+	return all, unasked
 }
 
-// queryCachedPrompts queries engines for the prompts that they have cached and
-// records the answers in the fleet.
-func (g *Gateway) queryCachedPrompts(servers []*fleet.Server) {
+// queryCachedPrompts asks engines for the prompts that they have cached and records the
+// answers in the fleet.
+func (g *Gateway) queryCachedPrompts(questions []question) {
+	defer g.recoverPanic("query of cached prompts")
 	method, target := g.Codec.CachedPromptsCall()
-	var wg sync.WaitGroup
 	running := make(chan struct{}, maxLocateCalls)
-	for _, s := range servers {
+	for _, q := range questions {
 		running <- struct{}{}
-		wg.Go(func() {
+		go func() {
 			defer g.recoverPanic("query of cached prompts")
 			defer func() { <-running }()
-			response, body, err := g.call(s, method, target)
+			defer close(q.inquiry.done)
+			response, body, err := g.call(q.server, method, target)
 			if err == nil && response.StatusCode == http.StatusOK {
-				g.Fleet.RecordCachedPrompts(time.Now(), s, g.Codec.CachedPrompts(body))
+				g.Fleet.RecordCachedPrompts(time.Now(), q.server, g.Codec.CachedPrompts(body))
 			}
-		})
+		}()
 	}
-	wg.Wait()
 }
--- a/internal/peer/mesh/members_test.go
+++ b/internal/peer/mesh/members_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -169,3 +170,34 @@
 		}
 	}
 }
+
+// Guards against heartbeats that are left out twice in a row, by a small deployment, or
+// by a node that has sent nothing else, and against full ones that are left out.
+func TestHeartbeatDue(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		peers   int
+		flushed time.Duration // before the tick
+		want    [3]bool       // at the ticks 1, 2 and 3
+	}{
+		{"few nodes", 5, 0, [3]bool{true, true, true}},
+		{"many nodes, events", 200, 0, [3]bool{false, true, false}},
+		{"many nodes, no events", 200, time.Hour, [3]bool{true, true, true}},
+	} {
+		m := &Mesh{members: newMembers("self")}
+		for i := range test.peers {
+			m.members.update(at(0), member(ident.HostID(fmt.Sprintf("h%d", i)), 1))
+		}
+		for i, want := range test.want {
+			now := at(10_000 + 1000*i)
+			m.flushedAt = now.Add(-test.flushed)
+			if got := m.heartbeatDue(now, i+1); got != want {
+				t.Errorf("%s: tick %d: due %t", test.name, i+1, got)
+			}
+		}
+		m.skipped = false
+		if now := at(20_000); !m.heartbeatDue(now, fullHeartbeatEvery) {
+			t.Errorf("%s: a full heartbeat is left out", test.name)
+		}
+	}
+}
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -27,6 +27,10 @@
 	// batchDelay is how long an event that is not urgent waits for further events
 	// that can be sent in the same datagram.
 	batchDelay = 5 * time.Millisecond
+	// lazyDelayPerNode is how long an event that only frees resources waits for a
+	// datagram to go with, for each other node. The number of datagrams grows with the
+	// square of the number of nodes.
+	lazyDelayPerNode = 2 * time.Millisecond
 	// eventQueueSize is the maximum number of events that wait to be sent. The
 	// oldest events lose their value first, and an event that is rejected because
 	// the queue is full only makes the peers' estimates less accurate.
@@ -39,12 +43,19 @@
 
 // Mesh exchanges heartbeats and events with the other nodes of a deployment.
 type Mesh struct {
-	fleet   *fleet.Fleet
-	conn    *net.UDPConn
-	self    func(now time.Time) Member
-	events  *ring.Ring[Event]
-	pending chan struct{} // signals queued events that may wait for a batch
-	urgent  chan struct{} // signals queued events that must be sent at once
+	fleet       *fleet.Fleet
+	conn        *net.UDPConn
+	self        func(now time.Time) Member
+	events      *ring.Ring[Event]
+	host        ident.HostID
+	incarnation ident.Incarnation
+	pending     chan struct{} // signals queued events that may wait for a batch
+	lazy        chan struct{} // signals queued events that only free resources
+	urgent      chan struct{} // signals queued events that must be sent at once
+	// flushedAt is the time at which events were last sent, and skipped is set if the
+	// heartbeat of the latest tick was left out. Only the sending goroutine uses them.
+	flushedAt time.Time
+	skipped   bool
 	Handlers
 
 	mu      sync.Mutex
@@ -80,15 +91,19 @@
 	if err != nil {
 		return nil, newError(CodeListen).Errorf("listening on %s: %v", listen, err)
 	}
+	local := self(time.Now())
 	return &Mesh{
-		fleet:    f,
-		conn:     conn,
-		self:     self,
-		events:   ring.New[Event](eventQueueSize),
-		pending:  make(chan struct{}, 1),
-		urgent:   make(chan struct{}, 1),
-		Handlers: h,
-		members:  newMembers(self(time.Now()).Host),
+		host:        local.Host,
+		incarnation: local.Incarnation,
+		lazy:        make(chan struct{}, 1),
+		fleet:       f,
+		conn:        conn,
+		self:        self,
+		events:      ring.New[Event](eventQueueSize),
+		pending:     make(chan struct{}, 1),
+		urgent:      make(chan struct{}, 1),
+		Handlers:    h,
+		members:     newMembers(local.Host),
 	}, nil
 }
 
@@ -150,41 +165,45 @@
 }
 
 // RunPlaced implements gateway.Announcer.
-func (m *Mesh) RunPlaced(p fleet.Placement) { m.enqueue(Event{Kind: EventPlaced, Placed: &p}, false) }
+func (m *Mesh) RunPlaced(p fleet.Placement) {
+	m.enqueue(Event{Kind: EventPlaced, Placed: &p}, m.pending)
+}
 
 // FirstEvent implements gateway.Announcer.
 func (m *Mesh) FirstEvent(p fleet.Placement) {
-	m.enqueue(Event{Kind: EventFirst, Placed: &fleet.Placement{Run: p.Run, Server: p.Server}}, false)
+	m.enqueue(Event{Kind: EventFirst, Placed: &fleet.Placement{Run: p.Run, Server: p.Server}}, m.pending)
 }
 
 // RunEnded implements gateway.Announcer.
 func (m *Mesh) RunEnded(p fleet.Placement) {
-	m.enqueue(Event{Kind: EventEnded, Placed: &fleet.Placement{Run: p.Run, Server: p.Server, Backup: p.Backup}}, false)
+	m.enqueue(Event{Kind: EventEnded, Placed: &fleet.Placement{Run: p.Run, Server: p.Server, Backup: p.Backup}}, m.lazy)
 }
 
 // CopyAdded implements gateway.Announcer.
-func (m *Mesh) CopyAdded(p fleet.Placement) { m.enqueue(Event{Kind: EventCopied, Placed: &p}, false) }
+func (m *Mesh) CopyAdded(p fleet.Placement) {
+	m.enqueue(Event{Kind: EventCopied, Placed: &p}, m.pending)
+}
 
 // CopyRemoved implements gateway.Announcer.
 func (m *Mesh) CopyRemoved(p fleet.Placement) {
-	m.enqueue(Event{Kind: EventCopyDropped, Placed: &fleet.Placement{Run: p.Run, Backup: p.Backup}}, false)
+	m.enqueue(Event{Kind: EventCopyDropped, Placed: &fleet.Placement{Run: p.Run, Backup: p.Backup}}, m.lazy)
 }
 
 // ServerLost implements gateway.Announcer.
 func (m *Mesh) ServerLost(server ident.BackendID, how fleet.Loss) {
-	m.enqueue(Event{Kind: EventLost, Server: server, Loss: how}, true)
+	m.enqueue(Event{Kind: EventLost, Server: server, Loss: how}, m.urgent)
 }
 
 // ServerLeaving implements gateway.Announcer.
 func (m *Mesh) ServerLeaving(server ident.BackendID, incarnation int64) {
-	m.enqueue(Event{Kind: EventLeaving, Server: server, Incarnation: incarnation}, true)
+	m.enqueue(Event{Kind: EventLeaving, Server: server, Incarnation: incarnation}, m.urgent)
 }
 
 // Found announces a server that is not on the list yet to all peers.
-func (m *Mesh) Found(e fleet.Entry) { m.enqueue(Event{Kind: EventFound, Found: &e}, true) }
+func (m *Mesh) Found(e fleet.Entry) { m.enqueue(Event{Kind: EventFound, Found: &e}, m.urgent) }
 
 // Crashed implements gateway.Announcer.
-func (m *Mesh) Crashed(x gateway.Crash) { m.enqueue(Event{Kind: EventCrash, Crash: &x}, false) }
+func (m *Mesh) Crashed(x gateway.Crash) { m.enqueue(Event{Kind: EventCrash, Crash: &x}, m.pending) }
 
 // CountAlive returns the number of other nodes that have sent a datagram recently.
 func (m *Mesh) CountAlive(now time.Time) int {
@@ -207,12 +226,10 @@
 	m.sendTo(to.Mesh, m.encoded(message{LoanRequest: &x}))
 }
 
-func (m *Mesh) enqueue(e Event, urgent bool) {
+// enqueue queues an event and sends on signal, which determines how long the event may
+// wait.
+func (m *Mesh) enqueue(e Event, signal chan<- struct{}) {
 	m.events.TryPush(e)
-	signal := m.pending
-	if urgent {
-		signal = m.urgent
-	}
 	select {
 	case signal <- struct{}{}:
 	default:
@@ -222,33 +239,63 @@
 func (m *Mesh) send(ctx context.Context) {
 	heartbeat := time.NewTimer(heartbeatMin)
 	defer heartbeat.Stop()
-	var batchEnd <-chan time.Time // set while queued events wait for the end of a batch
+	var batchEnd, lazyEnd <-chan time.Time // set while queued events wait for the end of a batch
 	m.broadcast(message{Member: m.localMember(), Hello: true})
 	for count := 1; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-heartbeat.C:
-			x := m.localMember()
-			if count++; count%fullHeartbeatEvery != 0 {
-				*x = x.brief()
+			if count++; m.heartbeatDue(time.Now(), count) {
+				x := m.localMember()
+				if count%fullHeartbeatEvery != 0 {
+					*x = x.brief()
+				}
+				m.broadcast(message{Member: x})
 			}
-			m.broadcast(message{Member: x})
 			m.expire(time.Now())
 			heartbeat.Reset(m.heartbeatInterval())
 		case <-m.pending:
 			if batchEnd == nil {
 				batchEnd = time.After(batchDelay)
 			}
+		case <-m.lazy:
+			if lazyEnd == nil {
+				lazyEnd = time.After(m.lazyDelay())
+			}
+		case <-lazyEnd:
+			lazyEnd = nil
+			m.flush()
 		case <-batchEnd:
-			batchEnd = nil
+			batchEnd, lazyEnd = nil, nil
 			m.flush()
 		case <-m.urgent:
+			lazyEnd = nil
 			m.flush()
 		}
 	}
 }
 
+// lazyDelay returns how long an event that only frees resources may wait.
+func (m *Mesh) lazyDelay() time.Duration {
+	return max(batchDelay, time.Duration(m.CountKnown())*lazyDelayPerNode)
+}
+
+// heartbeatDue reports whether a heartbeat must be sent at a tick of its timer. Every
+// datagram shows that this node is alive, so a brief heartbeat is left out once if there
+// are many nodes and this one has sent events since the tick before. Full heartbeats are
+// always sent. Only the sending goroutine calls it.
+func (m *Mesh) heartbeatDue(now time.Time, count int) bool {
+	interval := m.heartbeatInterval()
+	recent := interval > heartbeatMin && now.Sub(m.flushedAt) < interval
+	if recent && !m.skipped && count%fullHeartbeatEvery != 0 {
+		m.skipped = true
+		return false
+	}
+	m.skipped = false
+	return true
+}
+
 // heartbeatInterval returns the interval between heartbeats for the current number
 // of peers.
 func (m *Mesh) heartbeatInterval() time.Duration {
@@ -269,6 +316,9 @@
 // flush sends all queued events.
 func (m *Mesh) flush() {
 	events := m.events.TryPopAll(nil)
+	if len(events) > 0 {
+		m.flushedAt = time.Now()
+	}
 	for len(events) > 0 {
 		n := min(len(events), eventsPerDatagram)
 		m.broadcast(message{Events: events[:n]})
@@ -300,8 +350,7 @@
 }
 
 func (m *Mesh) encoded(msg message) []byte {
-	self := m.self(time.Now())
-	msg.Host, msg.Incarnation = self.Host, self.Incarnation
+	msg.Host, msg.Incarnation = m.host, m.incarnation
 	p, err := encode(msg)
 	if err != nil {
 		panic(err) // a message can always be encoded
