gateway: record the first event before the client sees it; e2e: wait for frozen processes

KNOWN-RED's entry is traced: the client got the first event of a stream before this node had recorded that the engine had read its prompt. A request that it sent at once found the engine still reading and was refused for its wait, with another reason than the one that the test waits for.

TestNodeFrozenAndPartitioned: the harness now waits until all threads of a process that it freezes have stopped, which it did not (docs/proofs.md).

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -3,12 +3,15 @@
 package e2e
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -78,8 +81,39 @@
 	<-p.exited
 }
 
-// freeze stops the process with SIGSTOP.
-func (p *process) freeze(t *testing.T) { t.Helper(); p.signal(t, syscall.SIGSTOP) }
+// freeze stops the process with SIGSTOP and waits until all its threads have stopped,
+// which takes some ten milliseconds under load.
+func (p *process) freeze(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGSTOP)
+	for !p.stopped(t) {
+		select {
+		case <-p.exited:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// stopped reports whether all threads of the process are in the state T (stopped).
+func (p *process) stopped(t *testing.T) bool {
+	t.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		// The state follows the command, which is in parentheses.
+		if _, state, _ := strings.Cut(string(stat[bytes.LastIndexByte(stat, ')'):]), " "); !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // thaw lets a frozen process continue with SIGCONT.
 func (p *process) thaw(t *testing.T) { t.Helper(); p.signal(t, syscall.SIGCONT) }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -87,6 +87,9 @@
 			st.addStep("event out of order: %d after %d from %s", ev.id, st.lastEventID, placed.Server)
 			return resultFailed, false
 		}
+		// Recorded before the client can know of it: its next request would otherwise
+		// find the engine still reading this prompt.
+		st.recordFirstEvent(placed, watch)
 		st.writeHead(head)
 		if _, err := st.w.Write(ev.raw); err != nil {
 			return resultAborted, false
@@ -105,7 +108,6 @@
 		return resultAborted, false
 	}
 	watch.lastEventAt = time.Now()
-	st.recordFirstEvent(placed, watch)
 	return 0, true
 }
 
