front: read configurations in quick succession together

Change: after a change a node pauses for a fifth of the time in which a configuration must be in force, at most 1 s, and polls wait 25 s instead of 15 s.

--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -52,6 +52,9 @@
 	// pollWait is how long the store may hold a Follow call open until a row
 	// changes (long polling). With 0 the store answers at once.
 	pollWait time.Duration
+	// changePause is how long the follower waits after it has applied a change, so that
+	// changes in quick succession cost one call together.
+	changePause time.Duration
 	// due reports whether the table should be read now and, if not, how long to
 	// wait before due is called again. It is nil for tables that are always
 	// followed.
@@ -171,6 +174,9 @@
 		if f.onRead != nil {
 			f.onRead()
 		}
+		if len(rows.Rows) > 0 && !list {
+			f.sleep(ctx, f.changePause)
+		}
 	}
 }
 
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -29,7 +29,14 @@
 	// configPollWait is how long the store may hold the call for configuration
 	// changes open. A dead connection is detected when this time is over, or earlier
 	// through the heartbeat of a peer.
-	configPollWait = 15 * time.Second
+	configPollWait = 25 * time.Second
+	// After a change of the configuration, the next one is read configPauseDivisor times
+	// earlier than it must be in force, at most maxConfigPause later.
+	//
+	// Load pattern: a dozen configurations follow each other three times a second, and
+	// each would cost one call from every host.
+	configPauseDivisor = 5
+	maxConfigPause     = time.Second
 	// housekeepingInterval is the interval at which expired state is removed.
 	housekeepingInterval = 500 * time.Millisecond
 	// logBuffer is the maximum number of log lines that are queued while the output
@@ -162,6 +169,7 @@
 	}
 	n.Tune(DefaultTuning())
 	n.config = n.newFollower(TableConfig, configPollWait, n.applyConfig, n.applyConfig)
+	n.config.changePause = min(maxConfigPause, s.ConfigDeadline/configPauseDivisor)
 	n.registerAgain, n.peerHeard = make(chan struct{}, 1), make(chan struct{})
 	// serversDue determines when the list of servers is read, so the store must
 	// answer at once: the wait is 0.
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -97,7 +97,7 @@
 	if n.hasOlderConfig(m) && n.fetchingState.CompareAndSwap(false, true) {
 		go func() {
 			defer n.fetchingState.Store(false)
-			time.Sleep(configFetchDelay)
+			time.Sleep(n.configFetchDelay())
 			if n.hasOlderConfig(m) {
 				n.readPeerState(context.Background(), m, false)
 			}
@@ -150,6 +150,16 @@
 	}
 }
 
+// configFetchDelay returns how long the node waits for the store to deliver a
+// configuration that a peer already has. While the store answers, that includes the
+// pause after the change before it.
+func (n *Node) configFetchDelay() time.Duration {
+	if n.config.failing.Load() || n.storeUnreachable.Load() {
+		return configFetchDelay
+	}
+	return configFetchDelay + n.config.changePause
+}
+
 // hasOlderConfig reports whether a peer has a newer configuration than this node.
 func (n *Node) hasOlderConfig(m mesh.Member) bool {
 	version, era := n.routes.Version(), n.routes.Era()
--- a/internal/front/reader_test.go
+++ b/internal/front/reader_test.go
@@ -253,6 +253,45 @@
 	}
 }
 
+// Reproduces configurations in quick succession, and guards against one call for each of
+// them, and against a change that is read later than the pause.
+func TestChangesInQuickSuccession(t *testing.T) {
+	const (
+		changes = 12
+		gap     = 330 * time.Millisecond
+		pause   = 800 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		written := func() int64 { return min(changes, 1+int64(time.Since(start)/gap)) }
+		store := &fakeStore{}
+		store.steps = []func() (Rows, error){func() (Rows, error) {
+			return Rows{Rows: []Row{{Key: "a"}}, Position: position(1, written())}, nil
+		}}
+		f := &follower{
+			store: store, table: TableConfig, changePause: pause,
+			log:  telemetry.NewEventLog(telemetry.NewLogger(io.Discard, "error", "h", "d")),
+			wake: make(chan struct{}, 1), retry: make(chan struct{}, 1),
+		}
+		var latest time.Duration
+		note := func(r Rows, _ readContext) {
+			if late := time.Since(start) - time.Duration(r.Position.Revision)*gap; r.Position.Revision < changes {
+				latest = max(latest, late)
+			}
+		}
+		f.replace, f.apply = note, note
+		ctx, cancel := context.WithTimeout(t.Context(), changes*gap)
+		defer cancel()
+		f.run(ctx)
+		if n := len(store.calls); n > changes/2+1 {
+			t.Errorf("%d calls for %d changes", n, changes)
+		}
+		if latest > pause {
+			t.Errorf("a change was read %v late, want at most the pause of %v", latest, pause)
+		}
+	})
+}
+
 // Guards against a node without data that still waits for a call that the store
 // never answered after the store has recovered.
 func TestFirstListAfterSilentCall(t *testing.T) {
--- a/internal/front/settings.go
+++ b/internal/front/settings.go
@@ -48,6 +48,9 @@
 	// maxAddressTTL is used.
 	AddressTTL time.Duration
 	Retry      RetryLimits
+	// ConfigDeadline is the time within which a configuration must be in force on every
+	// node after it was written; 0 if there is none.
+	ConfigDeadline time.Duration
 }
 
 func (s *Settings) capacity() float64 { return hostCapacity(s.Cores, s.LinkMbps) }
