--- a/internal/fleet/announced.go
+++ b/internal/fleet/announced.go
@@ -8,9 +8,9 @@
 
 // What servers say about themselves in the headers of their answers.
 
-// maxQuiet bounds the time for which a server may ask to be left alone. A server that
+// maxServerBackoff bounds the time for which a server may ask for a pause. A server that
 // asks for more still gets a request now and then.
-const maxQuiet = 2 * time.Minute
+const maxServerBackoff = 2 * time.Minute
 
 // RecordLeaving records that an incarnation of a server has said in an answer that it
 // is leaving. It reports whether this was not known, in which case the caller should
@@ -29,26 +29,26 @@
 	return !known
 }
 
-// RecordRetryAfter records that a server refused a request and wants no other from this
+// RecordRetryAfter records that a server refused a request and accepts no other from this
 // node for the given time.
 func (f *Fleet) RecordRetryAfter(now time.Time, s *Server, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if until := now.Add(min(d, maxQuiet)); until.After(s.quietUntil) {
-		s.quietUntil = until
+	if until := now.Add(min(d, maxServerBackoff)); until.After(s.backoffUntil) {
+		s.backoffUntil = until
 	}
 }
 
-// IsQuiet reports whether a server wants no request from this node now.
-func (f *Fleet) IsQuiet(s *Server, now time.Time) bool {
+// InBackoff reports whether a server accepts no request from this node now.
+func (f *Fleet) InBackoff(s *Server, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Before(s.quietUntil)
+	return now.Before(s.backoffUntil)
 }
 
-// QuietFor returns the time until the first server of a service accepts requests, if
-// all usable ones have asked to be left alone. It returns 0 otherwise.
-func (f *Fleet) QuietFor(now time.Time, service string) time.Duration {
+// BackoffLeft returns the time until the first server of a service accepts requests, if
+// all usable ones have asked for a pause. It returns 0 otherwise.
+func (f *Fleet) BackoffLeft(now time.Time, service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var shortest time.Duration
@@ -56,7 +56,7 @@
 		if !f.usable(s, service, now) {
 			continue
 		}
-		left := s.quietUntil.Sub(now)
+		left := s.backoffUntil.Sub(now)
 		if left <= 0 {
 			return 0
 		}
@@ -67,7 +67,7 @@
 	return shortest
 }
 
-// accepts reports whether s is usable and has not asked to be left alone.
+// accepts reports whether s is usable and has not asked for a pause.
 func (f *Fleet) accepts(s *Server, service string, now time.Time) bool {
-	return f.usable(s, service, now) && !now.Before(s.quietUntil)
+	return f.usable(s, service, now) && !now.Before(s.backoffUntil)
 }
--- a/internal/fleet/announced_test.go
+++ b/internal/fleet/announced_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// Guards against work, copies and queries for a server in the time in which it wants no
+// Guards against work, copies and queries for a server in the time in which it accepts no
 // requests, and against counting it as lost.
 func TestRecordRetryAfter(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
@@ -58,15 +58,15 @@
 	if f.ChooseBackup(now, b, 88_000, Prompt{Tokens: 10}, nil) != nil || len(f.Accepting(now, "s")) != 1 || f.Accepts(a, now) {
 		t.Error("the server counts as accepting work")
 	}
-	if !f.IsUsable(a, now) || f.QuietFor(now, "s") != 0 {
+	if !f.IsUsable(a, now) || f.BackoffLeft(now, "s") != 0 {
 		t.Error("the server counts as lost, or the other one as quiet")
 	}
 	f.RecordRetryAfter(now, b, 24*365*time.Hour)
-	if d := f.QuietFor(now, "s"); d != 100*time.Millisecond {
+	if d := f.BackoffLeft(now, "s"); d != 100*time.Millisecond {
 		t.Errorf("first server accepts work in %v, want 100 ms", d)
 	}
-	if !f.Accepts(a, start.Add(2*time.Second)) || !f.Accepts(b, now.Add(maxQuiet)) {
-		t.Error("a server is left alone for longer than it asked, or for longer than maxQuiet")
+	if !f.Accepts(a, start.Add(2*time.Second)) || !f.Accepts(b, now.Add(maxServerBackoff)) {
+		t.Error("a server is avoided for longer than it asked, or for longer than maxServerBackoff")
 	}
 }
 
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -67,9 +67,8 @@
 	return s.Service == service && !s.Draining && !now.Before(s.lostUntil) && !f.inLostDataCentre(s, now)
 }
 
-// candidates returns the usable servers of a service that have not asked to be left
-// alone. If there is none, it returns
-// the servers that are only suspected to be lost: the suspicion may be wrong, and
+// candidates returns the usable servers of a service that have not asked for a
+// pause. If there is none, it returns the servers that are only suspected to be lost: the suspicion may be wrong, and
 // trying a server is better than refusing the request. If there are none of those
 // either and includeUnreachable is set, it returns the servers that were found
 // unreachable. Callers that choose an engine do not set it, because an engine restarts
@@ -78,7 +77,7 @@
 	var usable, suspected, unreachable []*Server
 	for _, s := range f.servers {
 		switch {
-		case s.Service != service || s.Draining || now.Before(s.quietUntil) || slices.Contains(exclude, s.ID):
+		case s.Service != service || s.Draining || now.Before(s.backoffUntil) || slices.Contains(exclude, s.ID):
 		case f.usable(s, service, now):
 			usable = append(usable, s)
 		case !s.unreachable || !now.Before(s.lostUntil):
@@ -269,7 +268,7 @@
 }
 
 // IsUsable reports whether a server is running as far as known and is not leaving. It
-// may have asked to be left alone.
+// may have asked for a pause.
 func (f *Fleet) IsUsable(s *Server, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -93,9 +93,9 @@
 	// leaving is set if the server said in an answer that it is leaving. Draining is
 	// then set too, whatever the list says.
 	leaving bool
-	// quietUntil is the end of the time for which the server wants no request from this
+	// backoffUntil is the end of the time for which the server accepts no request from this
 	// node.
-	quietUntil time.Time
+	backoffUntil time.Time
 	// removedAt is the time at which the entry was found missing from the list right
 	// after an outage of the platform's store, see Fleet.Remove; zero if it is listed.
 	removedAt time.Time
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -78,7 +78,7 @@
 	// Leaving reports whether the server states that it is about to stop. It accepts
 	// requests for a short time only.
 	Leaving bool
-	// RetryAfter is how long the server wants no further request from this node, if it
+	// RetryAfter is how long the server accepts no further request from this node, if it
 	// refused this one; 0 if it does not say.
 	RetryAfter time.Duration
 	// Invalid lists the headers whose values were invalid and are ignored, as
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -200,7 +200,7 @@
 // noServerRetryAfter is the time after which a client whose call no server takes may
 // retry: not before one of the servers accepts requests again.
 func (e *exchange) noServerRetryAfter() time.Duration {
-	return max(e.g.Fleet.QuietFor(time.Now(), e.service.Name), retryAfter(200*time.Millisecond))
+	return max(e.g.Fleet.BackoffLeft(time.Now(), e.service.Name), retryAfter(200*time.Millisecond))
 }
 
 // noServerReason is the reason given to a client whose call no server takes.
@@ -242,7 +242,7 @@
 				return choice.Server, true
 			}
 		}
-		if len(e.unavailable) > 0 || !now.Before(until) || e.g.Fleet.QuietFor(now, e.service.Name) > until.Sub(now) {
+		if len(e.unavailable) > 0 || !now.Before(until) || e.g.Fleet.BackoffLeft(now, e.service.Name) > until.Sub(now) {
 			return nil, false
 		}
 		select {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -15,15 +15,15 @@
 // report its state.
 const probeTimeout = 120 * time.Millisecond
 
-// errQuiet is the error of a call that is not sent because its server has asked to be
-// left alone.
-var errQuiet = errors.New("the server accepts no requests for some time")
+// errBackoff is the error of a call that is not sent because its server has asked for a
+// pause.
+var errBackoff = errors.New("the server accepts no requests for some time")
 
 // call makes one call over a new connection to a server, within probeTimeout. It
 // is used for calls that an engine answers without occupying a slot.
 func (g *Gateway) call(s *fleet.Server, method, target string) (*http.Response, []byte, error) {
-	if g.Fleet.IsQuiet(s, time.Now()) {
-		return nil, nil, errQuiet
+	if g.Fleet.InBackoff(s, time.Now()) {
+		return nil, nil, errBackoff
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -62,7 +62,7 @@
 func (g *Gateway) probe(s *fleet.Server) bool {
 	method, target := g.Codec.Probe()
 	response, body, err := g.call(s, method, target)
-	if errors.Is(err, errQuiet) {
+	if errors.Is(err, errBackoff) {
 		return true // it answered a moment ago, and its connections show a loss
 	}
 	if err != nil || response.StatusCode >= http.StatusInternalServerError {
--- a/internal/gateway/protect.go
+++ b/internal/gateway/protect.go
@@ -82,7 +82,7 @@
 // requests a new one when the holder is lost or an on-demand copy is due for
 // renewal.
 func (p *copyManager) maintain(now time.Time) {
-	if now.Sub(p.lastCheck) < copyCheckInterval || !p.enabled() || p.st.g.Fleet.IsQuiet(p.server, now) {
+	if now.Sub(p.lastCheck) < copyCheckInterval || !p.enabled() || p.st.g.Fleet.InBackoff(p.server, now) {
 		return
 	}
 	p.lastCheck = now
@@ -209,7 +209,7 @@
 			c = last
 		}
 	}
-	if c == nil || c.name == "" || g.Fleet.IsQuiet(source, time.Now()) {
+	if c == nil || c.name == "" || g.Fleet.InBackoff(source, time.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -252,8 +252,8 @@
 			}
 			return choice.Server, st.backupFor(now, choice.Server), a, nil
 		}
-		if quiet := st.g.Fleet.QuietFor(now, st.service.Name); quiet > until.Sub(now) || !now.Before(until) {
-			return nil, nil, a, &refusal{refusalNoEngine, max(quiet, retryAfter(noEngineRetryAfter))}
+		if backoff := st.g.Fleet.BackoffLeft(now, st.service.Name); backoff > until.Sub(now) || !now.Before(until) {
+			return nil, nil, a, &refusal{refusalNoEngine, max(backoff, retryAfter(noEngineRetryAfter))}
 		}
 		select {
 		case <-time.After(enginePollInterval):
--- a/internal/peer/backendconn/endless_test.go
+++ b/internal/peer/backendconn/endless_test.go
@@ -5,17 +5,18 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/heaptest"
 )
 
-// maxEndlessMemory is half of the memory of the smallest hosts, 112 MB. The rest of the
+// maxEndlessMemory is half of the memory of the smallest hosts, in bytes. The rest of the
 // process needs the other half.
-const maxEndlessMemory = 56 << 20
+const maxEndlessMemory = heaptest.SmallestHost / 2
 
 // requestTime is the time after which a request of these tests is given up.
 const requestTime = 300 * time.Millisecond
@@ -47,31 +48,6 @@
 	return response.Status, nil
 }
 
-// measurePeak runs f and returns the growth of the heap while it runs.
-func measurePeak(f func()) uint64 {
-	var stats runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&stats)
-	before, peak := stats.HeapInuse, stats.HeapInuse
-	done := make(chan struct{})
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(10 * time.Millisecond):
-			}
-			runtime.ReadMemStats(&stats)
-			peak = max(peak, stats.HeapInuse)
-		}
-	})
-	f()
-	close(done)
-	wg.Wait()
-	return peak - before
-}
-
 // endlessAnswers are the ways in which a server may send bytes without end. Each writes
 // until the client closes the connection.
 var endlessAnswers = []struct {
@@ -118,7 +94,7 @@
 				sendEndlessly(conn, test.head, test.piece)
 			})
 			p := NewPool()
-			peak := measurePeak(func() {
+			peak := heaptest.PeakGrowth(func() {
 				var wg sync.WaitGroup
 				for range connections {
 					wg.Go(func() {
