--- a/internal/contract/parse.go
+++ b/internal/contract/parse.go
@@ -20,9 +20,9 @@
 // MaxDocumentBytes is the maximum size of a document in bytes.
 const MaxDocumentBytes = 64 << 10
 
-// maxServerBackoffHours is the maximum number of quiet_hours entries. It bounds the
+// maxQuietHours is the maximum number of quiet_hours entries. It bounds the
 // overlap check, which compares every pair of entries.
-const maxServerBackoffHours = 64
+const maxQuietHours = 64
 
 // maxNameBytes is the maximum length of a model or service name in bytes.
 const maxNameBytes = 128
@@ -284,8 +284,8 @@
 }
 
 func (c *checker) quietHours(doc *document, out *Contract) *DocumentError {
-	if len(doc.QuietHours) > maxServerBackoffHours {
-		return c.badValue("quiet_hours", fmt.Sprintf("%d entries", len(doc.QuietHours)), fmt.Sprintf("at most %d entries", maxServerBackoffHours))
+	if len(doc.QuietHours) > maxQuietHours {
+		return c.badValue("quiet_hours", fmt.Sprintf("%d entries", len(doc.QuietHours)), fmt.Sprintf("at most %d entries", maxQuietHours))
 	}
 	for i := range doc.QuietHours {
 		window, err := c.window(fmt.Sprintf("quiet_hours[%d].", i), &doc.QuietHours[i])
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -67,11 +67,11 @@
 	return s.Service == service && !s.Draining && !now.Before(s.lostUntil) && !f.inLostDataCentre(s, now)
 }
 
-// candidates returns the usable servers of a service that have not asked for a
-// pause. If there is none, it returns the servers that are only suspected to be lost: the suspicion may be wrong, and
-// trying a server is better than refusing the request. If there are none of those
-// either and includeUnreachable is set, it returns the servers that were found
-// unreachable. Callers that choose an engine do not set it, because an engine restarts
+// candidates returns the usable servers of a service that have not asked for a pause.
+// If there is none, it returns the servers that are only suspected to be lost: the
+// suspicion may be wrong, and trying a server is better than refusing the request. If
+// there are none of those either and includeUnreachable is set, it returns the servers
+// that were found unreachable. Callers that choose an engine do not set it, because an engine restarts
 // under a new id and it is better to wait for the new one.
 func (f *Fleet) candidates(service string, now time.Time, exclude Exclude, includeUnreachable bool) []*Server {
 	var usable, suspected, unreachable []*Server
