--- /dev/null
+++ b/internal/fleet/losses.go
@@ -0,0 +1,120 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// Loss is the kind of evidence that a server is lost.
+type Loss int
+
+const (
+	// LossReset means that a connection to the server was reset.
+	LossReset Loss = iota
+	// LossRefused means that a connection to the server could not be opened.
+	LossRefused
+	// LossSilent means that the server stopped sending data.
+	LossSilent
+	// LossReplaced means that another server answers at the address.
+	LossReplaced
+)
+
+var lossNames = [...]string{"reset", "refused", "silent", "replaced"}
+
+func (l Loss) String() string {
+	if l < 0 || int(l) >= len(lossNames) {
+		return "unknown" // from a peer of another version
+	}
+	return lossNames[l]
+}
+
+type dataCentreKey struct {
+	service    string
+	dataCentre ident.DataCentre
+}
+
+// RecordLoss records evidence that a server is lost. It reports whether this is the
+// first evidence of this loss, in which case the caller should notify the peers.
+func (f *Fleet) RecordLoss(now time.Time, id ident.BackendID, how Loss) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	if s == nil {
+		return false
+	}
+	first := !now.Before(s.lostUntil) || how != LossReset && !s.unreachable
+	backoff := resetBackoff
+	if how != LossReset {
+		backoff = unreachableBackoff
+		if !s.unreachable || !now.Before(s.lostUntil) {
+			s.lossCount.Add(1)
+		}
+		s.cachedPrompts = map[uint64]cachedPrompt{}
+	}
+	s.unreachable = how != LossReset || s.unreachable && now.Before(s.lostUntil)
+	if until := now.Add(backoff); until.After(s.lostUntil) {
+		s.lostUntil = until
+	}
+	s.lostAt = now
+	if how != LossReset {
+		s.unreachableAt = now
+		f.recordDataCentreLoss(now, s)
+	}
+	return first
+}
+
+// RecordReachable records that a server has answered after its connection was reset.
+func (f *Fleet) RecordReachable(now time.Time, s *Server) {
+	f.RecordData(s, now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !s.unreachable {
+		s.lostUntil = time.Time{}
+	}
+}
+
+// recordDataCentreLoss marks the data centre of s as lost if enough of its servers
+// were found unreachable within dataCentreLossWindow. Resets are not counted, because
+// a fault of a host or a link also resets connections to running servers.
+func (f *Fleet) recordDataCentreLoss(now time.Time, s *Server) {
+	lost := 0
+	for _, other := range f.servers {
+		if other.Service == s.Service && other.DataCentre == s.DataCentre && now.Sub(other.unreachableAt) < dataCentreLossWindow {
+			lost++
+		}
+	}
+	if lost >= dataCentreLossServers {
+		f.dataCentreLostAt[dataCentreKey{s.Service, s.DataCentre}] = now
+	}
+}
+
+// InLostDataCentre reports whether the data centre of s was lost less than
+// unreachableBackoff ago and s has sent neither data nor a new report since.
+func (f *Fleet) InLostDataCentre(s *Server, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inLostDataCentre(s, now)
+}
+
+// dataCentreLossProximity is the longest time between the loss of a data centre and
+// the crash of one of its servers at which the crash is attributed to that loss.
+const dataCentreLossProximity = 1500 * time.Millisecond
+
+// DataCentreLostNear reports whether the latest loss of a data centre was less than
+// dataCentreLossProximity before or after the given time.
+func (f *Fleet) DataCentreLostNear(service string, dataCentre ident.DataCentre, at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lost, ok := f.dataCentreLostAt[dataCentreKey{service, dataCentre}]
+	return ok && at.Sub(lost).Abs() < dataCentreLossProximity
+}
+
+func (f *Fleet) inLostDataCentre(s *Server, now time.Time) bool {
+	at, ok := f.dataCentreLostAt[dataCentreKey{s.Service, s.DataCentre}]
+	if !ok || now.Sub(at) > unreachableBackoff {
+		return false
+	}
+	alive := s.firstSeen.After(at) || f.lastDataAt(s).After(at) || s.entryReportedAt.Sub(at) > maxReportAge
+	return !alive
+}
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/overload"
+)
+
+// attemptsLeft returns the number of further engines that may run the stream.
+func (st *streamState) attemptsLeft() int {
+	if !st.route.Resumable {
+		return 0
+	}
+	return min(maxLosses, max(1, st.route.Attempts)) - st.losses
+}
+
+// mayMove reports whether a stream whose engine is running but makes no progress can
+// resume elsewhere. Otherwise it keeps waiting: a slow stream is worth more than a broken
+// one.
+func (st *streamState) mayMove(now time.Time) bool {
+	return st.attemptsLeft() > 1 && len(st.g.Fleet.Accepting(now, st.service.Name)) > 1 && st.g.Budgets.HasLeft(now, st.service.Name)
+}
+
+// awaitRetry reports whether a further attempt may be sent, like mayRetry. If this host
+// has used up its share of the retry budget, it borrows from others, and otherwise waits
+// until a part of its share is free again: a stream that pauses is worth more than one
+// that breaks.
+func (st *streamState) awaitRetry(now time.Time) bool {
+	until := now.Add(min(retryWait, st.timeLeft(now)))
+	for {
+		if st.mayRetry(now) || st.g.Borrow(st.ctx, st.service.Name) && st.mayRetry(time.Now()) {
+			return true
+		}
+		if now = time.Now(); !now.Before(until) {
+			return false
+		}
+		select {
+		case <-time.After(retryPollInterval):
+		case <-st.ctx.Done():
+			return false
+		}
+		now = time.Now()
+	}
+}
+
+// engineMemory returns the cache memory of each engine of the service, in tokens; 0
+// if it is unknown.
+func (e *exchange) engineMemory() int {
+	if e.service.Engine == nil {
+		return 0
+	}
+	return e.service.Engine.CacheTokens
+}
+
+// Reasons for which no engine is chosen for a stream.
+const (
+	refusalNoEngine  = "no engine is available"
+	refusalLongQueue = "engines cannot begin in time"
+	refusalNoRoom    = "no engine has enough free memory"
+)
+
+// refusal is the reason for which a stream is refused, and the time after which its
+// client may retry.
+type refusal struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// place chooses the engine for the next attempt and the one that is to hold the copy
+// of its run (nil for none), or returns the reason for which the stream is refused.
+func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, refused *refusal) {
+	if c := st.lostCopy; c != nil {
+		st.lostCopy = nil
+		if st.g.Fleet.Accepts(c.holder, now) {
+			a.CopySource, a.CopyName = c.source, c.name
+			st.resumeMode = resumeFromCopy
+			return c.holder, st.backupFor(now, c.holder), a, nil
+		}
+	}
+	st.resumeMode = resumeFromPrompt
+	until := now.Add(min(engineWait, st.timeLeft(now)))
+	for {
+		now = time.Now()
+		choice, found := st.g.Fleet.ChooseEngine(now, st.service.Name, st.engineMemory(), st.call.Prompt, st.exclude)
+		if !found && len(st.exclude) > 0 {
+			choice, found = st.g.Fleet.ChooseEngine(now, st.service.Name, st.engineMemory(), st.call.Prompt, nil)
+		}
+		if found {
+			if refused := st.admit(now, choice); refused != nil {
+				return nil, nil, a, refused
+			}
+			return choice.Server, st.backupFor(now, choice.Server), a, nil
+		}
+		if backoff := st.g.Fleet.BackoffLeft(now, st.service.Name); backoff > until.Sub(now) || !now.Before(until) {
+			return nil, nil, a, &refusal{refusalNoEngine, max(backoff, retryAfter(noEngineRetryAfter))}
+		}
+		select {
+		case <-time.After(enginePollInterval):
+		case <-st.ctx.Done():
+			return nil, nil, a, &refusal{refusalNoEngine, retryAfter(noEngineRetryAfter)}
+		}
+	}
+}
+
+// admit returns a refusal for a stream whose engine would begin too late or lacks the
+// memory, and nil for a stream that is admitted. A stream whose head has been sent to
+// the client on this connection is always admitted.
+func (st *streamState) admit(now time.Time, c fleet.Choice) *refusal {
+	if st.headSent {
+		return nil
+	}
+	// The time that the client has waited is estimated from its own timeout and not
+	// from the timeout of the route, which changes with the configuration.
+	waited := time.Duration(0)
+	if st.call.Timeout > 0 {
+		waited = st.g.Overload.TimeWaited(now, st.route.Name, st.call.Timeout-now.Sub(st.started))
+	}
+	engines := st.g.Fleet.CountUsable(now, st.service.Name)
+	v := st.g.Overload.Decide(now, overload.Request{
+		Team: st.team, Prefill: c.Prefill, QueueWait: c.QueueWait, FreeMemory: c.FreeMemory, Objective: st.route.LatencyTarget, TimeLeft: st.timeLeft(now),
+		Late:           waited+c.Prefill > st.route.LatencyTarget && st.route.LatencyTarget > 0,
+		Resumed:        st.sentCount > 0 || st.call.After > 0,
+		EnginesPerHost: float64(engines) / float64(st.g.AlivePeers()+1),
+	}, rand.Float64())
+	if v.Admit {
+		return nil
+	}
+	st.addStep("refused: wait=%dms limit=%dms free=%.2f retry after %dms", c.QueueWait.Milliseconds(), v.MaxWait.Milliseconds(), c.FreeMemory, v.RetryAfter.Milliseconds())
+	reason := refusalLongQueue
+	if v.MemoryFull {
+		reason = refusalNoRoom
+	}
+	return &refusal{reason, v.RetryAfter}
+}
+
+// copiesEnabled reports whether copies of the stream's runs are to be kept on other
+// engines.
+func (st *streamState) copiesEnabled() bool {
+	return st.route.Resumable && fleet.ShouldCopy(st.g.ResumeWeight.Load(), st.call.Prompt)
+}
+
+// backupFor chooses the engine that is to hold the copy of a run on primary; it
+// returns nil if the run is to have no copy or no engine can hold it.
+func (st *streamState) backupFor(now time.Time, primary *fleet.Server) *fleet.Server {
+	if st.service.Engine == nil || !st.service.Engine.KeepsBackups || !st.copiesEnabled() {
+		return nil
+	}
+	return st.g.Fleet.ChooseBackup(now, primary, st.engineMemory(), st.call.Prompt, st.exclude)
+}
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -164,47 +164,6 @@
 	m.broadcast(message{Member: &x})
 }
 
-// RunPlaced implements gateway.Announcer.
-func (m *Mesh) RunPlaced(p fleet.Placement) {
-	m.enqueue(Event{Kind: EventPlaced, Placed: &p}, m.pending)
-}
-
-// FirstEvent implements gateway.Announcer.
-func (m *Mesh) FirstEvent(p fleet.Placement) {
-	m.enqueue(Event{Kind: EventFirst, Placed: &fleet.Placement{Run: p.Run, Server: p.Server}}, m.pending)
-}
-
-// RunEnded implements gateway.Announcer.
-func (m *Mesh) RunEnded(p fleet.Placement) {
-	m.enqueue(Event{Kind: EventEnded, Placed: &fleet.Placement{Run: p.Run, Server: p.Server, Backup: p.Backup}}, m.lazy)
-}
-
-// CopyAdded implements gateway.Announcer.
-func (m *Mesh) CopyAdded(p fleet.Placement) {
-	m.enqueue(Event{Kind: EventCopied, Placed: &p}, m.pending)
-}
-
-// CopyRemoved implements gateway.Announcer.
-func (m *Mesh) CopyRemoved(p fleet.Placement) {
-	m.enqueue(Event{Kind: EventCopyDropped, Placed: &fleet.Placement{Run: p.Run, Backup: p.Backup}}, m.lazy)
-}
-
-// ServerLost implements gateway.Announcer.
-func (m *Mesh) ServerLost(server ident.BackendID, how fleet.Loss) {
-	m.enqueue(Event{Kind: EventLost, Server: server, Loss: how}, m.urgent)
-}
-
-// ServerLeaving implements gateway.Announcer.
-func (m *Mesh) ServerLeaving(server ident.BackendID, incarnation int64) {
-	m.enqueue(Event{Kind: EventLeaving, Server: server, Incarnation: incarnation}, m.urgent)
-}
-
-// Found announces a server that is not on the list yet to all peers.
-func (m *Mesh) Found(e fleet.Entry) { m.enqueue(Event{Kind: EventFound, Found: &e}, m.urgent) }
-
-// Crashed implements gateway.Announcer.
-func (m *Mesh) Crashed(x gateway.Crash) { m.enqueue(Event{Kind: EventCrash, Crash: &x}, m.pending) }
-
 // CountAlive returns the number of other nodes that have sent a datagram recently.
 func (m *Mesh) CountAlive(now time.Time) int {
 	m.mu.Lock()
@@ -226,16 +185,6 @@
 	m.sendTo(to.Mesh, m.encoded(message{LoanRequest: &x}))
 }
 
-// enqueue queues an event and sends on signal, which determines how long the event may
-// wait.
-func (m *Mesh) enqueue(e Event, signal chan<- struct{}) {
-	m.events.TryPush(e)
-	select {
-	case signal <- struct{}{}:
-	default:
-	}
-}
-
 func (m *Mesh) send(ctx context.Context) {
 	heartbeat := time.NewTimer(heartbeatMin)
 	defer heartbeat.Stop()
@@ -367,109 +316,6 @@
 	_, _ = m.conn.WriteToUDPAddrPort(p, to)
 }
 
-func (m *Mesh) receive(ctx context.Context) {
-	buf := make([]byte, maxDatagram)
-	for ctx.Err() == nil {
-		n, source, err := m.conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
-			time.Sleep(10 * time.Millisecond) // a socket error, such as an unreachable port
-			continue
-		}
-		m.handleDatagram(time.Now(), source, buf[:n])
-	}
-}
-
-// handleDatagram decodes and handles one datagram. Whatever it contains, the process
-// continues.
-func (m *Mesh) handleDatagram(now time.Time, source netip.AddrPort, p []byte) {
-	defer func() {
-		if v := recover(); v != nil {
-			m.Panicked(v)
-		}
-	}()
-	msg, err := decode(p)
-	if err != nil {
-		return // not a datagram of this protocol
-	}
-	m.handle(now, source, msg)
-}
-
-func (m *Mesh) handle(now time.Time, source netip.AddrPort, msg message) {
-	m.mu.Lock()
-	needsHello := m.members.needsHello(msg)
-	restarted, ok := m.members.accept(now, msg)
-	m.mu.Unlock()
-	if needsHello {
-		m.sendTo(source.String(), m.encoded(message{Member: m.localMember(), Hello: true}))
-	}
-	if !ok {
-		return
-	}
-	if restarted {
-		m.fleet.RemoveHost(msg.Host)
-	}
-	for _, e := range msg.Events {
-		m.apply(now, msg.Host, e)
-	}
-	if msg.ServerChanges != nil {
-		m.ServerChanges(*msg.ServerChanges)
-	}
-	m.handleLoans(now, msg)
-	if msg.Member == nil {
-		return
-	}
-	if msg.Hello {
-		m.sendTo(msg.Member.Mesh, m.encoded(message{Member: m.localMember()}))
-	}
-	m.Heartbeat(*msg.Member)
-}
-
-// handleLoans answers a request for a loan, and passes a loan on to Lent.
-func (m *Mesh) handleLoans(now time.Time, msg message) {
-	if x := msg.Loan; x != nil {
-		m.Lent(now, *x)
-	}
-	x := msg.LoanRequest
-	if x == nil {
-		return
-	}
-	m.mu.Lock()
-	borrower := m.members.peers[msg.Host]
-	m.mu.Unlock()
-	if borrower == nil {
-		return
-	}
-	answer := Loan{Service: x.Service, Number: x.Number, Retries: m.Lend(now, x.Service, x.Retries)}
-	m.sendTo(borrower.Mesh, m.encoded(message{Loan: &answer}))
-}
-
-func (m *Mesh) apply(now time.Time, host ident.HostID, e Event) {
-	switch {
-	case e.Kind == EventFound && e.Found != nil:
-		m.fleet.AddDiscovered(now, *e.Found)
-	case e.Kind == EventCrash && e.Crash != nil:
-		m.Crash(now, *e.Crash)
-	case e.Kind == EventLost:
-		m.fleet.RecordLoss(now, e.Server, e.Loss)
-	case e.Kind == EventLeaving:
-		m.fleet.RecordLeaving(e.Server, e.Incarnation)
-	case e.Placed == nil:
-	case e.Kind == EventPlaced:
-		m.fleet.AddRun(now, host, *e.Placed)
-	case e.Kind == EventFirst:
-		m.fleet.RecordPromptRead(now, host, *e.Placed)
-	case e.Kind == EventCopied:
-		m.fleet.AddCopy(host, *e.Placed)
-	case e.Kind == EventCopyDropped:
-		m.fleet.RemoveCopy(host, *e.Placed)
-	case e.Kind == EventEnded:
-		m.fleet.RemoveRun(host, *e.Placed)
-	}
-}
-
 // Hello sends a full heartbeat to all peers and requests one from each of them.
 func (m *Mesh) Hello() { m.broadcast(message{Member: m.localMember(), Hello: true}) }
 
--- /dev/null
+++ b/internal/peer/mesh/receive.go
@@ -0,0 +1,112 @@
+package mesh
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+func (m *Mesh) receive(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, source, err := m.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond) // a socket error, such as an unreachable port
+			continue
+		}
+		m.handleDatagram(time.Now(), source, buf[:n])
+	}
+}
+
+// handleDatagram decodes and handles one datagram. Whatever it contains, the process
+// continues.
+func (m *Mesh) handleDatagram(now time.Time, source netip.AddrPort, p []byte) {
+	defer func() {
+		if v := recover(); v != nil {
+			m.Panicked(v)
+		}
+	}()
+	msg, err := decode(p)
+	if err != nil {
+		return // not a datagram of this protocol
+	}
+	m.handle(now, source, msg)
+}
+
+func (m *Mesh) handle(now time.Time, source netip.AddrPort, msg message) {
+	m.mu.Lock()
+	needsHello := m.members.needsHello(msg)
+	restarted, ok := m.members.accept(now, msg)
+	m.mu.Unlock()
+	if needsHello {
+		m.sendTo(source.String(), m.encoded(message{Member: m.localMember(), Hello: true}))
+	}
+	if !ok {
+		return
+	}
+	if restarted {
+		m.fleet.RemoveHost(msg.Host)
+	}
+	for _, e := range msg.Events {
+		m.apply(now, msg.Host, e)
+	}
+	if msg.ServerChanges != nil {
+		m.ServerChanges(*msg.ServerChanges)
+	}
+	m.handleLoans(now, msg)
+	if msg.Member == nil {
+		return
+	}
+	if msg.Hello {
+		m.sendTo(msg.Member.Mesh, m.encoded(message{Member: m.localMember()}))
+	}
+	m.Heartbeat(*msg.Member)
+}
+
+// handleLoans answers a request for a loan, and passes a loan on to Lent.
+func (m *Mesh) handleLoans(now time.Time, msg message) {
+	if x := msg.Loan; x != nil {
+		m.Lent(now, *x)
+	}
+	x := msg.LoanRequest
+	if x == nil {
+		return
+	}
+	m.mu.Lock()
+	borrower := m.members.peers[msg.Host]
+	m.mu.Unlock()
+	if borrower == nil {
+		return
+	}
+	answer := Loan{Service: x.Service, Number: x.Number, Retries: m.Lend(now, x.Service, x.Retries)}
+	m.sendTo(borrower.Mesh, m.encoded(message{Loan: &answer}))
+}
+
+func (m *Mesh) apply(now time.Time, host ident.HostID, e Event) {
+	switch {
+	case e.Kind == EventFound && e.Found != nil:
+		m.fleet.AddDiscovered(now, *e.Found)
+	case e.Kind == EventCrash && e.Crash != nil:
+		m.Crash(now, *e.Crash)
+	case e.Kind == EventLost:
+		m.fleet.RecordLoss(now, e.Server, e.Loss)
+	case e.Kind == EventLeaving:
+		m.fleet.RecordLeaving(e.Server, e.Incarnation)
+	case e.Placed == nil:
+	case e.Kind == EventPlaced:
+		m.fleet.AddRun(now, host, *e.Placed)
+	case e.Kind == EventFirst:
+		m.fleet.RecordPromptRead(now, host, *e.Placed)
+	case e.Kind == EventCopied:
+		m.fleet.AddCopy(host, *e.Placed)
+	case e.Kind == EventCopyDropped:
+		m.fleet.RemoveCopy(host, *e.Placed)
+	case e.Kind == EventEnded:
+		m.fleet.RemoveRun(host, *e.Placed)
+	}
+}
