front: loans of one retry from up to eight hosts

Change: a loan is one retry, up to eight hosts are asked, each the best of three; 0.95 of the limit is divided instead of 0.9. TestHostsTogetherStayWithinLimit holds unchanged.

--- a/internal/front/loans.go
+++ b/internal/front/loans.go
@@ -16,9 +16,13 @@
 	// round trip takes a few milliseconds.
 	loanTimeout = 40 * time.Millisecond
 	// maxLenders is the maximum number of peers that are asked for one loan.
-	maxLenders = 4
-	// loanSize is the number of retries that are requested at once.
-	loanSize = 2
+	maxLenders = 8
+	// loanSize is the number of retries that are requested at once. What is not used is
+	// lost to all hosts.
+	loanSize = 1
+	// lenderChoices is the number of random peers of which the one with the most spare
+	// retries is asked.
+	lenderChoices = 3
 	// loanPause is the time without requests for loans after maxLenders peers refused.
 	loanPause = 60 * time.Millisecond
 )
@@ -91,8 +95,8 @@
 	return false
 }
 
-// chooseLender returns the one of two random peers that has more retries to spare
-// according to its latest heartbeat. The random choice spreads the requests of hosts
+// chooseLender returns the one of lenderChoices random peers that has the most retries to
+// spare according to its latest heartbeat. The random choice spreads the requests of hosts
 // that need loans at the same moment.
 func (n *Node) chooseLender(service string, asked []ident.HostID) (best mesh.Member, ok bool) {
 	peers := slices.DeleteFunc(n.mesh.Alive(time.Now()), func(m mesh.Member) bool {
@@ -101,11 +105,14 @@
 	if len(peers) == 0 {
 		return best, false
 	}
-	a, b := peers[rand.IntN(len(peers))], peers[rand.IntN(len(peers))]
-	if n.gateway.Budgets.Spare(b.Usage[service]) > n.gateway.Budgets.Spare(a.Usage[service]) {
-		return b, true
+	best = peers[rand.IntN(len(peers))]
+	for range lenderChoices - 1 {
+		other := peers[rand.IntN(len(peers))]
+		if n.gateway.Budgets.Spare(other.Usage[service]) > n.gateway.Budgets.Spare(best.Usage[service]) {
+			best = other
+		}
 	}
-	return a, true
+	return best, true
 }
 
 // borrowFrom asks one peer and returns the number of retries that it lent.
--- a/internal/retryshare/retryshare.go
+++ b/internal/retryshare/retryshare.go
@@ -26,7 +26,7 @@
 	// limitFraction is the fraction of the limit that is divided among the hosts. The
 	// rest covers requests that are sent again by the network and hosts that do not
 	// know all others yet.
-	limitFraction = 0.9
+	limitFraction = 0.95
 	// initialFraction is the fraction of its part of the fixed number that a host has
 	// at its start.
 	initialFraction = 0.1
