gateway: log the crashes recorded against a request with the shared parts of its prompt

A crash was recorded without a log line, so that the logs could not tell whether evidence was missing, did not reach other hosts, or was kept under the wrong key. Each recorded crash is now logged (crash_evidence) with the server, the hash of the request and those of the parts that other requests may share.

--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -36,6 +36,9 @@
 	Received time.Time
 	Key      string // API key of the client
 	Prompt   fleet.Prompt
+	// SharedParts are the hashes of the parts of the prompt, in their order, without the
+	// last one. Other requests may have the same parts. A long list is cut off.
+	SharedParts []uint64
 	// After is the id of the last event that the client already has; 0 if it
 	// has none.
 	After int64
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/quarantine"
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
 const (
@@ -185,7 +189,19 @@
 // notifies peers if the crash is new.
 func (e *exchange) recordCrash(s *fleet.Server) {
 	x := Crash{Request: e.fingerprint(), Server: s.ID, Service: s.Service, DataCentre: s.DataCentre}
+	e.g.Log.Log(logrus.WarnLevel, telemetry.EventCrashEvidence, logrus.Fields{
+		telemetry.FieldRequest: e.call.ID, telemetry.FieldBackend: s.ID, "content": x.Request, "shared_parts": formatParts(e.call.SharedParts),
+	}, "backend server crashed while it ran a request that it had not begun to answer")
 	if e.g.crashes.add(time.Now(), x) {
 		e.g.Announce.Crashed(x)
 	}
 }
+
+// formatParts returns hashes of prompt parts as they are logged.
+func formatParts(parts []uint64) []string {
+	out := make([]string, 0, len(parts))
+	for _, p := range parts {
+		out = append(out, strconv.FormatUint(p, 16))
+	}
+	return out
+}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -61,6 +61,9 @@
 	EventRequestTroubled Event = "request_troubled"
 	// EventBackendLost: the first evidence that a backend server is lost.
 	EventBackendLost Event = "backend_lost"
+	// EventCrashEvidence: a backend server crashed while it ran a request that it had not
+	// begun to answer. The line names the content that is suspected.
+	EventCrashEvidence Event = "crash_evidence"
 	// EventPanic is an unexpected error of which only the request or message that caused
 	// it is affected.
 	EventPanic Event = "panic"
@@ -99,6 +102,7 @@
 	EventAttemptResumed:  100,
 	EventBackendLost:     60,
 	EventBackendListed:   60,
+	EventCrashEvidence:   60,
 }
 
 // Limiter limits the number of lines of each event per eventWindow and counts the
