tomlkeys: one locator of TOML keys for settings and contracts; exact line in multi-line arrays

Cause: internal/settings and internal/contract each parsed a document a second time to find the positions of its keys. The two parsers differed: the one of the settings gave every element of an array the line of the array's key, so a bad hash in a list of operator_key_hashes with one hash a line was reported on the first line of the list.

Evidence: TestRefusals "bad hash on own line" failed with the former parser (line 19 in place of 20). A [table] that stands twice or in place of a value is now reported as "a table", as [[tables]] and {} were before.

--- a/internal/contract/parse.go
+++ b/internal/contract/parse.go
@@ -15,6 +15,7 @@
 	toml "github.com/pelletier/go-toml/v2"
 
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/tomlkeys"
 )
 
 // MaxDocumentBytes is the maximum size of a document in bytes.
@@ -76,7 +77,7 @@
 	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&doc); err != nil {
 		return nil, decodeError(text, err)
 	}
-	c := checker{positions: findPositions(text)}
+	c := checker{locations: tomlkeys.Locate(text)}
 	return c.contract(&doc)
 }
 
@@ -145,12 +146,12 @@
 
 // checker validates decoded values and adds positions to the errors.
 type checker struct {
-	positions positions
+	locations tomlkeys.Locations
 }
 
 func (c *checker) badValue(key, found, allowed string) *DocumentError {
-	at := c.positions.lookup(key)
-	return &DocumentError{Code: CodeBadValue, Line: at.line, Column: at.column, Key: key, Found: found, Allowed: allowed}
+	at := c.locations.Enclosing(key)
+	return &DocumentError{Code: CodeBadValue, Line: at.Line, Column: at.Column, Key: key, Found: found, Allowed: allowed}
 }
 
 func (c *checker) missingKey(key, allowed string) *DocumentError {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/yuccahatch/yuccahatch/internal/tomlkeys"
 )
 
 // stringRule is a rule for the value of a string key, with its description.
@@ -40,13 +42,13 @@
 
 // checker validates decoded settings and collects the problems found.
 type checker struct {
-	locations map[string]location
+	locations tomlkeys.Locations
 	problems  Problems
 }
 
 // check validates decoded settings by the rules that the types of the fields do not
-// express. The locations of the document's keys are as returned by locate.
-func check(s *Settings, locations map[string]location) Problems {
+// express.
+func check(s *Settings, locations tomlkeys.Locations) Problems {
 	c := checker{locations: locations}
 	c.section(reflect.ValueOf(s).Elem(), "")
 	c.dataCentres(s)
@@ -166,7 +168,7 @@
 	}
 	p := Problem{Key: key, Found: "nothing", Allowed: allowed}
 	if at, present := c.locations[key]; present {
-		p.Line, p.Found = at.line, at.raw
+		p.Line, p.Found = at.Line, at.Text
 	}
 	c.problems = append(c.problems, p)
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"github.com/yuccahatch/yuccahatch/internal/tomlkeys"
 )
 
 // Load reads, decodes and validates the settings file at path.
@@ -26,7 +28,7 @@
 	decoder := toml.NewDecoder(bytes.NewReader(doc)).DisallowUnknownFields()
 	problems := decodeProblems(doc, decoder.Decode(s))
 	if len(problems) == 0 {
-		problems = check(s, locate(doc))
+		problems = check(s, tomlkeys.Locate(doc))
 	}
 	if len(problems) == 0 {
 		return s, nil
@@ -68,10 +70,10 @@
 // without a position.
 func unquotedProblems(doc []byte) Problems {
 	var problems Problems
-	for name, at := range locate(doc) {
+	for name, at := range tomlkeys.Locate(doc) {
 		for _, k := range Reference() {
-			if k.quoted && k.Name == withoutIndexes(name) && !strings.HasPrefix(at.raw, `"`) && !strings.HasPrefix(at.raw, "'") {
-				problems = append(problems, Problem{Line: at.line, Key: name, Found: at.raw, Allowed: k.Allowed})
+			if k.quoted && k.Name == withoutIndexes(name) && !strings.HasPrefix(at.Text, `"`) && !strings.HasPrefix(at.Text, "'") {
+				problems = append(problems, Problem{Line: at.Line, Key: name, Found: at.Text, Allowed: k.Allowed})
 			}
 		}
 	}
@@ -82,8 +84,8 @@
 	line, _ := e.Position()
 	key := strings.Join(e.Key(), ".")
 	problem := Problem{Line: line, Key: key, Found: lineText(doc, line), Allowed: "valid TOML"}
-	if at, ok := valueOnLine(locate(doc), key, line); ok {
-		problem.Found = at.raw
+	if at, ok := valueOnLine(tomlkeys.Locate(doc), key, line); ok {
+		problem.Found = at.Text
 	}
 	for _, k := range Reference() {
 		if k.Name == key {
