settings: quote the value at the position of a decoding error

Cause: the value that an error quotes was looked up by key and line. All elements of an array have the same key and may stand on one line, so the error of one element quoted any of them, by the order of iteration of a map.

Change: the lookup is by line and column, which the decoder reports.

Evidence: TestRefusals "number in array" failed in 18 of 20 runs before (go test -count=20), in 0 of 20 after.

--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -81,10 +81,10 @@
 }
 
 func decodeProblem(doc []byte, e *toml.DecodeError) Problem {
-	line, _ := e.Position()
+	line, column := e.Position()
 	key := strings.Join(e.Key(), ".")
 	problem := Problem{Line: line, Key: key, Found: lineText(doc, line), Allowed: "valid TOML"}
-	if at, ok := valueOnLine(tomlkeys.Locate(doc), key, line); ok {
+	if at, ok := valueAt(tomlkeys.Locate(doc), line, column); ok {
 		problem.Found = at.Text
 	}
 	for _, k := range Reference() {
--- a/internal/settings/locate.go
+++ b/internal/settings/locate.go
@@ -6,11 +6,11 @@
 	"github.com/yuccahatch/yuccahatch/internal/tomlkeys"
 )
 
-// valueOnLine returns the location of a key on a line, given the key without array
-// indexes.
-func valueOnLine(found tomlkeys.Locations, key string, line int) (tomlkeys.Location, bool) {
-	for name, at := range found {
-		if at.Line == line && withoutIndexes(name) == key && at.Text != tomlkeys.TextArray {
+// valueAt returns the value that starts at a position. Arrays have no position of
+// their own and are not found.
+func valueAt(found tomlkeys.Locations, line, column int) (tomlkeys.Location, bool) {
+	for _, at := range found {
+		if at.Line == line && at.Column == column && at.Text != tomlkeys.TextArray {
 			return at, true
 		}
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -75,6 +75,7 @@
 		"one TLS file":         {"insecure = true", "ca_file = \"x\"", "node.toml: security.private_key_file: found nothing, allowed is a file"},
 		"bad hash":             {"insecure = true", "insecure = true\noperator_key_hashes = [\"sha256:1\"]", "node.toml:19: security.operator_key_hashes[0]: found \"sha256:1\", allowed is \"sha256:\" with"},
 		"bad hash on own line": {"insecure = true", "insecure = true\noperator_key_hashes = [\n  \"sha256:1\",\n]", "node.toml:20: security.operator_key_hashes[0]: found \"sha256:1\", allowed is"},
+		"number in array":      {"insecure = true", "insecure = true\noperator_key_hashes = [\"a\", \"b\", \"c\", \"d\", \"e\", \"f\", \"g\", 7]", "node.toml:19: security.operator_key_hashes: found 7, allowed is \"sha256:\" with"},
 		"suspect too early":    {"[copies]", "[membership]\nsuspect_after = \"400ms\"\n[copies]", "node.toml:20: membership.suspect_after: found \"400ms\", allowed is above membership.heartbeat_interval 500ms"},
 		"repeated key":         {"insecure = true", "insecure = true\ninsecure = true", "node.toml:19: "},
 		"syntax":               {"[copies]", "[copies", "node.toml:19: "},
