--- a/lab/labcmd/call.go
+++ b/lab/labcmd/call.go
@@ -40,20 +40,12 @@
 			encoder.SetIndent("", "  ")
 			if call.Service != "" {
 				call.RequestID, call.Body = req.RequestID, []byte(body)
-				result := c.Call(ctx, call)
-				if result.Outcome != caller.OutcomeDone {
-					return errors.Join(encoder.Encode(result), fmt.Errorf("service %q did not answer: outcome %q", call.Service, result.Outcome))
-				}
-				return encoder.Encode(result)
+				return callService(ctx, c, call, encoder)
 			}
 			if chat {
 				req.Messages, req.Prompt = []callerapi.Message{{Role: "user", Content: req.Prompt}}, ""
 			}
-			result := c.Generate(ctx, req)
-			if !result.Complete || !result.Clean {
-				return errors.Join(encoder.Encode(result), errors.New("answer is incomplete or has missing, repeated or mixed tokens"))
-			}
-			return encoder.Encode(result)
+			return generate(ctx, c, req, encoder)
 		},
 	}
 	f := cmd.Flags()
@@ -78,3 +70,23 @@
 	f.BoolVar(&call.NoKey, "no-idempotency-key", false, "send no idempotency key")
 	return cmd
 }
+
+// callService sends a call to a plain service and prints its result. It returns an
+// error if the service did not answer.
+func callService(ctx context.Context, c *caller.Caller, call caller.Call, out *json.Encoder) error {
+	result := c.Call(ctx, call)
+	if result.Outcome != caller.OutcomeDone {
+		return errors.Join(out.Encode(result), fmt.Errorf("service %q did not answer: outcome %q", call.Service, result.Outcome))
+	}
+	return out.Encode(result)
+}
+
+// generate sends a generation and prints its result. It returns an error if the
+// answer is not complete and clean.
+func generate(ctx context.Context, c *caller.Caller, req caller.Request, out *json.Encoder) error {
+	result := c.Generate(ctx, req)
+	if !result.Complete || !result.Clean {
+		return errors.Join(out.Encode(result), errors.New("answer is incomplete or has missing, repeated or mixed tokens"))
+	}
+	return out.Encode(result)
+}
