--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -186,7 +186,8 @@
 	}, nil
 }
 
-// SetCapacity replaces the capacity.
+// SetCapacity sets the capacity that Offer and Dispatch use from then on. Admitted
+// requests stay admitted if it is lowered.
 func (c *Controller) SetCapacity(capacity Capacity) { c.capacity = capacity }
 
 // SetTeam adds a team or replaces its limits. Queued requests stay queued under
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -79,7 +79,8 @@
 // must be called before the first decision is added.
 func (s *Store) OnChange(changed func(ident.Team, ident.RequestID)) { s.onChange = changed }
 
-// Add records one decision.
+// Add records one decision on a request and, if it is an interruption, calls the
+// function that OnChange set.
 func (s *Store) Add(now time.Time, team ident.Team, request ident.RequestID, event, detail string) {
 	s.add(now, team, request, event, detail)
 	if interruptionEvents[event] {
--- a/internal/idempotent/executor.go
+++ b/internal/idempotent/executor.go
@@ -103,7 +103,7 @@
 	calls sync.WaitGroup
 }
 
-// New returns an Executor.
+// New returns an Executor, whose metrics have the prefix "idempotent".
 func New(config Config) *Executor {
 	if config.Now == nil {
 		config.Now = processClock()
--- a/internal/node/replicas.go
+++ b/internal/node/replicas.go
@@ -288,7 +288,7 @@
 	return c.store.Apply(time.Now(), batch)
 }
 
-// Fetch returns one journal.
+// Fetch returns the copy of a journal; Found is false if this node has none.
 func (c *copyStore) Fetch(request *nodepb.FetchJournalRequest) *nodepb.FetchJournalResponse {
 	journal, ok := c.store.Fetch(time.Now(), ident.GenerationID(request.GetGenerationId()))
 	if !ok {
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -235,7 +235,7 @@
 	Refused uint64
 }
 
-// Stats returns a snapshot.
+// Stats returns the present contents of the store and its counters since its start.
 func (s *Store) Stats() StoreStats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -157,7 +157,7 @@
 	return r.count
 }
 
-// Cap returns the capacity.
+// Cap returns the number of values that the ring can hold.
 func (r *Ring[T]) Cap() int { return len(r.buf) }
 
 // Dropped returns the number of values that TryPush rejected because the ring
--- a/lab/scrape/scrape.go
+++ b/lab/scrape/scrape.go
@@ -30,9 +30,9 @@
 // timeout is the timeout for fetching one page.
 const timeout = 2 * time.Second
 
-// maxPage is the maximum number of bytes that are read of a page; the rest is
+// maxPageBytes is the maximum number of bytes that are read of a page; the rest is
 // ignored.
-const maxPage = 16 << 20
+const maxPageBytes = 16 << 20
 
 // Sample is the value of one time series on a page.
 type Sample struct {
@@ -86,10 +86,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("metrics of %s: status %d", address, resp.StatusCode)
 	}
-	return Parse(io.LimitReader(resp.Body, maxPage))
+	return Parse(io.LimitReader(resp.Body, maxPageBytes))
 }
 
-// Parse parses a page.
+// Parse parses a page in the Prometheus text format.
 func Parse(r io.Reader) (Page, error) {
 	var page Page
 	lines := bufio.NewScanner(r)
