crashcause: count crashes against each part of a prompt, and refuse what all crashes share

Cause: internal/gateway counted a crash only against the hash of the whole request. The requests share a part and nothing else, so each new one began without a crash and took three engines. Ruled out by the logs: reports that do not reach the other hosts (the repeat of a request is refused at another host without an attempt), and crashes that are taken for something else.

Change: internal/crashcause replaces the tracker of the gateway. A crash counts against the whole request and against each part of its prompt but the last. A request is refused if it has all content that three crashes have in common; one that lacks some of it runs and narrows the content down, so sound requests with the same key and first part run. An answer clears content on all hosts. Runs that have not begun are given up when their content is found to crash servers. A node that keeps fewer crashes than a peer (it has just started, or lost datagrams) fetches them. A server that is heard again did not crash.

--- /dev/null
+++ b/internal/crashcause/evidence.go
@@ -0,0 +1,78 @@
+package crashcause
+
+import "time"
+
+// Evidence is all that a Tracker keeps of crashes, for a peer that lacks some of it: one
+// that has just started, or that missed reports.
+type Evidence struct {
+	Crashes []AgedCrash `json:"crashes,omitempty"`
+	// Answered lists content of the crashes that has been answered since.
+	Answered []AgedContent `json:"answered,omitempty"`
+}
+
+// AgedCrash is a Crash with its age in milliseconds when the evidence was sent.
+type AgedCrash struct {
+	Crash
+	AgeMs int64 `json:"age_ms"`
+}
+
+// AgedContent is content that was answered AgeMs milliseconds before the evidence was
+// sent.
+type AgedContent struct {
+	Content
+	AgeMs int64 `json:"age_ms"`
+}
+
+// Evidence returns all crashes that are kept.
+func (t *Tracker) Evidence(now time.Time) Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var e Evidence
+	for _, d := range t.deaths {
+		e.Crashes = append(e.Crashes, d.aged(now)...)
+	}
+	for k := range t.byKey {
+		if at := t.answeredAt(k); !at.IsZero() {
+			e.Answered = append(e.Answered, AgedContent{k.content(), now.Sub(at).Milliseconds()})
+		}
+	}
+	return e
+}
+
+// aged returns the crashes of a death with their ages.
+func (d *death) aged(now time.Time) []AgedCrash {
+	list := make([]AgedCrash, 0, len(d.contents))
+	for _, c := range d.contents {
+		x := Crash{Content: c, Server: d.server, Incarnation: d.incarnation, Service: d.service, DataCentre: d.dataCentre}
+		list = append(list, AgedCrash{x, now.Sub(d.at).Milliseconds()})
+	}
+	return list
+}
+
+func (k key) content() Content {
+	if k.part != 0 {
+		return Content{Parts: []uint64{k.part}}
+	}
+	return Content{Request: k.request}
+}
+
+// Merge adds the evidence of a peer. Its result does not depend on repetitions.
+func (t *Tracker) Merge(now time.Time, e Evidence) {
+	t.mu.Lock()
+	for _, x := range e.Crashes {
+		if at := before(now, x.AgeMs); now.Sub(at) <= retention {
+			t.add(now, at, x.Crash)
+		}
+	}
+	t.mu.Unlock()
+	for _, x := range e.Answered {
+		t.Answered(before(now, x.AgeMs), x.Content)
+	}
+}
+
+// before returns the time ageMs milliseconds before now. A negative age, which no node
+// sends, counts as 0, and one above retention as little more than that.
+func before(now time.Time, ageMs int64) time.Time {
+	age := min(max(0, ageMs), retention.Milliseconds()+1)
+	return now.Add(-time.Duration(age) * time.Millisecond)
+}
--- /dev/null
+++ b/internal/crashcause/tracker.go
@@ -0,0 +1,230 @@
+package crashcause
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// crashLimit is the number of crashes from which on content is refused.
+	crashLimit = 3
+	// soundCrashLimit replaces crashLimit for content that has been answered before. Only
+	// the crashes since then count.
+	soundCrashLimit = 2 * crashLimit
+	// causeDelay is the time after a crash from which on it is known whether the server was
+	// lost together with its whole data centre.
+	causeDelay = time.Second
+	// burst is the time within which crashes count as one against a part of a prompt.
+	// Servers that fail together for another reason may all run requests with a part that
+	// many requests share.
+	burst = 300 * time.Millisecond
+	// retention is how long a crash counts.
+	retention = 10 * time.Minute
+	// expiryInterval is the minimum time between two searches for expired crashes.
+	expiryInterval = 10 * time.Second
+	// maxCrashes is the maximum number of crashes that are kept.
+	maxCrashes = 4096
+	// maxSound is the number of sound contents from which on the older ones are dropped.
+	maxSound = 4096
+)
+
+// Tracker keeps the crashes of servers and decides which content caused them. The zero
+// value is ready for use. It is safe for concurrent use.
+type Tracker struct {
+	mu      sync.Mutex
+	deaths  map[instance]*death // guarded by mu
+	byKey   map[key][]*death    // guarded by mu; oldest first
+	crashes int                 // guarded by mu; contents of all deaths
+	// expiredAt is the time of the latest search for expired crashes. Guarded by mu.
+	expiredAt time.Time
+
+	// sound is when content was last seen to be answered. Once it has maxSound entries, it
+	// becomes olderSound. Both are guarded by mu.
+	sound, olderSound map[key]time.Time
+}
+
+// Len returns the number of crashes that are kept.
+func (t *Tracker) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashes
+}
+
+// Add records a crash and reports whether it was new.
+func (t *Tracker) Add(now time.Time, x Crash) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.add(now, now, x)
+}
+
+// add records a crash of the time at. The lock is held.
+func (t *Tracker) add(now, at time.Time, x Crash) bool {
+	t.expire(now)
+	if t.crashes >= maxCrashes {
+		return false
+	}
+	if t.deaths == nil {
+		t.deaths, t.byKey = map[instance]*death{}, map[key][]*death{}
+	}
+	i := instance{x.Server, x.Incarnation}
+	d := t.deaths[i]
+	if d == nil {
+		d = &death{instance: i, service: x.Service, dataCentre: x.DataCentre, at: at, present: map[key]bool{}}
+		t.deaths[i] = d
+	}
+	if slices.ContainsFunc(d.contents, func(c Content) bool { return c.Request == x.Request }) {
+		return false
+	}
+	d.contents = append(d.contents, x.Content)
+	t.crashes++
+	for _, k := range x.keys() {
+		if !d.present[k] {
+			d.present[k] = true
+			t.byKey[k] = append(t.byKey[k], d)
+			slices.SortFunc(t.byKey[k], func(a, b *death) int { return a.at.Compare(b.at) })
+		}
+	}
+	return true
+}
+
+// expire drops the deaths that no longer count, at most each expiryInterval. The lock is
+// held.
+func (t *Tracker) expire(now time.Time) {
+	if now.Sub(t.expiredAt) < expiryInterval {
+		return
+	}
+	t.expiredAt = now
+	for i, d := range t.deaths {
+		if !d.expired(now) {
+			continue
+		}
+		delete(t.deaths, i)
+		t.crashes -= len(d.contents)
+		for k := range d.present {
+			t.byKey[k] = slices.DeleteFunc(t.byKey[k], func(x *death) bool { return x == d })
+			if len(t.byKey[k]) == 0 {
+				delete(t.byKey, k)
+			}
+		}
+	}
+}
+
+// Answered records that a server has answered a request, or written a part of the
+// answer and lives on. It reports whether crashes counted against some of the content
+// until then, in which case the caller notifies the peers.
+func (t *Tracker) Answered(now time.Time, c Content) (suspected bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, k := range c.keys() {
+		deaths := t.byKey[k]
+		if k.part == 0 && len(deaths) == 0 {
+			continue // nothing is gained by remembering each request
+		}
+		known := t.answeredAt(k)
+		if n := len(deaths); n > 0 && !deaths[n-1].at.Before(known) {
+			suspected = true
+		}
+		if now.After(known) {
+			t.setAnsweredAt(k, now)
+		}
+	}
+	return suspected
+}
+
+// setAnsweredAt records when content was last answered. The lock is held.
+func (t *Tracker) setAnsweredAt(k key, at time.Time) {
+	if t.sound == nil || len(t.sound) >= maxSound {
+		t.olderSound, t.sound = t.sound, map[key]time.Time{}
+	}
+	t.sound[k] = at
+}
+
+// answeredAt returns when content was last answered; zero if it is not known to have
+// been. The lock is held.
+func (t *Tracker) answeredAt(k key) time.Time {
+	if at, ok := t.sound[k]; ok {
+		return at
+	}
+	return t.olderSound[k]
+}
+
+// Verdict reports whether a request must not run again since its content crashes
+// servers. If that is still open, wait is the time until the causes of the latest
+// crashes are known. Without the wait, such a request would crash the maximum number of
+// servers within milliseconds.
+func (t *Tracker) Verdict(now time.Time, c Content, s Servers) (refused bool, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.deaths) == 0 {
+		return false, 0
+	}
+	for _, k := range c.keys() {
+		limit := t.limit(k)
+		deaths := t.unexplained(now, k, s)
+		if len(deaths) < limit-1 || t.betterCause(now, c, deaths, s) {
+			continue
+		}
+		if countKnown(now, k, deaths) >= limit {
+			return true, 0
+		}
+		newest := deaths[len(deaths)-1]
+		wait = max(wait, newest.at.Add(causeDelay).Sub(now))
+	}
+	return false, wait
+}
+
+// limit returns the number of crashes from which on content is refused. The lock is
+// held.
+func (t *Tracker) limit(k key) int {
+	if t.answeredAt(k).IsZero() {
+		return crashLimit
+	}
+	return soundCrashLimit
+}
+
+// unexplained returns the deaths that may have been caused by the content: those after
+// it was last answered that have no other cause. The lock is held.
+func (t *Tracker) unexplained(now time.Time, k key, s Servers) []*death {
+	var out []*death
+	answered := t.answeredAt(k)
+	for _, d := range t.byKey[k] {
+		if !d.expired(now) && !d.at.Before(answered) && !d.explained(now, s) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// betterCause reports whether all of the deaths may have been caused by content that the
+// request c lacks. Such a request runs: if it crashes a server, too, that other content
+// is no longer a cause of all deaths, and if it is answered, its own content is none. A
+// sound request with which a crashing one shares some content is therefore not refused,
+// even if it is the first of its kind.
+func (t *Tracker) betterCause(now time.Time, c Content, deaths []*death, s Servers) bool {
+	own := c.keys()
+	for k := range deaths[0].present {
+		if slices.Contains(own, k) || slices.ContainsFunc(deaths, func(d *death) bool { return !d.present[k] }) {
+			continue
+		}
+		if len(t.unexplained(now, k, s)) >= len(deaths) {
+			return true
+		}
+	}
+	return false
+}
+
+// countKnown returns the number of deaths whose cause is known by now, where those of a
+// burst count as one against a part of a prompt.
+func countKnown(now time.Time, k key, deaths []*death) int {
+	n := 0
+	var last time.Time
+	for _, d := range deaths {
+		if now.Sub(d.at) < causeDelay || k.part != 0 && n > 0 && d.at.Sub(last) < burst {
+			continue
+		}
+		n++
+		last = d.at
+	}
+	return n
+}
--- a/internal/fleet/losses.go
+++ b/internal/fleet/losses.go
@@ -110,6 +110,27 @@
 	return ok && at.Sub(lost).Abs() < dataCentreLossProximity
 }
 
+// lateDataTime is how long after the loss of a server data may still be read that it
+// sent before.
+const lateDataTime = 100 * time.Millisecond
+
+// HeardSince reports whether an incarnation of a server was heard later than
+// lateDataTime after the given time: it cannot have been lost then.
+func (f *Fleet) HeardSince(id ident.BackendID, incarnation int64, at time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.servers[id]
+	return s != nil && s.Incarnation == incarnation && f.heardSince(s, at.Add(lateDataTime))
+}
+
+// heardSince reports whether this node or a peer has received data from the server after
+// the given time, or the server has reported itself since. The first report that a node
+// reads may be older than its start. The lock is held.
+func (f *Fleet) heardSince(s *Server, at time.Time) bool {
+	reported := s.firstSeen.Before(at) && s.entryReportedAt.Sub(at) > maxReportAge
+	return reported || f.lastDataAt(s).After(at) || s.lastPrefillAt.After(at)
+}
+
 func (f *Fleet) inLostDataCentre(s *Server, now time.Time) bool {
 	at, ok := f.dataCentreLostAt[dataCentreKey{s.Service, s.DataCentre}]
 	if !ok || now.Sub(at) > unreachableBackoff {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/yuccahatch/yuccahatch/internal/crashcause"
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
@@ -113,6 +114,10 @@
 	// current outage of the store as seen by this node.
 	peersReadStore atomic.Bool
 	fetchingState  atomic.Bool // a request for a peer's state is in progress
+	crashes        crashcause.Tracker
+	// fetchingCrashes is true while a request for a peer's crashes is in progress, and for
+	// crashFetchInterval after its start.
+	fetchingCrashes atomic.Bool
 
 	mu sync.Mutex
 	// rawConfig is the configuration in force as encoded by the store, which is
@@ -145,7 +150,8 @@
 	n.grace.Store(int64(s.Grace))
 	n.mesh, err = mesh.New(s.Mesh, n.fleet, n.member, mesh.Handlers{
 		Heartbeat:     n.onHeartbeat,
-		Crash:         func(now time.Time, x gateway.Crash) { n.gateway.RecordCrash(now, x) },
+		Crash:         func(now time.Time, x crashcause.Crash) { n.crashes.Add(now, x) },
+		Answered:      func(now time.Time, c crashcause.Content) { n.crashes.Answered(now, c) },
 		ServerChanges: n.onServerChanges,
 		Lend: func(now time.Time, service string, requested int) int {
 			return n.gateway.Budgets.Lend(now, service, requested)
@@ -165,6 +171,7 @@
 		Borrow:     n.borrow,
 		AlivePeers: func() int { return n.mesh.CountAlive(time.Now()) },
 		Overload:   &overload.Controller{},
+		Crashes:    &n.crashes,
 		Leaving:    n.leaving.Load, AcceptsStreams: n.acceptsStreams,
 	}
 	n.Tune(DefaultTuning())
@@ -235,6 +242,7 @@
 	if n.gateway != nil { // nil while New calls mesh.New, which calls member
 		m.Usage = n.gateway.Budgets.Usage(now)
 		m.ServersChanged, m.ServersListed, m.ServersRead = n.serversChanged.Load(), n.serversListed.Load(), n.servers.position.Load()
+		m.Crashes = n.crashes.Len()
 		m.Settled = now.Sub(n.started) >= settledAfter
 		m.StoreAgeMs = n.servers.age(now).Milliseconds()
 	}
@@ -286,6 +294,10 @@
 	}, "configuration in force")
 }
 
+// ConfigVersion returns the version of the configuration in force, or 0 if there
+// is none yet.
+func (n *Node) ConfigVersion() int64 { return n.routes.Version() }
+
 // register keeps this node's row in the store: it writes the row at the start, and
 // again after the store was restored from an older copy, which may lack it.
 func (n *Node) register(ctx context.Context) {
@@ -341,7 +353,3 @@
 	n.mesh.Hello()
 	return nil
 }
-
-// ConfigVersion returns the version of the configuration in force, or 0 if there
-// is none yet.
-func (n *Node) ConfigVersion() int64 { return n.routes.Version() }
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccahatch/yuccahatch/internal/crashcause"
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
@@ -59,11 +60,14 @@
 	Departed []fleet.Departed `json:"departed,omitempty"`
 	// Position is the position in the store up to which Servers has been read.
 	Position ident.StorePosition `json:"position,omitzero"`
+	// Crashes holds the crashes of servers and the content that may have caused them.
+	Crashes crashcause.Evidence `json:"crashes,omitzero"`
 }
 
 // serveState serves this node's state to a peer that cannot read the store. The
 // list of servers is included if the query has the key "servers", and the list of those
-// that have left if it has the key "departed".
+// that have left if it has the key "departed", and the crashes if it has the key
+// "crashes".
 func (n *Node) serveState(w http.ResponseWriter, r *http.Request) {
 	n.mu.Lock()
 	doc := stateDocument{Config: n.rawConfig, ConfigEra: n.routes.Era()}
@@ -76,6 +80,9 @@
 	if r.URL.Query().Has("departed") {
 		doc.Departed = n.fleet.Departed()
 	}
+	if r.URL.Query().Has("crashes") {
+		doc.Crashes = n.crashes.Evidence(time.Now())
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(doc) // the peer retries if it gets no answer
 }
@@ -94,6 +101,7 @@
 		n.servers.retryOnPeerChange(time.Now())
 	}
 	n.advanceTo(m)
+	n.compareCrashes(m)
 	if n.hasOlderConfig(m) && n.fetchingState.CompareAndSwap(false, true) {
 		go func() {
 			defer n.fetchingState.Store(false)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -108,6 +108,10 @@
 		return resultAborted, false
 	}
 	watch.lastEventAt = time.Now()
+	if !st.sound && watch.lastEventAt.Sub(watch.firstEventAt) >= soundAfter {
+		st.sound = true
+		st.recordAnswered(watch.lastEventAt)
+	}
 	return 0, true
 }
 
@@ -117,8 +121,8 @@
 	if watch.eventDelivered {
 		return
 	}
-	watch.eventDelivered = true
 	now := time.Now()
+	watch.eventDelivered, watch.firstEventAt = true, now
 	st.g.Fleet.RecordPromptRead(now, st.g.Self, placed)
 	st.g.Announce.FirstEvent(placed)
 	if st.lostAt.IsZero() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccahatch/yuccahatch/internal/crashcause"
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/overload"
@@ -47,7 +48,8 @@
 	CopyRemoved(p fleet.Placement)
 	ServerLost(server ident.BackendID, how fleet.Loss)
 	ServerLeaving(server ident.BackendID, incarnation int64)
-	Crashed(x Crash)
+	Crashed(x crashcause.Crash)
+	ContentAnswered(c crashcause.Content)
 }
 
 // Gateway serves the requests of a node's clients.
@@ -75,8 +77,10 @@
 	// not run, and its client sends it to another node.
 	AcceptsStreams func() bool
 
+	// Crashes decides which content crashes servers.
+	Crashes *crashcause.Tracker
+
 	locating locator
-	crashes  crashTracker
 	invalid  invalidHeaders
 
 	mu      sync.Mutex
@@ -166,8 +170,8 @@
 	e.deadline = now.Add(timeout)
 	e.waitForCrashCause(now)
 	if now = time.Now(); e.crashesServers(now) {
-		writeRefusal(w, http.StatusServiceUnavailable, crashRetryAfter, "the request crashes backend servers")
-		e.recordOutcome("refused", http.StatusServiceUnavailable, "the request crashes backend servers")
+		writeRefusal(w, http.StatusServiceUnavailable, crashRetryAfter, reasonCrashes)
+		e.recordOutcome("refused", http.StatusServiceUnavailable, reasonCrashes)
 		return
 	}
 	g.Budgets.RecordRequest(now, service.Name)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,7 +56,8 @@
 	// lastFailure is the latest complete answer with a failure status. It is
 	// passed on if no later attempt succeeds.
 	lastFailure     *bufferedAnswer
-	losses          int // engines that failed after they had received the request
+	losses          int  // engines that failed after they had received the request
+	sound           bool // a run of the stream has delivered events for soundAfter
 	responseControl *http.ResponseController
 }
 
@@ -94,7 +95,7 @@
 			now = time.Now()
 		}
 		if st.losses > 0 && e.crashesServers(now) {
-			st.failStream("the request crashes backend servers")
+			st.failStream(reasonCrashes)
 			return
 		}
 		server, backup, attempt, refused := st.place(now)
@@ -108,9 +109,7 @@
 		}
 		switch st.run(server, backup, attempt) {
 		case resultEnded:
-			if e.g.crashes.hasRecords() {
-				e.g.crashes.clear(e.fingerprint())
-			}
+			e.recordAnswered(time.Now())
 			e.recordOutcome("served", http.StatusOK, "")
 			return
 		case resultAborted:
@@ -254,6 +253,9 @@
 	if st.clientGone() || errors.Is(err, errDeadline) {
 		return resultAborted
 	}
+	if errors.Is(err, errCrashesServers) {
+		return resultFailed
+	}
 	st.addStep("lost %s: %v", s.ID, err)
 	st.g.Log.LogError(logrus.WarnLevel, telemetry.EventAttemptLost, err, logrus.Fields{
 		telemetry.FieldRequest: st.call.ID, telemetry.FieldBackend: s.ID, "after": st.lastEventID, "flowing": eventDelivered, "attempts": st.sentCount,
@@ -282,7 +284,7 @@
 		return resultFailed
 	}
 	st.exclude = append(st.exclude, s.ID)
-	if !eventDelivered {
+	if !st.sound {
 		st.recordCrash(s)
 	}
 	return resultFailed
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -22,6 +22,7 @@
 	started          time.Time
 	expected         time.Duration // expected time until the first event
 	eventDelivered   bool
+	firstEventAt     time.Time // delivery of the first event
 	lastEventAt      time.Time // delivery of the latest event
 	// idleAtProbe is how long the engine had sent nothing to the stream when it
 	// last answered a probe; 0 if it has sent bytes since.
@@ -56,6 +57,9 @@
 	if !now.Before(w.st.deadline) {
 		return errDeadline
 	}
+	if !w.eventDelivered && w.st.crashesServers(now) {
+		return errCrashesServers
+	}
 	if idle <= w.idleAtProbe {
 		w.idleAtProbe = 0 // bytes have arrived since
 	}
--- a/internal/peer/mesh/announce.go
+++ b/internal/peer/mesh/announce.go
@@ -1,8 +1,8 @@
 package mesh
 
 import (
+	"github.com/yuccahatch/yuccahatch/internal/crashcause"
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
-	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
@@ -45,7 +45,12 @@
 func (m *Mesh) Found(e fleet.Entry) { m.enqueue(Event{Kind: EventFound, Found: &e}, m.urgent) }
 
 // Crashed implements gateway.Announcer.
-func (m *Mesh) Crashed(x gateway.Crash) { m.enqueue(Event{Kind: EventCrash, Crash: &x}, m.pending) }
+func (m *Mesh) Crashed(x crashcause.Crash) { m.enqueue(Event{Kind: EventCrash, Crash: &x}, m.urgent) }
+
+// ContentAnswered implements gateway.Announcer.
+func (m *Mesh) ContentAnswered(c crashcause.Content) {
+	m.enqueue(Event{Kind: EventAnswered, Answered: &c}, m.pending)
+}
 
 // enqueue queues an event and sends on signal, which determines how long the event may
 // wait.
--- a/internal/peer/mesh/fuzz_test.go
+++ b/internal/peer/mesh/fuzz_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/yuccahatch/yuccahatch/internal/crashcause"
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
-	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
@@ -31,7 +31,7 @@
 			fleet: fleet.New("self", time.Now()), members: newMembers("self"),
 			self: func(time.Time) Member { return Member{Host: "self", Mesh: "127.0.0.1:1"} },
 			Handlers: Handlers{
-				Heartbeat: func(Member) {}, Crash: func(time.Time, gateway.Crash) {}, ServerChanges: func(ServerChanges) {},
+				Heartbeat: func(Member) {}, Crash: func(time.Time, crashcause.Crash) {}, Answered: func(time.Time, crashcause.Content) {}, ServerChanges: func(ServerChanges) {},
 				Lend: func(time.Time, string, int) int { return 0 }, Lent: func(time.Time, Loan) {},
 				Panicked: func(v any) { t.Errorf("panic: %v", v) },
 			},
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/yuccahatch/yuccahatch/internal/crashcause"
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
-	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/ring"
 )
@@ -68,7 +68,10 @@
 	// Heartbeat is called for each heartbeat of a peer.
 	Heartbeat func(Member)
 	// Crash is called for each crash that a peer reports.
-	Crash func(time.Time, gateway.Crash)
+	Crash func(time.Time, crashcause.Crash)
+	// Answered is called for content that a peer reports to have been answered although
+	// a crash counted against it.
+	Answered func(time.Time, crashcause.Content)
 	// ServerChanges is called for changes of the list of servers that a peer has
 	// read.
 	ServerChanges func(ServerChanges)
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -14,8 +14,8 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/yuccahatch/yuccahatch/internal/crashcause"
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
-	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/retryshare"
 )
@@ -58,6 +58,8 @@
 	ServersChanged ident.StorePosition `json:"r,omitzero"`
 	ServersListed  ident.StorePosition `json:"b,omitzero"`
 	ServersRead    ident.StorePosition `json:"p,omitzero"`
+	// Crashes is the number of crashes that the node keeps.
+	Crashes int `json:"k,omitempty"`
 	// Settled reports whether the node has run for some time.
 	Settled bool `json:"o,omitempty"`
 	// Usage is the use of each service by the node in the last window.
@@ -93,6 +95,8 @@
 	EventLeaving EventKind = "leaving"
 	EventFound   EventKind = "found"
 	EventCrash   EventKind = "crash"
+	// EventAnswered reports that suspected content was answered.
+	EventAnswered EventKind = "answered"
 )
 
 // Event is an observation or action of one node that its peers take into account
@@ -105,8 +109,10 @@
 	// Incarnation is that of Server; it is set for EventLeaving.
 	Incarnation int64 `json:"i,omitempty"`
 	// Found is a server that was found at the address of a lost one.
-	Found *fleet.Entry   `json:"f,omitempty"`
-	Crash *gateway.Crash `json:"c,omitempty"`
+	Found *fleet.Entry      `json:"f,omitempty"`
+	Crash *crashcause.Crash `json:"c,omitempty"`
+	// Answered is content that was answered although a crash counted against it.
+	Answered *crashcause.Content `json:"a,omitempty"`
 }
 
 // message is the content of one datagram. A heartbeat has a Member; events are
--- a/internal/peer/mesh/receive.go
+++ b/internal/peer/mesh/receive.go
@@ -93,6 +93,8 @@
 		m.fleet.AddDiscovered(now, *e.Found)
 	case e.Kind == EventCrash && e.Crash != nil:
 		m.Crash(now, *e.Crash)
+	case e.Kind == EventAnswered && e.Answered != nil:
+		m.Answered(now, *e.Answered)
 	case e.Kind == EventLost:
 		m.fleet.RecordLoss(now, e.Server, e.Loss)
 	case e.Kind == EventLeaving:
