fleet: a data centre whose servers are still heard was not lost

Cause: three servers of a data centre that are found unreachable within 500 ms count as its loss, also of 57. At several crashes a second that happened by chance, and all crashes of 1.5 s around it were no longer counted against the part (log: 3.65, 3.94 and 4.10 s in one data centre, 4.31, 4.33 and 4.56 s in another).

Change: when the cause of a crash is judged, a second after it, the data centre was not lost if one of its other servers was heard since by this host or by a peer (first event of a run), or reported itself. The quick reaction to a loss in progress is unchanged: its threshold was not measured with large data centres and stays as it is.

--- a/internal/fleet/losses.go
+++ b/internal/fleet/losses.go
@@ -102,12 +102,23 @@
 const dataCentreLossProximity = 1500 * time.Millisecond
 
 // DataCentreLostNear reports whether the latest loss of a data centre was less than
-// dataCentreLossProximity before or after the given time.
+// dataCentreLossProximity before or after the given time. It was not lost if one of its
+// other servers was heard later: some of its servers also crash shortly after each other
+// when requests crash them one by one.
 func (f *Fleet) DataCentreLostNear(service string, dataCentre ident.DataCentre, at time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	lost, ok := f.dataCentreLostAt[dataCentreKey{service, dataCentre}]
-	return ok && at.Sub(lost).Abs() < dataCentreLossProximity
+	if !ok || at.Sub(lost).Abs() >= dataCentreLossProximity {
+		return false
+	}
+	after := at.Add(lateDataTime)
+	for _, s := range f.servers {
+		if s.Service == service && s.DataCentre == dataCentre && !s.firstSeen.After(at) && f.heardSince(s, after) {
+			return false
+		}
+	}
+	return true
 }
 
 // lateDataTime is how long after the loss of a server data may still be read that it
