front: keep the crashes that may count against content in the store

Cause: hosts held the evidence in memory only, and hosts have no disks. Hosts that start while no other runs had none. Class of fault: state that must outlive all hosts was not on the platform.

Change: the reader writes the crashes of content that was on two crashed servers or more and was never answered to one row of the store, at most each 500 ms and only when there are new ones; a node reads the row at its start, one call.

--- a/internal/crashcause/evidence.go
+++ b/internal/crashcause/evidence.go
@@ -1,6 +1,14 @@
 package crashcause
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxSuspicious is the maximum number of crashes that Suspicious returns, which bounds the
+// size of what is stored of them to some tens of kilobytes.
+const maxSuspicious = 100
 
 // Evidence is all that a Tracker keeps of crashes, for a peer that lacks some of it: one
 // that has just started, or that missed reports.
@@ -39,6 +47,34 @@
 	return e
 }
 
+// Suspicious returns the crashes that may soon count, or count, against some content:
+// those of content that was on two crashed servers or more and was never answered. If
+// there are too many it returns the newest.
+func (t *Tracker) Suspicious(now time.Time) Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspicious := map[*death]bool{}
+	for k, deaths := range t.byKey {
+		if len(deaths) < crashLimit-1 || !t.answeredAt(k).IsZero() {
+			continue
+		}
+		for _, d := range deaths {
+			if !d.dismissed && !d.expired(now) {
+				suspicious[d] = true
+			}
+		}
+	}
+	var e Evidence
+	for d := range suspicious {
+		e.Crashes = append(e.Crashes, d.aged(now)...)
+	}
+	slices.SortFunc(e.Crashes, func(a, b AgedCrash) int {
+		return cmp.Or(cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Request, b.Request))
+	})
+	e.Crashes = e.Crashes[:min(len(e.Crashes), maxSuspicious)]
+	return e
+}
+
 // aged returns the crashes of a death with their ages.
 func (d *death) aged(now time.Time) []AgedCrash {
 	list := make([]AgedCrash, 0, len(d.contents))
@@ -56,6 +92,18 @@
 	return Content{Request: k.request}
 }
 
+// Older returns the evidence with all ages increased by d.
+func (e Evidence) Older(d time.Duration) Evidence {
+	older := Evidence{Crashes: slices.Clone(e.Crashes), Answered: slices.Clone(e.Answered)}
+	for i := range older.Crashes {
+		older.Crashes[i].AgeMs += d.Milliseconds()
+	}
+	for i := range older.Answered {
+		older.Answered[i].AgeMs += d.Milliseconds()
+	}
+	return older
+}
+
 // Merge adds the evidence of a peer. Its result does not depend on repetitions.
 func (t *Tracker) Merge(now time.Time, e Evidence) {
 	t.mu.Lock()
--- a/internal/crashcause/tracker_test.go
+++ b/internal/crashcause/tracker_test.go
@@ -247,3 +247,34 @@
 		t.Errorf("%d crashes and %d keys are kept after %v", c.Len(), len(c.byKey), retention)
 	}
 }
+
+// Guards against storing the crashes of each request that was on a server when it crashed
+// for another reason, and against a row of the store without bounds.
+func TestSuspicious(t *testing.T) {
+	var c Tracker
+	for i := range 2 * maxSuspicious {
+		c.Add(at(i), crash(fmt.Sprintf("a%d", i), request(fmt.Sprint("victim", i), uint64(100+i))))
+	}
+	if got := len(c.Suspicious(at(1000)).Crashes); got != 0 {
+		t.Errorf("%d crashes of requests that were on one crashed server are suspicious", got)
+	}
+	for i := range 2 {
+		c.Add(at(1000*i), crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), deadlyPart)))
+	}
+	var b Tracker
+	b.Merge(at(5000), c.Suspicious(at(2000)).Older(3*time.Second))
+	b.Add(at(5000), crash("b2", request("r2", deadlyPart)))
+	if !refused(&b, 6100, request("new", deadlyPart), servers{}) {
+		t.Error("stored crashes do not count")
+	}
+	for i := range 2 * maxSuspicious {
+		c.Add(at(2000+i), crash(fmt.Sprintf("c%d", i), request(fmt.Sprint("x", i), deadlyPart)))
+	}
+	if got := len(c.Suspicious(at(3000)).Crashes); got != maxSuspicious {
+		t.Errorf("%d suspicious crashes, want %d", got, maxSuspicious)
+	}
+	c.Answered(at(4000), request("", deadlyPart))
+	if got := len(c.Suspicious(at(5000)).Crashes); got != 0 {
+		t.Errorf("%d crashes are suspicious although their content was answered", got)
+	}
+}
--- a/internal/front/crashes.go
+++ b/internal/front/crashes.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccahatch/yuccahatch/internal/crashcause"
 	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
 // Every node keeps all crashes of servers that requests may have caused. Peers announce
-// new ones by datagram, and a node that keeps fewer than a peer fetches them.
+// new ones by datagram, and a node that keeps fewer than a peer fetches them. The reader
+// writes those that may count against content to the store, since all nodes may end at
+// once: each node reads them there at its start.
 
 const (
 	// crashFetchDelay is how long a node that keeps fewer crashes than a peer waits for the
@@ -20,8 +24,79 @@
 	crashFetchDelay = 100 * time.Millisecond
 	// crashFetchInterval is the minimum time between two requests for crashes.
 	crashFetchInterval = time.Second
+	// crashWriteInterval is the minimum time between two writes of the crashes to the
+	// store, and crashWriteTimeout bounds one.
+	crashWriteInterval = 500 * time.Millisecond
+	crashWriteTimeout  = 2 * time.Second
+	// crashesKey is the key of the row that holds the crashes.
+	crashesKey = "crashes"
 )
 
+// crashRow is the value of the row that holds the crashes. Their ages count from
+// WrittenMs, in Unix milliseconds. Clocks of hosts differ by seconds at most, and crashes
+// count for minutes.
+type crashRow struct {
+	WrittenMs int64               `json:"written_ms"`
+	Evidence  crashcause.Evidence `json:"evidence"`
+}
+
+// storeCrashes writes the crashes to the store when there are new ones, if this node is
+// the reader.
+func (n *Node) storeCrashes(ctx context.Context) {
+	ticker := time.NewTicker(crashWriteInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if n.crashes.Len() == 0 || !n.isReader(now) {
+			continue
+		}
+		e := n.crashes.Suspicious(now)
+		if int64(len(e.Crashes)) == n.crashesStored.Load() {
+			continue
+		}
+		if err := n.writeCrashes(ctx, now, e); err != nil {
+			n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableCrashes}, "cannot write the crashes of servers to the store, retrying")
+			continue
+		}
+		n.crashesStored.Store(int64(len(e.Crashes)))
+	}
+}
+
+func (n *Node) writeCrashes(ctx context.Context, now time.Time, e crashcause.Evidence) error {
+	raw, err := json.Marshal(crashRow{WrittenMs: now.UnixMilli(), Evidence: e})
+	if err != nil {
+		panic(err) // the row always encodes
+	}
+	ctx, cancel := context.WithTimeout(ctx, crashWriteTimeout)
+	defer cancel()
+	return n.store.Put(ctx, TableCrashes, crashesKey, raw)
+}
+
+// loadCrashes adds the crashes that the store holds to those of this node.
+func (n *Node) loadCrashes(ctx context.Context) error {
+	rows, err := n.store.List(ctx, TableCrashes)
+	if err != nil {
+		return err
+	}
+	n.crashesStored.Store(0)
+	for _, r := range rows.Rows {
+		var row crashRow
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			n.log.LogError(logrus.WarnLevel, telemetry.EventPeerState, err, logrus.Fields{"table": TableCrashes}, "cannot decode the crashes in the store")
+			continue
+		}
+		now := time.Now()
+		n.crashes.Merge(now, row.Evidence.Older(now.Sub(time.UnixMilli(row.WrittenMs))))
+		n.crashesStored.Store(int64(len(row.Evidence.Crashes)))
+	}
+	return nil
+}
+
 // compareCrashes fetches the crashes of a peer if it keeps more of them than this node.
 func (n *Node) compareCrashes(m mesh.Member) {
 	if m.Crashes <= n.crashes.Len() || !n.fetchingCrashes.CompareAndSwap(false, true) {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -1,8 +1,6 @@
 package front
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -115,6 +113,7 @@
 	peersReadStore atomic.Bool
 	fetchingState  atomic.Bool // a request for a peer's state is in progress
 	crashes        crashcause.Tracker
+	crashesStored  atomic.Int64 // crashes in the row that this node wrote or read last
 	// fetchingCrashes is true while a request for a peer's crashes is in progress, and for
 	// crashFetchInterval after its start.
 	fetchingCrashes atomic.Bool
@@ -297,59 +296,3 @@
 // ConfigVersion returns the version of the configuration in force, or 0 if there
 // is none yet.
 func (n *Node) ConfigVersion() int64 { return n.routes.Version() }
-
-// register keeps this node's row in the store: it writes the row at the start, and
-// again after the store was restored from an older copy, which may lack it.
-func (n *Node) register(ctx context.Context) {
-	n.mesh.Seed(n.settings.Seeds)
-	for {
-		n.writeRow(ctx)
-		select {
-		case <-n.registerAgain:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// writeRow writes this node's row to the store and reads the rows of the other nodes.
-// It retries with backoff until both succeed or the context ends.
-func (n *Node) writeRow(ctx context.Context) {
-	raw, err := json.Marshal(n.member(time.Now()))
-	if err != nil {
-		panic(err) // mesh.Member can always be encoded
-	}
-	for backoff := retryInitial; ctx.Err() == nil; backoff = min(2*backoff, retryMax) {
-		err := n.store.Put(ctx, TableNodes, string(n.settings.Host), raw)
-		if err == nil {
-			if err = n.loadNodes(ctx); err == nil {
-				return
-			}
-		}
-		n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableNodes}, "cannot write this node's row to the store or read the rows of other nodes, retrying")
-		select {
-		case <-time.After(backoff):
-		case <-ctx.Done():
-		}
-	}
-}
-
-func (n *Node) loadNodes(ctx context.Context) error {
-	rows, err := n.store.List(ctx, TableNodes)
-	if err != nil {
-		return err
-	}
-	var list []mesh.Member
-	for _, r := range rows.Rows {
-		var m mesh.Member
-		if err := json.Unmarshal(r.Value, &m); err != nil {
-			n.log.LogError(logrus.WarnLevel, telemetry.EventPeerState, err, logrus.Fields{telemetry.FieldPeer: r.Key}, "cannot decode the store row of a node")
-			continue
-		}
-		m.Host = ident.HostID(r.Key)
-		list = append(list, m)
-	}
-	n.mesh.AddKnown(time.Now(), list)
-	n.mesh.Hello()
-	return nil
-}
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -21,6 +21,9 @@
 	TableServers Table = "servers"
 	// TableNodes holds one row per node, written by the node itself.
 	TableNodes Table = "nodes"
+	// TableCrashes holds, in a single row, the crashes of servers that may have been caused
+	// by requests, for nodes that start when no other runs.
+	TableCrashes Table = "crashes"
 )
 
 // configKey is the key of the row that holds the configuration.
