gateway: keep a stream on a silent engine while no other may continue it

What callers saw: a stream whose engine sent nothing for half a second was cut off in the middle, though the engine went on a moment later.

Cause: the watch of a stream ended the attempt as soon as a probe of the engine was not answered within 120 ms, or another request had found the engine lost. Only then did the gateway ask whether the stream may be sent again. Without a further attempt of the route, without retry budget for 2 s, or without another engine for 1.5 s, the client's connection was aborted, with the run still alive.

Change: a retry is reserved before the wait for a silent engine ends. Without one the run is kept until the engine sends again or answers a probe, at most for 3 s. The loss is recorded at once, so that nothing new is sent there. A probe that is refused, or answered by another incarnation, ends the wait as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,7 @@
 	// now and those that refused it as full. refusedBy lists the latter.
 	unavailable, refusedBy fleet.Exclude
 	awaitedRoom            bool // see awaitRoom
+	retryReserved          bool // a retry was taken for the next attempt; see reserveRetry
 	// cachedFingerprint is the fingerprint of the request; empty until it
 	// is computed.
 	cachedFingerprint quarantine.Fingerprint
@@ -230,7 +231,16 @@
 // mayRetry reports whether a further attempt may be sent after a failure, and counts
 // it against the retry budget if so.
 func (e *exchange) mayRetry(now time.Time) bool {
-	return e.attemptsReceived() == 0 || e.g.Budgets.Take(now, e.service.Name, retryshare.Needed)
+	if e.retryReserved {
+		e.retryReserved = false
+		return true
+	}
+	return e.attemptsReceived() == 0 || e.takeRetry(now)
+}
+
+// takeRetry counts a retry against the budget and reports whether there was one.
+func (e *exchange) takeRetry(now time.Time) bool {
+	return e.g.Budgets.Take(now, e.service.Name, retryshare.Needed)
 }
 
 // fail sends an error to the client of a request that failed before any part of an
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
@@ -23,6 +24,20 @@
 	return st.attemptsLeft() > 1 && len(st.g.Fleet.Accepting(now, st.service.Name)) > 1 && st.g.Budgets.HasLeft(now, st.service.Name)
 }
 
+// reserveRetry takes a retry for the next attempt while the current one still waits for
+// an engine that is silent, and reports whether another engine may continue the stream.
+func (st *streamState) reserveRetry(now time.Time, current *fleet.Server) bool {
+	if st.retryReserved {
+		return true
+	}
+	isOther := func(s *fleet.Server) bool { return s != current }
+	if st.attemptsLeft() <= 1 || !slices.ContainsFunc(st.g.Fleet.Accepting(now, st.service.Name), isOther) {
+		return false
+	}
+	st.retryReserved = st.takeRetry(now) || st.g.Borrow(st.ctx, st.service.Name) && st.takeRetry(time.Now())
+	return st.retryReserved
+}
+
 // awaitRetry reports whether a further attempt may be sent, like mayRetry. If this host
 // has used up its share of the retry budget, it borrows from others, and otherwise waits
 // until a part of its share is free again: a stream that pauses is worth more than one
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -56,20 +56,32 @@
 	return response, body, err
 }
 
-// probe requests the state of an engine and reports whether the incarnation s
-// answered. An engine that does not report its start time counts as the same
-// incarnation.
-func (g *Gateway) probe(s *fleet.Server) bool {
+// errGone is the error of a probe that shows that the incarnation has ended.
+var errGone = errors.New("no process or another incarnation answers at the address")
+
+// errProbeStatus is the error of a probe that was answered with a failure.
+var errProbeStatus = errors.New("the probe was answered with a failure")
+
+// probe requests the state of an engine and returns an error if the incarnation s did not
+// answer: errGone if it has ended. An engine that does not report its start time counts
+// as the same incarnation.
+func (g *Gateway) probe(s *fleet.Server) error {
 	method, target := g.Codec.Probe()
 	response, body, err := g.call(s, method, target)
-	if errors.Is(err, errBackoff) {
-		return true // it answered a moment ago, and its connections show a loss
+	switch {
+	case errors.Is(err, errBackoff):
+		return nil // it answered a moment ago, and its connections show a loss
+	case backendconn.CodeOf(err) == backendconn.CodeConnect:
+		return errGone
+	case err != nil:
+		return err
+	case response.StatusCode >= http.StatusInternalServerError:
+		return errProbeStatus
 	}
-	if err != nil || response.StatusCode >= http.StatusInternalServerError {
-		return false
+	if state, _ := g.Codec.EngineState(body); state.Incarnation != 0 && s.Incarnation != 0 && state.Incarnation != s.Incarnation {
+		return errGone
 	}
-	state, _ := g.Codec.EngineState(body)
-	return state.Incarnation == 0 || s.Incarnation == 0 || state.Incarnation == s.Incarnation
+	return nil
 }
 
 // Successor returns the entry of the engine that now answers at the address of a
@@ -105,7 +117,7 @@
 // still holds the prompt.
 func (g *Gateway) survivedReset(s *fleet.Server, err error) bool {
 	g.recordFailure(s, err)
-	if g.probe(s) {
+	if g.probe(s) == nil {
 		g.Fleet.RecordReachable(time.Now(), s)
 		return true
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
@@ -23,9 +24,12 @@
 	expected         time.Duration // expected time until the first event
 	eventDelivered   bool
 	lastEventAt      time.Time // delivery of the latest event
-	// idleAtProbe is how long the engine had sent nothing to the stream when it
-	// last answered a probe; 0 if it has sent bytes since.
+	// idleAtProbe is how long the engine had sent nothing to the stream when it was
+	// last probed; 0 if it has sent bytes since.
 	idleAtProbe time.Duration
+	// heldSince is the time since which the run is kept although its engine is silent
+	// or found lost, because no other engine may continue it; zero if it is not.
+	heldSince time.Time
 }
 
 const (
@@ -49,6 +53,10 @@
 	// maxFirstProbes is the number of probe delays after which a run that has not begun
 	// counts as stalled.
 	maxFirstProbes = 5
+	// maxHold is how long a run on a silent engine is kept while no other engine may
+	// continue it. A sound engine may be silent for a second or so; after a longer
+	// silence the client is told, while it has time to send the request again.
+	maxHold = 3 * time.Second
 )
 
 // check implements backendconn.Watch.
@@ -59,8 +67,17 @@
 	if idle <= w.idleAtProbe {
 		w.idleAtProbe = 0 // bytes have arrived since
 	}
-	if w.server.LostSince(w.lossCountAtStart) {
-		return w.silentError(idle, "found lost by another request")
+	if w.held() && idle < now.Sub(w.heldSince) {
+		w.release()
+	}
+	if w.held() && w.mayGiveUp(now) {
+		return w.silentError(idle, "still no answer")
+	}
+	if !w.held() && w.server.LostSince(w.lossCountAtStart) {
+		if w.mayGiveUp(now) {
+			return w.silentError(idle, "found lost by another request")
+		}
+		w.hold(now)
 	}
 	limit := w.probeDelay()
 	if w.g.Fleet.InLostDataCentre(w.server, now) {
@@ -72,14 +89,46 @@
 	if idle-w.idleAtProbe < limit {
 		return nil
 	}
-	if !w.g.probe(w.server) {
+	w.idleAtProbe = idle
+	err := w.g.probe(w.server)
+	switch {
+	case err == nil:
+		w.release()
+		w.g.Fleet.RecordData(w.server, time.Now())
+		return nil
+	case errors.Is(err, errGone), w.mayGiveUp(now):
 		return w.silentError(idle, "does not answer")
 	}
-	w.idleAtProbe = idle
-	w.g.Fleet.RecordData(w.server, time.Now())
+	w.hold(now)
+	w.g.recordFailure(w.server, w.silentError(idle, "does not answer"))
 	return nil
 }
 
+// mayGiveUp reports whether the wait for an engine that is silent or was found lost may
+// end: another engine may continue the stream, or the silence has lasted too long.
+func (w *streamWatch) mayGiveUp(now time.Time) bool {
+	return w.st.reserveRetry(now, w.server) || w.held() && now.Sub(w.heldSince) >= maxHold
+}
+
+func (w *streamWatch) held() bool { return !w.heldSince.IsZero() }
+
+// hold keeps the run although its engine is silent or was found lost.
+func (w *streamWatch) hold(now time.Time) {
+	if !w.held() {
+		w.heldSince = now
+		w.st.addStep("run kept on silent %s", w.server.ID)
+	}
+}
+
+// release ends hold after a sign of life of the engine. The losses that were recorded
+// until now no longer count.
+func (w *streamWatch) release() {
+	if w.held() {
+		w.heldSince = time.Time{}
+		w.lossCountAtStart = w.server.LossCount()
+	}
+}
+
 // stalled reports whether the run makes no progress. Only events count: an engine that
 // sends a byte now and then makes none. The first event may take longer, since the
 // prompt may have to wait.
