gateway: do not cut off a large answer because its server is silent

What callers saw: an answer of more than 16 KiB was cut off in the middle when its server sent nothing for half a second and another request had found it lost meanwhile, though the server went on.

Cause: the watch of an attempt applied to the part of a large answer that is passed on as it arrives. A call can be answered with 502 there or sent again, a started answer cannot.

Change: once an answer is being passed on, only its end, a failed connection or the deadline end it.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -313,7 +313,7 @@
 			if !now.Before(e.deadline) {
 				return errDeadline
 			}
-			if s.LostSince(lossCount) && idle > callSilenceLimit {
+			if r.rest == nil && s.LostSince(lossCount) && idle > callSilenceLimit {
 				return backendconn.NewSilentError(idle, "found lost by another request")
 			}
 			return nil
