backendconn: an answer with a status below 100 is invalid

What callers saw: the connection of a call ended without an answer ("EOF") after a server had answered with a status such as 042.

Cause: net/http parses any three digits and panics when such a status is written. The panic of the handler closes the client's connection; nothing is logged, since the node discards the log of the HTTP server.

Change: such an answer is a protocol error, so that the call gets 502 or is sent again.

--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -207,7 +207,10 @@
 		if err != nil {
 			return nil, c.receiveError(err)
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		switch {
+		case response.StatusCode < 100:
+			return nil, newError(CodeProtocol).Errorf("invalid status %q from %s", response.Status, c.raw.RemoteAddr())
+		case response.StatusCode < 200:
 			continue
 		}
 		if r.Matches(response.Header) {
