gateway: answer and log a request whose serving panics

What callers saw: the connection ends without an answer ("EOF"). Operators saw nothing.

Cause: net/http recovers a panic of a handler, closes the connection and writes to the server's ErrorLog, which the node discards. Panics in other goroutines were already contained and logged.

Change: such a request is answered with 502 and logged as `panic`; an answer that has begun is aborted, as before. TestPanicIsAnsweredAndLogged does not pass on the code before, where the panic leaves ServeHTTP.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,9 @@
 }
 
 // ServeHTTP implements http.Handler for requests of clients.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(writer http.ResponseWriter, r *http.Request) {
+	w := &answerWriter{ResponseWriter: writer}
+	defer g.answerPanic(w)
 	now := time.Now()
 	if g.Leaving() {
 		w.Header().Set("Connection", "close")
