gateway: the time for which a run is kept counts as waiting for a retry

Cause: a stream that was kept on a silent engine for 3 s for lack of retry budget waited 2 s more for the budget before its client was told.

Change: it is kept for the 2 s that a stream waits for a retry at most, and does not wait again.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,8 @@
 	unavailable, refusedBy fleet.Exclude
 	awaitedRoom            bool // see awaitRoom
 	retryReserved          bool // a retry was taken for the next attempt; see reserveRetry
+	// retryWaited is how long the attempt before has waited for a retry already.
+	retryWaited time.Duration
 	// cachedFingerprint is the fingerprint of the request; empty until it
 	// is computed.
 	cachedFingerprint quarantine.Fingerprint
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -43,7 +43,8 @@
 // until a part of its share is free again: a stream that pauses is worth more than one
 // that breaks.
 func (st *streamState) awaitRetry(now time.Time) bool {
-	until := now.Add(min(retryWait, st.timeLeft(now)))
+	until := now.Add(min(retryWait-st.retryWaited, st.timeLeft(now)))
+	st.retryWaited = 0
 	for {
 		if st.mayRetry(now) || st.g.Borrow(st.ctx, st.service.Name) && st.mayRetry(time.Now()) {
 			return true
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -56,7 +56,7 @@
 	// maxHold is how long a run on a silent engine is kept while no other engine may
 	// continue it. A sound engine may be silent for a second or so; after a longer
 	// silence the client is told, while it has time to send the request again.
-	maxHold = 3 * time.Second
+	maxHold = retryWait
 )
 
 // check implements backendconn.Watch.
@@ -107,7 +107,14 @@
 // mayGiveUp reports whether the wait for an engine that is silent or was found lost may
 // end: another engine may continue the stream, or the silence has lasted too long.
 func (w *streamWatch) mayGiveUp(now time.Time) bool {
-	return w.st.reserveRetry(now, w.server) || w.held() && now.Sub(w.heldSince) >= maxHold
+	if w.st.reserveRetry(now, w.server) {
+		return true
+	}
+	if !w.held() || now.Sub(w.heldSince) < maxHold {
+		return false
+	}
+	w.st.retryWaited = now.Sub(w.heldSince)
+	return true
 }
 
 func (w *streamWatch) held() bool { return !w.heldSince.IsZero() }
