gateway: an idle connection does not show that a server runs

Callers got a part of an answer as complete: a server crashed while it sent an answer with neither a length nor chunks, and the node had an idle connection to it.

Cause: an unframed answer counts as complete if the server still accepts connections. refusesConnections took an idle connection from the pool as evidence of that. At a crash each connection ends on its own, so one whose end has not arrived yet looks open.

Also, every failure to connect counted as a refusal. A server that is silent for longer than the 300 ms of a dial, or that has all the connections it allows, made its complete unframed answer look broken, and was recorded as a crash that the request may have caused (recordAttemptFailure).

Change: refusesConnections opens a new connection, and only ECONNREFUSED counts as a refusal. The number of connections stays the same, since the idle one was closed after the check.

The dial that times out has no test of its own.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
@@ -384,12 +385,15 @@
 	}
 }
 
-// refusesConnections reports whether connections to a server's address are
-// refused, which means that no process listens there any more.
+// refusesConnections reports whether connections to a server's address are refused,
+// which means that no process listens there any more. A connection that is reset or not
+// accepted in time shows no such thing: the server may have all the connections that it
+// allows, or be silent for a while. Neither does an idle connection show that the server
+// runs: after a crash, each connection learns of its end on its own.
 func (g *Gateway) refusesConnections(ctx context.Context, s *fleet.Server) bool {
-	c, err := g.Pool.Get(ctx, addressOf(s), streamMaxIdle)
+	c, err := g.Pool.Dial(ctx, addressOf(s))
 	if err != nil {
-		return backendconn.CodeOf(err) == backendconn.CodeConnect
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	g.Pool.Close(c)
 	return false
--- a/internal/peer/backendconn/pool.go
+++ b/internal/peer/backendconn/pool.go
@@ -66,7 +66,7 @@
 	for {
 		c := p.pop(server)
 		if c == nil {
-			return p.dial(ctx, server)
+			return p.Dial(ctx, server)
 		}
 		now := time.Now()
 		if now.Sub(c.lastRead) <= maxSilence && c.usable(now) {
@@ -89,7 +89,8 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, server Server) (*Conn, error) {
+// Dial opens a new connection to a server, also if there are idle ones.
+func (p *Pool) Dial(ctx context.Context, server Server) (*Conn, error) {
 	if p.Opened != nil {
 		p.Opened()
 	}
@@ -98,7 +99,7 @@
 		if ctx.Err() != nil {
 			return nil, newError(CodeCancelled).Errorf("cancelled while connecting to %s", server.Address)
 		}
-		return nil, newError(CodeConnect).Errorf("connecting to %s: %v", server.Address, err)
+		return nil, newError(CodeConnect).Wrapf(err, "connecting to %s", server.Address)
 	}
 	c := &Conn{raw: raw, lastRead: time.Now()}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
