gateway: a running engine that is busy does not break its complete stream

Callers got a cut, or the node ran a stream once more, although the stream was complete; all other runs left the engine, and peers took it for lost for up to 5 s. Others got a part of a stream as complete.

Cause: a stream with neither a length nor chunks was complete if its engine answered a probe. A probe fails when the engine has all the connections that it allows, or is silent for 120 ms. The loss that follows is recorded as silence, which moves all runs. In the pause that an engine has asked for (Retry-After), on the other hand, no probe is sent and the engine counts as running, also if it has just crashed between two events.

Change: as for calls, such a stream is broken off only if the address of its engine refuses connections. This costs one connection, as before, and no probe.

TestCompleteUnframedStreamOfBusyEngine (both cases: "stream interrupted after event 6: unexpected EOF") and TestUnframedStreamOfEngineThatCrashesInItsPause ("stream ended as complete after event 5 of 40") failed before the change. TestUnframedStreamEnds, TestUnframedStreamWithoutEvents and TestUnframedStreamOfEngineThatLeaves passed before, too, and pin what is right: an end inside an event and a reset break a stream off, an end between events does not, and a stream whose engine has gone resumes after its last event. All passed in 3 runs each after the change.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -41,7 +41,7 @@
 				p.maintain(time.Now())
 			}
 			continue
-		case errors.Is(err, io.EOF) && !events.partial() && (framed(response) || st.g.probe(s)):
+		case errors.Is(err, io.EOF) && !events.partial() && (framed(response) || !st.g.refusesConnections(st.ctx, s)):
 			st.sentCount++
 			st.writeHead(response.Header)
 			st.g.Pool.Put(addressOf(s), c, response)
