gateway: a call outlasts the silence of its server

Callers got 502 for calls that must not run twice, although their server went on after a silence of a second or less and had run them.

Cause: once one request had found a server silent, every other call that had waited for it for 500 ms ended ("found lost by another request"). The same happened after a dial of 300 ms that timed out, which counted as a refused connection.

Change: the fleet distinguishes a server that is silent from one whose process is gone (its address refuses connections, or another server answers there). Both get no new work, as before; only the second one ends the calls that wait. A dial that times out counts as silence. An idempotent call is still hedged.

TestCallOutlastsSilenceOfServer ("POST: status 502, want 200") failed before and passes after.

--- a/internal/fleet/losses.go
+++ b/internal/fleet/losses.go
@@ -12,9 +12,10 @@
 const (
 	// LossReset means that a connection to the server was reset.
 	LossReset Loss = iota
-	// LossRefused means that a connection to the server could not be opened.
+	// LossRefused means that the server's address refused a connection.
 	LossRefused
-	// LossSilent means that the server stopped sending data.
+	// LossSilent means that the server stopped sending data, or accepted no connection
+	// in time. A running server may be silent for a second or so.
 	LossSilent
 	// LossReplaced means that another server answers at the address.
 	LossReplaced
@@ -43,7 +44,12 @@
 	if s == nil {
 		return false
 	}
-	first := !now.Before(s.lostUntil) || how != LossReset && !s.unreachable
+	gone := how == LossRefused || how == LossReplaced
+	first := !now.Before(s.lostUntil) || how != LossReset && !s.unreachable || gone && !s.gone
+	if gone && (!s.gone || !now.Before(s.lostUntil)) {
+		s.goneCount.Add(1)
+	}
+	s.gone = gone || s.gone && now.Before(s.lostUntil)
 	backoff := resetBackoff
 	if how != LossReset {
 		backoff = unreachableBackoff
@@ -74,6 +80,16 @@
 	}
 }
 
+// RecordEndOfSilence records that a server that was silent has sent data again.
+func (f *Fleet) RecordEndOfSilence(now time.Time, s *Server) {
+	f.RecordData(s, now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !s.gone {
+		s.unreachable, s.lostUntil = false, time.Time{}
+	}
+}
+
 // recordDataCentreLoss marks the data centre of s as lost if enough of its servers
 // were found unreachable within dataCentreLossWindow. Resets are not counted, because
 // a fault of a host or a link also resets connections to running servers.
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -69,6 +69,9 @@
 	// Goroutines that read streams compare it with an earlier value to notice a loss
 	// that another request or host found.
 	lossCount atomic.Uint32
+	// goneCount is the number of times that no process of the server's was found at its
+	// address. It is compared like lossCount.
+	goneCount atomic.Uint32
 
 	firstSeen time.Time
 	// unlisted is set for a server that was discovered at the address of a lost one
@@ -85,6 +88,9 @@
 	// unreachable is set if the server was found unreachable, and not set if only a
 	// connection to it was reset. It stays set after lostUntil, until a reset.
 	unreachable bool
+	// gone is set if the server was found unreachable because no process of its own was
+	// at its address, and not set if it was only silent.
+	gone bool
 	// fullUntil is the end of the period after a refusal during which other servers
 	// are preferred.
 	fullUntil time.Time
@@ -126,6 +132,14 @@
 // far, for a later call of LostSince.
 func (s *Server) LossCount() uint32 { return s.lossCount.Load() }
 
+// GoneSince reports whether no process of the server's was found at its address since
+// GoneCount returned goneCount.
+func (s *Server) GoneSince(goneCount uint32) bool { return s.goneCount.Load() != goneCount }
+
+// GoneCount returns the number of times that no process of the server's was found at
+// its address so far, for a later call of GoneSince.
+func (s *Server) GoneCount() uint32 { return s.goneCount.Load() }
+
 func (s *Server) usedTokens() int {
 	used := 0
 	for _, r := range s.runs {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -314,7 +315,10 @@
 	how := fleet.LossReset
 	switch backendconn.CodeOf(err) {
 	case backendconn.CodeConnect:
-		how = fleet.LossRefused
+		how = fleet.LossSilent
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			how = fleet.LossRefused
+		}
 	case backendconn.CodeSilent:
 		how = fleet.LossSilent
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
@@ -25,8 +24,9 @@
 	// defaultHedgeDelay is the delay before the second request on a route
 	// without a latency objective.
 	defaultHedgeDelay = 250 * time.Millisecond
-	// callSilenceLimit is how long a server may send nothing to a call before the
-	// call may treat it as lost.
+	// callSilenceLimit is how long a server may send nothing to a call before it counts
+	// as silent. The call itself still waits for it, unless the server is known to be
+	// gone: a running server may be silent for a second or so.
 	callSilenceLimit = 500 * time.Millisecond
 	// refusalPause is the shortest time after which a call is sent again to a server
 	// that refused it as full. A server with a full queue has room again a few
@@ -302,7 +302,7 @@
 	}()
 	now := time.Now()
 	started := now
-	lossCount := s.LossCount()
+	goneCount := s.GoneCount()
 	replaced := false
 	response, err := c.Exchange(ctx, &backendconn.Request{
 		Method: e.call.Method, Target: e.call.Target, Host: e.call.Host,
@@ -314,8 +314,8 @@
 			if !now.Before(e.deadline) {
 				return errDeadline
 			}
-			if s.LostSince(lossCount) && idle > callSilenceLimit {
-				return backendconn.NewSilentError(idle, "found lost by another request")
+			if s.GoneSince(goneCount) && idle > callSilenceLimit {
+				return backendconn.NewSilentError(idle, "found gone by another request")
 			}
 			return nil
 		},
@@ -384,17 +384,3 @@
 		}
 	}
 }
-
-// refusesConnections reports whether connections to a server's address are refused,
-// which means that no process listens there any more. A connection that is reset or not
-// accepted in time shows no such thing: the server may have all the connections that it
-// allows, or be silent for a while. Neither does an idle connection show that the server
-// runs: after a crash, each connection learns of its end on its own.
-func (g *Gateway) refusesConnections(ctx context.Context, s *fleet.Server) bool {
-	c, err := g.Pool.Dial(ctx, addressOf(s))
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	g.Pool.Close(c)
-	return false
-}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
@@ -112,3 +113,17 @@
 	g.recordFailure(s, backendconn.NewSilentError(probeTimeout, "no answer after a reset"))
 	return false
 }
+
+// refusesConnections reports whether connections to a server's address are refused,
+// which means that no process listens there any more. A connection that is reset or not
+// accepted in time shows no such thing: the server may have all the connections that it
+// allows, or be silent for a while. Neither does an idle connection show that the server
+// runs: after a crash, each connection learns of its end on its own.
+func (g *Gateway) refusesConnections(ctx context.Context, s *fleet.Server) bool {
+	c, err := g.Pool.Dial(ctx, addressOf(s))
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	g.Pool.Close(c)
+	return false
+}
