--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
@@ -71,7 +72,7 @@
 	switch {
 	case errors.Is(err, errBackoff):
 		return nil // it answered a moment ago, and its connections show a loss
-	case backendconn.CodeOf(err) == backendconn.CodeConnect:
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return errGone
 	case err != nil:
 		return err
@@ -84,6 +85,15 @@
 	return nil
 }
 
+// hasEnded reports whether the incarnation of an engine has ended. An engine that has
+// asked for a pause is not probed, and an engine that does not answer may only be busy.
+func (g *Gateway) hasEnded(ctx context.Context, s *fleet.Server) bool {
+	if g.Fleet.InBackoff(s, time.Now()) {
+		return g.refusesConnections(ctx, s)
+	}
+	return errors.Is(g.probe(s), errGone)
+}
+
 // Successor returns the entry of the engine that now answers at the address of a
 // lost one, if there is one. It accepts only an engine with the memory size of the
 // service, because the address of a lost server may be reused by a server of another
@@ -124,3 +134,17 @@
 	g.recordFailure(s, backendconn.NewSilentError(probeTimeout, "no answer after a reset"))
 	return false
 }
+
+// refusesConnections reports whether connections to a server's address are refused,
+// which means that no process listens there any more. A connection that is reset or not
+// accepted in time shows no such thing: the server may have all the connections that it
+// allows, or be silent for a while. Neither does an idle connection show that the server
+// runs: after a crash, each connection learns of its end on its own.
+func (g *Gateway) refusesConnections(ctx context.Context, s *fleet.Server) bool {
+	c, err := g.Pool.Dial(ctx, addressOf(s))
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	g.Pool.Close(c)
+	return false
+}
