crashcause: drop the oldest crashes when full instead of the new ones

A node that kept maxCrashes crashes recorded no more for up to ten minutes. The loss of many servers fills it: 4096 requests that had not begun. A prompt part that crashes servers after that is refused by no host.

Cause: Tracker.add returned at once when full. The deaths are kept in the order of their times, so that the oldest is found at once; a death no older than the oldest is still rejected, so equal times cannot displace each other.

--- a/internal/crashcause/tracker.go
+++ b/internal/crashcause/tracker.go
@@ -23,7 +23,8 @@
 	retention = 10 * time.Minute
 	// expiryInterval is the minimum time between two searches for expired crashes.
 	expiryInterval = 10 * time.Second
-	// maxCrashes is the maximum number of crashes that are kept.
+	// maxCrashes is the maximum number of crashes that are kept. Above it the oldest are
+	// dropped: a node without room for new ones would refuse nothing until they expire.
 	maxCrashes = 4096
 	// maxSound is the number of sound contents from which on the older ones are dropped.
 	maxSound = 4096
@@ -34,6 +35,7 @@
 type Tracker struct {
 	mu      sync.Mutex
 	deaths  map[instance]*death // guarded by mu
+	byAge   []*death            // guarded by mu; all deaths, oldest first
 	byKey   map[key][]*death    // guarded by mu; oldest first
 	crashes int                 // guarded by mu; contents of all deaths
 	// expiredAt is the time of the latest search for expired crashes. Guarded by mu.
@@ -61,28 +63,31 @@
 // add records a crash of the time at. The lock is held.
 func (t *Tracker) add(now, at time.Time, x Crash) bool {
 	t.expire(now)
-	if t.crashes >= maxCrashes {
-		return false
-	}
 	if t.deaths == nil {
 		t.deaths, t.byKey = map[instance]*death{}, map[key][]*death{}
 	}
 	i := instance{x.Server, x.Incarnation}
 	d := t.deaths[i]
+	if d != nil {
+		if slices.ContainsFunc(d.contents, func(c Content) bool { return c.Request == x.Request }) {
+			return false
+		}
+		at = d.at
+	}
+	if t.crashes >= maxCrashes && !t.dropOldest(at) {
+		return false
+	}
 	if d == nil {
 		d = &death{instance: i, service: x.Service, dataCentre: x.DataCentre, at: at, present: map[key]bool{}}
 		t.deaths[i] = d
-	}
-	if slices.ContainsFunc(d.contents, func(c Content) bool { return c.Request == x.Request }) {
-		return false
+		t.byAge = insertByAge(t.byAge, d)
 	}
 	d.contents = append(d.contents, x.Content)
 	t.crashes++
 	for _, k := range x.keys() {
 		if !d.present[k] {
 			d.present[k] = true
-			t.byKey[k] = append(t.byKey[k], d)
-			slices.SortFunc(t.byKey[k], func(a, b *death) int { return a.at.Compare(b.at) })
+			t.byKey[k] = insertByAge(t.byKey[k], d)
 		}
 	}
 	return true
@@ -95,17 +100,39 @@
 		return
 	}
 	t.expiredAt = now
-	for i, d := range t.deaths {
-		if !d.expired(now) {
-			continue
-		}
-		delete(t.deaths, i)
-		t.crashes -= len(d.contents)
-		for k := range d.present {
-			t.byKey[k] = slices.DeleteFunc(t.byKey[k], func(x *death) bool { return x == d })
-			if len(t.byKey[k]) == 0 {
-				delete(t.byKey, k)
-			}
+	for len(t.byAge) > 0 && t.byAge[0].expired(now) {
+		t.drop(t.byAge[0])
+	}
+}
+
+// dropOldest drops the oldest death if it is older than the given time, and reports
+// whether it did. The lock is held.
+func (t *Tracker) dropOldest(at time.Time) bool {
+	if len(t.byAge) == 0 || !t.byAge[0].at.Before(at) {
+		return false
+	}
+	t.drop(t.byAge[0])
+	return true
+}
+
+// insertByAge adds a death to a list, oldest first.
+func insertByAge(list []*death, d *death) []*death {
+	i := len(list) // nearly always the place, since reports arrive in this order
+	for i > 0 && list[i-1].at.After(d.at) {
+		i--
+	}
+	return slices.Insert(list, i, d)
+}
+
+// drop removes a death. The lock is held.
+func (t *Tracker) drop(d *death) {
+	delete(t.deaths, d.instance)
+	t.crashes -= len(d.contents)
+	t.byAge = slices.DeleteFunc(t.byAge, func(x *death) bool { return x == d })
+	for k := range d.present {
+		t.byKey[k] = slices.DeleteFunc(t.byKey[k], func(x *death) bool { return x == d })
+		if len(t.byKey[k]) == 0 {
+			delete(t.byKey, k)
 		}
 	}
 }
--- a/internal/crashcause/tracker_test.go
+++ b/internal/crashcause/tracker_test.go
@@ -248,6 +248,24 @@
 	}
 }
 
+// Guards against a node that is told of no crash for the retention time because the loss of
+// many servers has filled its memory.
+func TestNewCrashesCountWhenFull(t *testing.T) {
+	var c Tracker
+	for i := range maxCrashes {
+		c.Add(start, crash(fmt.Sprintf("a%d", i/32), request(fmt.Sprint("victim", i), uint64(100+i))))
+	}
+	for i := range crashLimit {
+		c.Add(at(1000*(i+1)), crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), deadlyPart)))
+	}
+	if !refused(&c, 5000, request("new", deadlyPart), servers{}) {
+		t.Error("not refused")
+	}
+	if c.Len() > maxCrashes {
+		t.Errorf("%d crashes are kept, want at most %d", c.Len(), maxCrashes)
+	}
+}
+
 // Guards against storing the crashes of each request that was on a server when it crashed
 // for another reason, and against a row of the store without bounds.
 func TestSuspicious(t *testing.T) {
