crashcause: expired crashes do not count in what peers compare

A host that keeps fewer crashes than a peer says in its heartbeat fetches all of them. Expired crashes were dropped only when the next crash was recorded, and counted until then, but Merge does not take them over: hosts that started since, or recorded the crash a moment later, fetched the whole list each 1.1 s without end.

Cause: Tracker.Len and the count in heartbeats included expired crashes. Evidence: one crash, merged by a new tracker eleven minutes later: 1 and 0 crashes, for good. Now every call of Len drops what has expired, which costs one comparison as deaths are kept by age. TestExpiredCrashesAreNotCounted guards it.

--- a/internal/crashcause/tracker.go
+++ b/internal/crashcause/tracker.go
@@ -21,8 +21,6 @@
 	burst = 300 * time.Millisecond
 	// retention is how long a crash counts.
 	retention = 10 * time.Minute
-	// expiryInterval is the minimum time between two searches for expired crashes.
-	expiryInterval = 10 * time.Second
 	// maxCrashes is the maximum number of crashes that are kept. Above it the oldest are
 	// dropped: a node without room for new ones would refuse nothing until they expire.
 	maxCrashes = 4096
@@ -38,18 +36,18 @@
 	byAge   []*death            // guarded by mu; all deaths, oldest first
 	byKey   map[key][]*death    // guarded by mu; oldest first
 	crashes int                 // guarded by mu; contents of all deaths
-	// expiredAt is the time of the latest search for expired crashes. Guarded by mu.
-	expiredAt time.Time
 
 	// sound is when content was last seen to be answered. Once it has maxSound entries, it
 	// becomes olderSound. Both are guarded by mu.
 	sound, olderSound map[key]time.Time
 }
 
-// Len returns the number of crashes that are kept.
-func (t *Tracker) Len() int {
+// Len returns the number of crashes that are kept. Peers compare it, so expired ones do
+// not count: a peer would fetch them, and not keep them, again and again.
+func (t *Tracker) Len(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expire(now)
 	return t.crashes
 }
 
@@ -93,13 +91,8 @@
 	return true
 }
 
-// expire drops the deaths that no longer count, at most each expiryInterval. The lock is
-// held.
+// expire drops the deaths that no longer count. The lock is held.
 func (t *Tracker) expire(now time.Time) {
-	if now.Sub(t.expiredAt) < expiryInterval {
-		return
-	}
-	t.expiredAt = now
 	for len(t.byAge) > 0 && t.byAge[0].expired(now) {
 		t.drop(t.byAge[0])
 	}
--- a/internal/crashcause/tracker_test.go
+++ b/internal/crashcause/tracker_test.go
@@ -50,7 +50,7 @@
 	s := servers{lost: map[ident.DataCentre]bool{"a": true}}
 	var c Tracker
 	bad, innocent := request("bad"), request("innocent")
-	if c.Len() != 0 {
+	if c.Len(start) != 0 {
 		t.Error("a new tracker has records")
 	}
 	for i, server := range []string{"b1", "b2", "c1"} {
@@ -217,8 +217,8 @@
 	a.Answered(at(2500), request("s", otherPart))
 	for range 2 { // a repetition changes nothing
 		b.Merge(at(3100), a.Evidence(at(3100)))
-		if a.Len() != b.Len() {
-			t.Errorf("%d crashes, want %d", b.Len(), a.Len())
+		if a.Len(at(3100)) != b.Len(at(3100)) {
+			t.Errorf("%d crashes, want %d", b.Len(at(3100)), a.Len(at(3100)))
 		}
 	}
 	if !refused(&b, 3100, request("new", firstPart, deadlyPart), servers{}) {
@@ -227,7 +227,7 @@
 	if refused(&b, 3100, request("new", otherPart), servers{}) {
 		t.Error("a part is refused that was answered")
 	}
-	if b.Merge(at(3100), Evidence{Crashes: []AgedCrash{{AgeMs: 1 << 62}, {AgeMs: -1 << 62}}}); b.Len() > a.Len()+1 {
+	if b.Merge(at(3100), Evidence{Crashes: []AgedCrash{{AgeMs: 1 << 62}, {AgeMs: -1 << 62}}}); b.Len(at(3100)) > a.Len(at(3100))+1 {
 		t.Error("an expired crash is kept")
 	}
 }
@@ -239,12 +239,12 @@
 		c.Add(start, crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), uint64(i+1))))
 		c.Answered(start, request(fmt.Sprint("r", i), uint64(10*maxCrashes+i)))
 	}
-	if c.Len() != maxCrashes || len(c.sound)+len(c.olderSound) > 2*maxSound {
-		t.Errorf("%d crashes and %d sound contents are kept", c.Len(), len(c.sound)+len(c.olderSound))
+	if c.Len(start) != maxCrashes || len(c.sound)+len(c.olderSound) > 2*maxSound {
+		t.Errorf("%d crashes and %d sound contents are kept", c.Len(start), len(c.sound)+len(c.olderSound))
 	}
 	late := start.Add(retention + time.Millisecond)
-	if c.Add(late, crash("late", request("late"))); c.Len() != 1 || len(c.byKey) != 1 {
-		t.Errorf("%d crashes and %d keys are kept after %v", c.Len(), len(c.byKey), retention)
+	if c.Add(late, crash("late", request("late"))); c.Len(late) != 1 || len(c.byKey) != 1 {
+		t.Errorf("%d crashes and %d keys are kept after %v", c.Len(late), len(c.byKey), retention)
 	}
 }
 
@@ -261,8 +261,18 @@
 	if !refused(&c, 5000, request("new", deadlyPart), servers{}) {
 		t.Error("not refused")
 	}
-	if c.Len() > maxCrashes {
-		t.Errorf("%d crashes are kept, want at most %d", c.Len(), maxCrashes)
+	if c.Len(at(5000)) > maxCrashes {
+		t.Errorf("%d crashes are kept, want at most %d", c.Len(at(5000)), maxCrashes)
+	}
+}
+
+// Guards against a node that fetches the crashes of a peer again and again: the peer counts
+// crashes that have expired, which the node does not take over.
+func TestExpiredCrashesAreNotCounted(t *testing.T) {
+	var c Tracker
+	c.Add(start, crash("b1", request("r", deadlyPart)))
+	if got := c.Len(start.Add(retention + time.Millisecond)); got != 0 {
+		t.Errorf("%d crashes, want none", got)
 	}
 }
 
--- a/internal/front/crashes.go
+++ b/internal/front/crashes.go
@@ -52,7 +52,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if n.crashes.Len() == 0 || !n.isReader(now) {
+		if n.crashes.Len(now) == 0 || !n.isReader(now) {
 			continue
 		}
 		e := n.crashes.Suspicious(now)
@@ -99,13 +99,13 @@
 
 // compareCrashes fetches the crashes of a peer if it keeps more of them than this node.
 func (n *Node) compareCrashes(m mesh.Member) {
-	if m.Crashes <= n.crashes.Len() || !n.fetchingCrashes.CompareAndSwap(false, true) {
+	if m.Crashes <= n.crashes.Len(time.Now()) || !n.fetchingCrashes.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer n.fetchingCrashes.Store(false)
 		time.Sleep(crashFetchDelay)
-		if m.Crashes <= n.crashes.Len() {
+		if m.Crashes <= n.crashes.Len(time.Now()) {
 			return
 		}
 		n.readPeerCrashes(context.Background(), m)
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -241,7 +241,7 @@
 	if n.gateway != nil { // nil while New calls mesh.New, which calls member
 		m.Usage = n.gateway.Budgets.Usage(now)
 		m.ServersChanged, m.ServersListed, m.ServersRead = n.serversChanged.Load(), n.serversListed.Load(), n.servers.position.Load()
-		m.Crashes = n.crashes.Len()
+		m.Crashes = n.crashes.Len(now)
 		m.Settled = now.Sub(n.started) >= settledAfter
 		m.StoreAgeMs = n.servers.age(now).Milliseconds()
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -37,7 +37,7 @@
 // crashesServers reports whether the request must not run again because its content
 // crashes servers.
 func (e *exchange) crashesServers(now time.Time) bool {
-	if e.g.Crashes.Len() == 0 {
+	if e.g.Crashes.Len(now) == 0 {
 		return false
 	}
 	refused, _ := e.g.Crashes.Verdict(now, e.content(), e.g.Fleet)
@@ -47,7 +47,7 @@
 // waitForCrashCause waits until it is known whether this request is the cause
 // of earlier crashes, but at most until the request's deadline.
 func (e *exchange) waitForCrashCause(now time.Time) {
-	if e.g.Crashes.Len() == 0 {
+	if e.g.Crashes.Len(now) == 0 {
 		return
 	}
 	for {
@@ -82,11 +82,11 @@
 // recordAnswered records that a server has answered the request, and notifies peers if
 // they may suspect its content.
 func (e *exchange) recordAnswered(now time.Time) {
-	if e.g.Crashes.Len() == 0 && len(e.call.SharedParts) == 0 {
+	if e.g.Crashes.Len(now) == 0 && len(e.call.SharedParts) == 0 {
 		return
 	}
 	c := crashcause.Content{Parts: e.call.SharedParts}
-	if e.g.Crashes.Len() > 0 {
+	if e.g.Crashes.Len(now) > 0 {
 		c = e.content()
 	}
 	if e.g.Crashes.Answered(now, c) {
