crashcause, front: store the crashes that count, and store them again when they change

When all hosts end at once, they read the crashes from one row of the store. It has room for 100 entries, and each request that was lost with a crashed server took one: with 100 not begun requests on each engine, the row held one of three crashes. It was written again only when the number of its entries changed, so a full row stayed as it was, and one in which other content came to be suspected did too.

Now the row has only those lost requests that have suspected content, and is compared crash by crash. Evidence: TestSuspiciousLeavesOutVictims (100 of 303 entries stored, not refused) and TestSuspiciousChangesWithNewCrashes failed before, the second one with a comparison by number, as the node made it.

--- a/internal/crashcause/evidence.go
+++ b/internal/crashcause/evidence.go
@@ -1,7 +1,6 @@
 package crashcause
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -48,33 +47,36 @@
 }
 
 // Suspicious returns the crashes that may soon count, or count, against some content:
-// those of content that was on two crashed servers or more and was never answered. If
-// there are too many it returns the newest.
+// those of content that was on two crashed servers or more and was never answered. It
+// leaves out other requests that were lost with the same servers. If there are too many
+// it returns the newest.
 func (t *Tracker) Suspicious(now time.Time) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	suspicious := map[*death]bool{}
-	for k, deaths := range t.byKey {
-		if len(deaths) < crashLimit-1 || !t.answeredAt(k).IsZero() {
+	suspicious := func(k key) bool { return len(t.byKey[k]) >= crashLimit-1 && t.answeredAt(k).IsZero() }
+	var e Evidence
+	for _, d := range slices.Backward(t.byAge) {
+		if d.dismissed || d.expired(now) {
 			continue
 		}
-		for _, d := range deaths {
-			if !d.dismissed && !d.expired(now) {
-				suspicious[d] = true
+		for _, x := range d.aged(now) {
+			if slices.ContainsFunc(x.keys(), suspicious) {
+				e.Crashes = append(e.Crashes, x)
 			}
 		}
 	}
-	var e Evidence
-	for d := range suspicious {
-		e.Crashes = append(e.Crashes, d.aged(now)...)
-	}
-	slices.SortFunc(e.Crashes, func(a, b AgedCrash) int {
-		return cmp.Or(cmp.Compare(a.AgeMs, b.AgeMs), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Request, b.Request))
-	})
 	e.Crashes = e.Crashes[:min(len(e.Crashes), maxSuspicious)]
 	return e
 }
 
+// SameCrashes reports whether both have the same crashes in the same order, whatever their
+// ages.
+func (e Evidence) SameCrashes(other Evidence) bool {
+	return slices.EqualFunc(e.Crashes, other.Crashes, func(a, b AgedCrash) bool {
+		return a.Server == b.Server && a.Incarnation == b.Incarnation && a.Request == b.Request
+	})
+}
+
 // aged returns the crashes of a death with their ages.
 func (d *death) aged(now time.Time) []AgedCrash {
 	list := make([]AgedCrash, 0, len(d.contents))
--- a/internal/crashcause/tracker_test.go
+++ b/internal/crashcause/tracker_test.go
@@ -306,3 +306,37 @@
 		t.Errorf("%d crashes are suspicious although their content was answered", got)
 	}
 }
+
+// Guards against a row of the store that holds a few crashes only, because the requests
+// that were lost with the same servers fill it.
+func TestSuspiciousLeavesOutVictims(t *testing.T) {
+	var a, b Tracker
+	for i := range crashLimit {
+		server := fmt.Sprintf("b%d", i)
+		for j := range maxSuspicious {
+			a.Add(at(1000*i), crash(server, request(fmt.Sprint("victim", i, " ", j), uint64(1000+maxSuspicious*i+j))))
+		}
+		a.Add(at(1000*i), crash(server, request(fmt.Sprint("r", i), firstPart, deadlyPart)))
+	}
+	b.Merge(at(5000), a.Suspicious(at(4000)).Older(time.Second))
+	if !refused(&b, 5000, request("new", firstPart, deadlyPart), servers{}) {
+		t.Errorf("stored crashes do not count; %d of %d are stored", b.Len(at(5000)), a.Len(at(5000)))
+	}
+}
+
+// Guards against a row of the store that is not written again while the number of crashes
+// in it stays the same: it is full, or other content is suspected.
+func TestSuspiciousChangesWithNewCrashes(t *testing.T) {
+	var c Tracker
+	for i := range maxSuspicious {
+		c.Add(at(i), crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), firstPart)))
+	}
+	before := c.Suspicious(at(1000))
+	if got := c.Suspicious(at(2000)); !got.SameCrashes(before) {
+		t.Error("the crashes differ although there is no new one")
+	}
+	c.Add(at(3000), crash("c", request("new", firstPart)))
+	if got := c.Suspicious(at(3000)); got.SameCrashes(before) || len(got.Crashes) != len(before.Crashes) {
+		t.Errorf("%d crashes, %d before: a new crash does not show", len(got.Crashes), len(before.Crashes))
+	}
+}
--- a/internal/front/crashes.go
+++ b/internal/front/crashes.go
@@ -56,14 +56,14 @@
 			continue
 		}
 		e := n.crashes.Suspicious(now)
-		if int64(len(e.Crashes)) == n.crashesStored.Load() {
+		if stored := n.crashesStored.Load(); stored != nil && e.SameCrashes(*stored) || stored == nil && len(e.Crashes) == 0 {
 			continue
 		}
 		if err := n.writeCrashes(ctx, now, e); err != nil {
 			n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableCrashes}, "cannot write the crashes of servers to the store, retrying")
 			continue
 		}
-		n.crashesStored.Store(int64(len(e.Crashes)))
+		n.crashesStored.Store(&e)
 	}
 }
 
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	n.crashesStored.Store(0)
+	n.crashesStored.Store(nil)
 	for _, r := range rows.Rows {
 		var row crashRow
 		if err := json.Unmarshal(r.Value, &row); err != nil {
@@ -92,7 +92,7 @@
 		}
 		now := time.Now()
 		n.crashes.Merge(now, row.Evidence.Older(now.Sub(time.UnixMilli(row.WrittenMs))))
-		n.crashesStored.Store(int64(len(row.Evidence.Crashes)))
+		n.crashesStored.Store(&row.Evidence)
 	}
 	return nil
 }
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -113,7 +113,9 @@
 	peersReadStore atomic.Bool
 	fetchingState  atomic.Bool // a request for a peer's state is in progress
 	crashes        crashcause.Tracker
-	crashesStored  atomic.Int64 // crashes in the row that this node wrote or read last
+	// crashesStored is the row of crashes that this node wrote or read last; nil if there
+	// was none.
+	crashesStored atomic.Pointer[crashcause.Evidence]
 	// fetchingCrashes is true while a request for a peer's crashes is in progress, and for
 	// crashFetchInterval after its start.
 	fetchingCrashes atomic.Bool
