gateway: the fingerprint of a call is computed once by concurrent attempts

A call may run on two servers at the same time. If both crash, both attempts compute the fingerprint of the request and write it to the same field without a lock.

Evidence: go test -race reports a data race in exchange.content in TestHedgedCallLosesBothServers, and none in five runs with sync.Once.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -28,9 +28,9 @@
 
 // content returns what may be the cause if this request crashes a server.
 func (e *exchange) content() crashcause.Content {
-	if e.cachedFingerprint == "" {
+	e.fingerprintOnce.Do(func() {
 		e.cachedFingerprint = quarantine.FingerprintOf(ident.Team(e.team+" "+e.call.Method+" "+e.call.Target), e.call.Body)
-	}
+	})
 	return crashcause.Content{Request: e.cachedFingerprint, Parts: e.call.SharedParts}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,9 +113,10 @@
 	// now and those that refused it as full. refusedBy lists the latter.
 	unavailable, refusedBy fleet.Exclude
 	awaitedRoom            bool // see awaitRoom
-	// cachedFingerprint is the fingerprint of the request; empty until it
-	// is computed.
+	// cachedFingerprint is the fingerprint of the request, computed once by content, which
+	// the attempts of a call may need at the same time.
 	cachedFingerprint quarantine.Fingerprint
+	fingerprintOnce   sync.Once
 	// steps lists the steps in serving the request, oldest first, for the log.
 	steps   []string
 	started time.Time
