gateway: an answered call clears what crashes count against its content

Callers see 503 with Retry-After: 60 for a sound call that they repeat unchanged, for up to ten minutes: three servers crashed, one after the other, while they ran it.

Cause: crashes are recorded for calls and for streams, answers only for streams, so a call can be suspected and never cleared. A call without a body has the same hash for all callers of a team, and a hot one is on most servers that crash.

--- a/internal/gateway/largeanswer.go
+++ b/internal/gateway/largeanswer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
 )
@@ -92,5 +93,8 @@
 	}
 	g.Pool.Put(addressOf(r.server), c, response)
 	g.Fleet.RecordResult(r.server, r.status < http.StatusInternalServerError)
+	if r.succeeded() {
+		e.recordAnswered(time.Now())
+	}
 	e.recordOutcome("served", r.status, "")
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -261,6 +261,9 @@
 		return
 	}
 	e.writeAnswer(&bufferedAnswer{r.status, r.header, r.body})
+	if r.succeeded() {
+		e.recordAnswered(time.Now())
+	}
 	outcome := "served"
 	if !r.succeeded() {
 		outcome = "failed"
