gateway: only delivered events show that the content of a stream is sound

Callers see requests with a part that crashes servers crash twice as many: an engine that rejected one such request (400), or ended its stream before the first event, made the part count as answered, so that earlier crashes did not count and six later ones were needed instead of three. A client can do this to any part.

Cause: serveStream recorded an answer for each ended stream. Evidence: TestPartIsNotSoundWithoutEvents, 8 crashes and no refusal before (502), and a refusal after 4 now; the fourth is the request that lacks what only the first one had.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -109,7 +109,9 @@
 		}
 		switch st.run(server, backup, attempt) {
 		case resultEnded:
-			e.recordAnswered(time.Now())
+			if st.lastEventID > e.call.After { // a rejection does not show that an engine can begin the answer
+				e.recordAnswered(time.Now())
+			}
 			e.recordOutcome("served", http.StatusOK, "")
 			return
 		case resultAborted:
