gateway: an engine that asked for a pause and crashes is not taken for running

Callers see a stream that ends as complete after a part of its events, and content that crashes such engines is not counted against it.

Cause: no request is sent to a server that answered with Retry-After, and probe reported it as running without asking it. After a reset the crash was then not recorded, and an answer with neither a length nor chunks, which ends with its channel, was passed on as complete. Its channel ends also when the server dies.

Now probe opens a connection, on which nothing is sent. An engine that was replaced at its address within the pause still counts as running.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -58,12 +58,13 @@
 
 // probe requests the state of an engine and reports whether the incarnation s
 // answered. An engine that does not report its start time counts as the same
-// incarnation.
+// incarnation. One that has asked for a pause is sent no request: that it accepts a
+// connection shows that it runs.
 func (g *Gateway) probe(s *fleet.Server) bool {
 	method, target := g.Codec.Probe()
 	response, body, err := g.call(s, method, target)
 	if errors.Is(err, errBackoff) {
-		return true // it answered a moment ago, and its connections show a loss
+		return g.acceptsConnections(s)
 	}
 	if err != nil || response.StatusCode >= http.StatusInternalServerError {
 		return false
@@ -72,6 +73,19 @@
 	return state.Incarnation == 0 || s.Incarnation == 0 || state.Incarnation == s.Incarnation
 }
 
+// acceptsConnections reports whether a new connection to a server can be opened within
+// probeTimeout.
+func (g *Gateway) acceptsConnections(s *fleet.Server) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	c, err := g.Pool.Get(ctx, addressOf(s), 0)
+	if err != nil {
+		return false
+	}
+	g.Pool.Close(c)
+	return true
+}
+
 // Successor returns the entry of the engine that now answers at the address of a
 // lost one, if there is one. It accepts only an engine with the memory size of the
 // service, because the address of a lost server may be reused by a server of another
