--- a/internal/crashcause/tracker_test.go
+++ b/internal/crashcause/tracker_test.go
@@ -50,7 +50,7 @@
 	s := servers{lost: map[ident.DataCentre]bool{"a": true}}
 	var c Tracker
 	bad, innocent := request("bad"), request("innocent")
-	if c.Len() != 0 {
+	if c.Len(start) != 0 {
 		t.Error("a new tracker has records")
 	}
 	for i, server := range []string{"b1", "b2", "c1"} {
@@ -217,8 +217,8 @@
 	a.Answered(at(2500), request("s", otherPart))
 	for range 2 { // a repetition changes nothing
 		b.Merge(at(3100), a.Evidence(at(3100)))
-		if a.Len() != b.Len() {
-			t.Errorf("%d crashes, want %d", b.Len(), a.Len())
+		if a.Len(at(3100)) != b.Len(at(3100)) {
+			t.Errorf("%d crashes, want %d", b.Len(at(3100)), a.Len(at(3100)))
 		}
 	}
 	if !refused(&b, 3100, request("new", firstPart, deadlyPart), servers{}) {
@@ -227,7 +227,7 @@
 	if refused(&b, 3100, request("new", otherPart), servers{}) {
 		t.Error("a part is refused that was answered")
 	}
-	if b.Merge(at(3100), Evidence{Crashes: []AgedCrash{{AgeMs: 1 << 62}, {AgeMs: -1 << 62}}}); b.Len() > a.Len()+1 {
+	if b.Merge(at(3100), Evidence{Crashes: []AgedCrash{{AgeMs: 1 << 62}, {AgeMs: -1 << 62}}}); b.Len(at(3100)) > a.Len(at(3100))+1 {
 		t.Error("an expired crash is kept")
 	}
 }
@@ -239,12 +239,40 @@
 		c.Add(start, crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), uint64(i+1))))
 		c.Answered(start, request(fmt.Sprint("r", i), uint64(10*maxCrashes+i)))
 	}
-	if c.Len() != maxCrashes || len(c.sound)+len(c.olderSound) > 2*maxSound {
-		t.Errorf("%d crashes and %d sound contents are kept", c.Len(), len(c.sound)+len(c.olderSound))
+	if c.Len(start) != maxCrashes || len(c.sound)+len(c.olderSound) > 2*maxSound {
+		t.Errorf("%d crashes and %d sound contents are kept", c.Len(start), len(c.sound)+len(c.olderSound))
 	}
 	late := start.Add(retention + time.Millisecond)
-	if c.Add(late, crash("late", request("late"))); c.Len() != 1 || len(c.byKey) != 1 {
-		t.Errorf("%d crashes and %d keys are kept after %v", c.Len(), len(c.byKey), retention)
+	if c.Add(late, crash("late", request("late"))); c.Len(late) != 1 || len(c.byKey) != 1 {
+		t.Errorf("%d crashes and %d keys are kept after %v", c.Len(late), len(c.byKey), retention)
+	}
+}
+
+// Guards against a node that is told of no crash for the retention time because the loss of
+// many servers has filled its memory.
+func TestNewCrashesCountWhenFull(t *testing.T) {
+	var c Tracker
+	for i := range maxCrashes {
+		c.Add(start, crash(fmt.Sprintf("a%d", i/32), request(fmt.Sprint("victim", i), uint64(100+i))))
+	}
+	for i := range crashLimit {
+		c.Add(at(1000*(i+1)), crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), deadlyPart)))
+	}
+	if !refused(&c, 5000, request("new", deadlyPart), servers{}) {
+		t.Error("not refused")
+	}
+	if c.Len(at(5000)) > maxCrashes {
+		t.Errorf("%d crashes are kept, want at most %d", c.Len(at(5000)), maxCrashes)
+	}
+}
+
+// Guards against a node that fetches the crashes of a peer again and again: the peer counts
+// crashes that have expired, which the node does not take over.
+func TestExpiredCrashesAreNotCounted(t *testing.T) {
+	var c Tracker
+	c.Add(start, crash("b1", request("r", deadlyPart)))
+	if got := c.Len(start.Add(retention + time.Millisecond)); got != 0 {
+		t.Errorf("%d crashes, want none", got)
 	}
 }
 
@@ -278,3 +306,67 @@
 		t.Errorf("%d crashes are suspicious although their content was answered", got)
 	}
 }
+
+// Guards against a row of the store that holds a few crashes only, because the requests
+// that were lost with the same servers fill it.
+func TestSuspiciousLeavesOutVictims(t *testing.T) {
+	var a, b Tracker
+	for i := range crashLimit {
+		server := fmt.Sprintf("b%d", i)
+		for j := range maxSuspicious {
+			a.Add(at(1000*i), crash(server, request(fmt.Sprint("victim", i, " ", j), uint64(1000+maxSuspicious*i+j))))
+		}
+		a.Add(at(1000*i), crash(server, request(fmt.Sprint("r", i), firstPart, deadlyPart)))
+	}
+	b.Merge(at(5000), a.Suspicious(at(4000)).Older(time.Second))
+	if !refused(&b, 5000, request("new", firstPart, deadlyPart), servers{}) {
+		t.Errorf("stored crashes do not count; %d of %d are stored", b.Len(at(5000)), a.Len(at(5000)))
+	}
+}
+
+// Guards against a row of the store that is not written again while the number of crashes
+// in it stays the same: it is full, or other content is suspected.
+func TestSuspiciousChangesWithNewCrashes(t *testing.T) {
+	var c Tracker
+	for i := range maxSuspicious {
+		c.Add(at(i), crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), firstPart)))
+	}
+	before := c.Suspicious(at(1000))
+	if got := c.Suspicious(at(2000)); !got.SameCrashes(before) {
+		t.Error("the crashes differ although there is no new one")
+	}
+	c.Add(at(3000), crash("c", request("new", firstPart)))
+	if got := c.Suspicious(at(3000)); got.SameCrashes(before) || len(got.Crashes) != len(before.Crashes) {
+		t.Errorf("%d crashes, %d before: a new crash does not show", len(got.Crashes), len(before.Crashes))
+	}
+}
+
+// countingServers counts the checks of data centres.
+type countingServers struct{ checks *int }
+
+func (s countingServers) DataCentreLostNear(string, ident.DataCentre, time.Time) bool {
+	*s.checks++
+	return true
+}
+
+func (countingServers) HeardSince(ident.BackendID, int64, time.Time) bool { return false }
+
+// Guards against requests that each look at all servers for each crash while the loss of a
+// data centre is not yet certain.
+func TestLossOfDataCentreIsNotCheckedByEachRequest(t *testing.T) {
+	const crashes, requests = 20, 50
+	var c Tracker
+	for i := range crashes {
+		c.Add(start, crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), firstPart)))
+	}
+	checks := 0
+	for i := range requests {
+		refused(&c, i, request("new", firstPart), countingServers{&checks})
+	}
+	if checks > crashes {
+		t.Errorf("%d checks for %d crashes", checks, crashes)
+	}
+	if refused(&c, 1500, request("new", firstPart), countingServers{&checks}); checks != 2*crashes {
+		t.Errorf("%d checks, want one more for each of %d crashes once the cause is known", checks, crashes)
+	}
+}
--- a/internal/front/crashes.go
+++ b/internal/front/crashes.go
@@ -52,18 +52,18 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		if n.crashes.Len() == 0 || !n.isReader(now) {
+		if n.crashes.Len(now) == 0 || !n.isReader(now) {
 			continue
 		}
 		e := n.crashes.Suspicious(now)
-		if int64(len(e.Crashes)) == n.crashesStored.Load() {
+		if stored := n.crashesStored.Load(); stored != nil && e.SameCrashes(*stored) || stored == nil && len(e.Crashes) == 0 {
 			continue
 		}
 		if err := n.writeCrashes(ctx, now, e); err != nil {
 			n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableCrashes}, "cannot write the crashes of servers to the store, retrying")
 			continue
 		}
-		n.crashesStored.Store(int64(len(e.Crashes)))
+		n.crashesStored.Store(&e)
 	}
 }
 
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	n.crashesStored.Store(0)
+	n.crashesStored.Store(nil)
 	for _, r := range rows.Rows {
 		var row crashRow
 		if err := json.Unmarshal(r.Value, &row); err != nil {
@@ -92,20 +92,20 @@
 		}
 		now := time.Now()
 		n.crashes.Merge(now, row.Evidence.Older(now.Sub(time.UnixMilli(row.WrittenMs))))
-		n.crashesStored.Store(int64(len(row.Evidence.Crashes)))
+		n.crashesStored.Store(&row.Evidence)
 	}
 	return nil
 }
 
 // compareCrashes fetches the crashes of a peer if it keeps more of them than this node.
 func (n *Node) compareCrashes(m mesh.Member) {
-	if m.Crashes <= n.crashes.Len() || !n.fetchingCrashes.CompareAndSwap(false, true) {
+	if m.Crashes <= n.crashes.Len(time.Now()) || !n.fetchingCrashes.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer n.fetchingCrashes.Store(false)
 		time.Sleep(crashFetchDelay)
-		if m.Crashes <= n.crashes.Len() {
+		if m.Crashes <= n.crashes.Len(time.Now()) {
 			return
 		}
 		n.readPeerCrashes(context.Background(), m)
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -113,7 +113,9 @@
 	peersReadStore atomic.Bool
 	fetchingState  atomic.Bool // a request for a peer's state is in progress
 	crashes        crashcause.Tracker
-	crashesStored  atomic.Int64 // crashes in the row that this node wrote or read last
+	// crashesStored is the row of crashes that this node wrote or read last; nil if there
+	// was none.
+	crashesStored atomic.Pointer[crashcause.Evidence]
 	// fetchingCrashes is true while a request for a peer's crashes is in progress, and for
 	// crashFetchInterval after its start.
 	fetchingCrashes atomic.Bool
@@ -241,7 +243,7 @@
 	if n.gateway != nil { // nil while New calls mesh.New, which calls member
 		m.Usage = n.gateway.Budgets.Usage(now)
 		m.ServersChanged, m.ServersListed, m.ServersRead = n.serversChanged.Load(), n.serversListed.Load(), n.servers.position.Load()
-		m.Crashes = n.crashes.Len()
+		m.Crashes = n.crashes.Len(now)
 		m.Settled = now.Sub(n.started) >= settledAfter
 		m.StoreAgeMs = n.servers.age(now).Milliseconds()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,9 +117,10 @@
 	retryReserved          bool // a retry was taken for the next attempt; see reserveRetry
 	// retryWaited is how long the attempt before has waited for a retry already.
 	retryWaited time.Duration
-	// cachedFingerprint is the fingerprint of the request; empty until it
-	// is computed.
+	// cachedFingerprint is the fingerprint of the request, computed once by content, which
+	// the attempts of a call may need at the same time.
 	cachedFingerprint quarantine.Fingerprint
+	fingerprintOnce   sync.Once
 	// steps lists the steps in serving the request, oldest first, for the log.
 	steps   []string
 	started time.Time
--- a/internal/gateway/largeanswer.go
+++ b/internal/gateway/largeanswer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
 )
@@ -79,7 +80,7 @@
 		// The writer alone, since its ReadFrom method uses a larger buffer.
 		_, err = io.CopyBuffer(struct{ io.Writer }{e.w}, response.Body, make([]byte, copyBuffer))
 	}
-	if err == nil && !framed(response) && g.refusesConnections(e.ctx, r.server) {
+	if err == nil && !framed(response) && g.refusesConnections(r.server) {
 		err = backendconn.NewProtocolError("answer without length or chunked encoding, and its server no longer accepts connections")
 	}
 	if err != nil {
@@ -92,5 +93,8 @@
 	}
 	g.Pool.Put(addressOf(r.server), c, response)
 	g.Fleet.RecordResult(r.server, r.status < http.StatusInternalServerError)
+	if r.succeeded() {
+		e.recordAnswered(time.Now())
+	}
 	e.recordOutcome("served", r.status, "")
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -262,6 +262,9 @@
 		return
 	}
 	e.writeAnswer(&bufferedAnswer{r.status, r.header, r.body})
+	if r.succeeded() {
+		e.recordAnswered(time.Now())
+	}
 	outcome := "served"
 	if !r.succeeded() {
 		outcome = "failed"
@@ -332,7 +335,7 @@
 		if err != nil {
 			err = c.BodyError(err)
 		}
-		if err == nil && !framed(response) && g.refusesConnections(ctx, s) {
+		if err == nil && !framed(response) && g.refusesConnections(s) {
 			err = backendconn.NewProtocolError("answer without length or chunked encoding, and its server no longer accepts connections")
 		}
 		if answer.Load != nil {
@@ -379,7 +382,7 @@
 	default:
 		e.g.Fleet.RecordResult(s, false)
 		e.g.recordFailure(s, err)
-		if e.g.refusesConnections(ctx, s) {
+		if e.g.refusesConnections(s) {
 			e.recordCrash(s)
 		}
 	}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -65,13 +65,16 @@
 
 // probe requests the state of an engine and returns an error if the incarnation s did not
 // answer: errGone if it has ended. An engine that does not report its start time counts
-// as the same incarnation.
+// as the same incarnation. One that has asked for a pause is sent no request: only a
+// refused connection shows that it has ended.
 func (g *Gateway) probe(s *fleet.Server) error {
 	method, target := g.Codec.Probe()
 	response, body, err := g.call(s, method, target)
 	switch {
+	case errors.Is(err, errBackoff) && g.refusesConnections(s):
+		return errGone
 	case errors.Is(err, errBackoff):
-		return nil // it answered a moment ago, and its connections show a loss
+		return nil
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return errGone
 	case err != nil:
@@ -85,15 +88,6 @@
 	return nil
 }
 
-// hasEnded reports whether the incarnation of an engine has ended. An engine that has
-// asked for a pause is not probed, and an engine that does not answer may only be busy.
-func (g *Gateway) hasEnded(ctx context.Context, s *fleet.Server) bool {
-	if g.Fleet.InBackoff(s, time.Now()) {
-		return g.refusesConnections(ctx, s)
-	}
-	return errors.Is(g.probe(s), errGone)
-}
-
 // Successor returns the entry of the engine that now answers at the address of a
 // lost one, if there is one. It accepts only an engine with the memory size of the
 // service, because the address of a lost server may be reused by a server of another
@@ -140,7 +134,9 @@
 // accepted in time shows no such thing: the server may have all the connections that it
 // allows, or be silent for a while. Neither does an idle connection show that the server
 // runs: after a crash, each connection learns of its end on its own.
-func (g *Gateway) refusesConnections(ctx context.Context, s *fleet.Server) bool {
+func (g *Gateway) refusesConnections(s *fleet.Server) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
 	c, err := g.Pool.Dial(ctx, addressOf(s))
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
