front: a question for crashes is not answered with the configuration too

A host that returns with more crashes than its peers is asked for them by all hosts within one heartbeat, and each answer held the whole configuration, up to the size of a row (64 kB, more as base64), which the asking host ignored. It is the same for the question which servers have left.

Evidence: TestStateHasOnlyWhatIsAskedFor failed before for both questions.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -64,14 +64,16 @@
 	Crashes crashcause.Evidence `json:"crashes,omitzero"`
 }
 
-// serveState serves this node's state to a peer that cannot read the store. The
-// list of servers is included if the query has the key "servers", and the list of those
-// that have left if it has the key "departed", and the crashes if it has the key
-// "crashes".
+// serveState serves this node's state to a peer: the list of servers that have left if the
+// query has the key "departed", the crashes if it has the key "crashes", and otherwise
+// the configuration, with the list of servers if it has the key "servers".
 func (n *Node) serveState(w http.ResponseWriter, r *http.Request) {
-	n.mu.Lock()
-	doc := stateDocument{Config: n.rawConfig, ConfigEra: n.routes.Era()}
-	n.mu.Unlock()
+	var doc stateDocument
+	if !r.URL.Query().Has("departed") && !r.URL.Query().Has("crashes") {
+		n.mu.Lock()
+		doc.Config, doc.ConfigEra = n.rawConfig, n.routes.Era()
+		n.mu.Unlock()
+	}
 	if r.URL.Query().Has("servers") {
 		n.servers.applyMu.Lock()
 		doc.Servers, doc.Position = n.fleet.Entries(), n.servers.position.Load()
