gateway: a silent server is no crash that a request caused; a running stream is not given up

Cause: a run given up because another request had found its server silent counted as a crash of that server, also when events had just arrived; three of these refused the request, also a stream that had been running for seconds.

Change: after a silence a run that had begun, or was given up for what another request found, counts only if the server's address refuses connections.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -66,6 +66,28 @@
 	}
 }
 
+// runLoss describes how a run was lost.
+type runLoss struct {
+	sound    bool // the stream has delivered events for soundAfter
+	begun    bool // the run has delivered an event
+	silent   bool // the server sent nothing for too long; no connection was reset
+	reported bool // only another request has found the server lost
+}
+
+// mayBeCrash reports whether the content of the request may have crashed the server.
+// refused reports whether the server refuses connections. A server that is only silent
+// may be running, so a run that had begun, or that was given up because of what another
+// request found, counts only if the server's process has ended.
+func (l runLoss) mayBeCrash(refused func() bool) bool {
+	switch {
+	case l.sound:
+		return false
+	case l.silent && (l.begun || l.reported):
+		return refused()
+	}
+	return true
+}
+
 // recordCrash records that a server crashed before it answered this request, and
 // notifies peers if the crash is new.
 func (e *exchange) recordCrash(s *fleet.Server) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -58,6 +58,7 @@
 	lastFailure     *bufferedAnswer
 	losses          int  // engines that failed after they had received the request
 	sound           bool // a run of the stream has delivered events for soundAfter
+	lossReported    bool // the current run is given up because another request found its engine lost
 	responseControl *http.ResponseController
 }
 
@@ -90,11 +91,13 @@
 			st.failStream("out of time")
 			return
 		}
-		if st.losses > 0 {
+		// A stream that has run for a while does not crash servers, whatever counts
+		// against its content.
+		if st.losses > 0 && !st.sound {
 			e.waitForCrashCause(now)
 			now = time.Now()
 		}
-		if st.losses > 0 && e.crashesServers(now) {
+		if st.losses > 0 && !st.sound && e.crashesServers(now) {
 			st.failStream(reasonCrashes)
 			return
 		}
@@ -170,6 +173,7 @@
 // run; it is nil if the run is to have no copy.
 func (st *streamState) run(s, backup *fleet.Server, a Attempt) result {
 	now := time.Now()
+	st.lossReported = false
 	e, g := st.exchange, st.g
 	a.Server, a.Team, a.Timeout, a.After = s.ID, e.team, e.timeLeft(now), st.lastEventID
 	a.Urgent = st.headSent || e.sentCount > 0 || e.call.After > 0
@@ -286,7 +290,8 @@
 		return resultFailed
 	}
 	st.exclude = append(st.exclude, s.ID)
-	if !st.sound {
+	loss := runLoss{sound: st.sound, silent: backendconn.CodeOf(err) == backendconn.CodeSilent, reported: st.lossReported, begun: eventDelivered}
+	if loss.mayBeCrash(func() bool { return st.g.refusesConnections(s) }) {
 		st.recordCrash(s)
 	}
 	return resultFailed
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -79,6 +79,7 @@
 	}
 	if !w.held() && w.server.LostSince(w.lossCountAtStart) {
 		if w.mayGiveUp(now) {
+			w.st.lossReported = true
 			return w.silentError(idle, "found lost by another request")
 		}
 		w.hold(now)
