--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -35,7 +35,8 @@
 	// oldest events lose their value first, and an event that is rejected because
 	// the queue is full only makes the peers' estimates less accurate.
 	eventQueueSize = 512
-	// eventsPerDatagram keeps a datagram below the size of one packet.
+	// eventsPerDatagram keeps a datagram below the size of one packet, but for reports of
+	// crashes whose prompts have many parts: six of them have up to 1.5 kB.
 	eventsPerDatagram = 6
 	// maxDatagram is the maximum size in bytes of a received datagram.
 	maxDatagram = 4 << 10
