gateway: log the limit that a server names, and count what is sent to servers by purpose

The logs of the incident cannot tell nodes that do not know a limit from nodes that know it and send too much, nor first attempts from repeats and from calls of the node's own. The adapter now decodes Server-Limit, a change of a server's limit is logged, and yuccahatch_backend_sends_total counts what is sent by purpose. Only an answer to a request that ran ends a limit: other answers may lack the header. No decision uses the limit yet.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -102,6 +102,9 @@
 	// backoffUntil is the end of the time for which the server accepts no request from this
 	// node.
 	backoffUntil time.Time
+	// limit is the number of requests per second that the server accepts from all hosts
+	// together.
+	limit requestLimit
 	// removedAt is the time at which the entry was found missing from the list right
 	// after an outage of the platform's store, see Fleet.Remove; zero if it is listed.
 	removedAt time.Time
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -12,10 +12,24 @@
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
-// readAnswer decodes the head of an answer of a server and records what the server says
-// in it about itself. It is called for every answer, also to probes.
+// readAnswer decodes the head of an answer to a client's request and records what the
+// server says in it about itself.
 func (g *Gateway) readAnswer(s *fleet.Server, response *http.Response) Answer {
+	a := g.readOwnAnswer(s, response)
+	if a.Limit == nil && !a.LimitInvalid && !a.NotExecuted && g.Fleet.RecordNoLimit(time.Now(), s) {
+		g.logLimit(s, 0, "answer")
+	}
+	return a
+}
+
+// readOwnAnswer is readAnswer for the answer to a call of the node's own. An answer to
+// such a call, or one of a server that did not run a request, may lack a limit that is
+// still in force.
+func (g *Gateway) readOwnAnswer(s *fleet.Server, response *http.Response) Answer {
 	a := g.Codec.Answer(response.StatusCode, response.Header)
+	if a.Limit != nil && !a.Replaced && g.Fleet.RecordLimit(time.Now(), s, *a.Limit) {
+		g.logLimit(s, *a.Limit, "answer")
+	}
 	if a.Leaving && g.Fleet.RecordLeaving(s.ID, s.Incarnation) {
 		g.Announce.ServerLeaving(s.ID, s.Incarnation)
 		g.Log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
@@ -31,6 +45,13 @@
 	return a
 }
 
+// logLimit logs a change of the limit of a server; perSecond is 0 if it has ended.
+func (g *Gateway) logLimit(s *fleet.Server, perSecond float64, source string) {
+	g.Log.Log(logrus.InfoLevel, telemetry.EventBackendState, logrus.Fields{
+		telemetry.FieldBackend: s.ID, "address": s.Address, "service": s.Service, "limit_per_second": perSecond, "source": source,
+	}, "limit of a backend server has changed")
+}
+
 // reportInvalid counts an invalid header, and logs it once for each server and value.
 func (g *Gateway) reportInvalid(s *fleet.Server, header string) {
 	g.Metrics.invalidHeaders.Inc(1)
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -84,6 +84,11 @@
 	// RetryAfter is how long the server accepts no further request from this node, if it
 	// refused this one; 0 if it does not say.
 	RetryAfter time.Duration
+	// Limit is the number of requests per second that the server accepts from all hosts
+	// together; nil if it names no limit. LimitInvalid reports that it named one that
+	// could not be read.
+	Limit        *float64
+	LimitInvalid bool
 	// Invalid lists the headers whose values were invalid and are ignored, as
 	// "name: value".
 	Invalid []string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,8 @@
 	// the attempts of a call may need at the same time.
 	cachedFingerprint quarantine.Fingerprint
 	fingerprintOnce   sync.Once
+	// sends is the number of attempts for which the request was sent to a server.
+	sends atomic.Int32
 	// steps lists the steps in serving the request, oldest first, for the log.
 	steps   []string
 	started time.Time
@@ -238,6 +240,15 @@
 // not 0, further attempts are retries, which the retry budget limits.
 func (e *exchange) attemptsReceived() int { return e.sentCount + e.refusedCount - e.connectFailures }
 
+// countSend counts an attempt that is about to be sent to a server.
+func (e *exchange) countSend() {
+	purpose := sendRepeat
+	if e.sends.Add(1) == 1 {
+		purpose = sendFirst
+	}
+	e.g.Metrics.sends[purpose].Inc(1)
+}
+
 // mayRetry reports whether a further attempt may be sent after a failure, and counts
 // it against the retry budget if so.
 func (e *exchange) mayRetry(now time.Time) bool {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,7 @@
 	scope          tally.Scope
 	probes         tally.Counter
 	invalidHeaders tally.Counter
+	sends          map[sendPurpose]tally.Counter
 	resumes        map[string]tally.Counter
 	resumeTime     tally.Histogram
 	firstEventTime tally.Histogram
@@ -26,12 +27,26 @@
 	resumeFromPrompt = "prompt"
 )
 
+// sendPurpose is the reason for which a request is sent to a backend server.
+type sendPurpose string
+
+const (
+	sendFirst  sendPurpose = "first"  // the first attempt of a client's request
+	sendRepeat sendPurpose = "repeat" // a further attempt of a client's request
+	sendOwn    sendPurpose = "own"    // a call of the node's own, such as a probe
+)
+
 // NewMetrics registers the metrics of a Gateway.
 func NewMetrics(scope tally.Scope) *Metrics {
 	return &Metrics{
 		scope:          scope,
 		probes:         telemetry.Probes.Counter(scope),
 		invalidHeaders: telemetry.InvalidHeaders.Counter(scope),
+		sends: map[sendPurpose]tally.Counter{
+			sendFirst:  telemetry.BackendSends.Counter(scope, string(sendFirst)),
+			sendRepeat: telemetry.BackendSends.Counter(scope, string(sendRepeat)),
+			sendOwn:    telemetry.BackendSends.Counter(scope, string(sendOwn)),
+		},
 		resumes: map[string]tally.Counter{
 			resumeFromCopy:   telemetry.ResumesTotal.Counter(scope, resumeFromCopy),
 			resumeFromPrompt: telemetry.ResumesTotal.Counter(scope, resumeFromPrompt),
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -307,6 +307,7 @@
 	started := now
 	goneCount := s.GoneCount()
 	replaced := false
+	e.countSend()
 	response, err := c.Exchange(ctx, &backendconn.Request{
 		Method: e.call.Method, Target: e.call.Target, Host: e.call.Host,
 		Header:  g.Codec.Encode(e.call, Attempt{Server: s.ID, Team: e.team, Timeout: e.timeLeft(now)}),
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -48,11 +48,12 @@
 // of more than maxStateBytes is an error. It waits for the answer until ctx ends.
 func (g *Gateway) exchangeSmall(ctx context.Context, s *fleet.Server, c *backendconn.Conn, r *backendconn.Request) (*http.Response, []byte, error) {
 	r.Watch = func(time.Time, time.Duration) error { return ctx.Err() }
+	g.Metrics.sends[sendOwn].Inc(1)
 	response, err := c.Exchange(ctx, r)
 	if err != nil {
 		return nil, nil, err
 	}
-	g.readAnswer(s, response)
+	g.readOwnAnswer(s, response)
 	body, err := readAtMost(response.Body, maxStateBytes)
 	return response, body, err
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -203,6 +203,7 @@
 	e.addStep("to %s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, a.CopyName != "", placed.Backup, wait.Milliseconds(), st.lastEventID, c.Reused())
 
 	watch := &streamWatch{g: g, st: st, server: s, lossCountAtStart: s.LossCount(), started: now, expected: wait}
+	e.countSend()
 	response, err := c.Exchange(e.ctx, &backendconn.Request{
 		Method: e.call.Method, Target: e.call.Target, Host: e.call.Host,
 		Header: g.Codec.Encode(e.call, a), Body: e.call.Body,
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -44,7 +44,7 @@
 	EventClaimUnknown Event = "claim_unknown" // not logged
 	// EventRequestQuarantined: a request was refused because it crashes backend servers.
 	EventRequestQuarantined Event = "request_quarantined"
-	// EventBackendState: a backend server died. No other state is logged.
+	// EventBackendState: a backend server died, or the limit that it names has changed.
 	EventBackendState Event = "backend_state"
 	EventOrderSent    Event = "order_sent"    // not logged
 	EventOrderFailed  Event = "order_failed"  // not logged
