gateway, platform: log the versions of servers, and which attempt a client resumes

The logs of the incident name neither the version of a server nor the attempt whose stream a client resumes, so they cannot tell streams that change the version within one answer from clients that return. The adapter now decodes both. No decision uses them yet.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -29,9 +29,12 @@
 	Service     string           `json:"v"`
 	Address     string           `json:"a"` // IP:port; may be reused by other servers later
 	DataCentre  ident.DataCentre `json:"d"`
-	Slots       int              `json:"n"`
-	Draining    bool             `json:"l,omitempty"`
-	Sequence    int64            `json:"q"` // increases with each report of one incarnation
+	// Version is the version of the server's software; empty if the server does not
+	// report it.
+	Version  string `json:"w,omitempty"`
+	Slots    int    `json:"n"`
+	Draining bool   `json:"l,omitempty"`
+	Sequence int64  `json:"q"` // increases with each report of one incarnation
 }
 
 // runKey identifies a run across hosts.
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -147,7 +147,7 @@
 	changed := n.fleet.Put(now, e)
 	if changed {
 		n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
-			telemetry.FieldBackend: e.ID, "address": e.Address, "service": e.Service, "leaving": e.Draining, "sequence": e.Sequence,
+			telemetry.FieldBackend: e.ID, "address": e.Address, "service": e.Service, "version": e.Version, "leaving": e.Draining, "sequence": e.Sequence,
 		}, "backend server listed")
 	}
 	return changed
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -42,6 +42,9 @@
 	// After is the id of the last event that the client already has; 0 if it
 	// has none.
 	After int64
+	// Origin is the id of the client's attempt that brought the first event of the stream
+	// that the client resumes; empty if the client does not name it.
+	Origin ident.RequestID
 }
 
 // Attempt holds the parameters of one attempt to run a call on a backend
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -343,6 +343,7 @@
 		"attempts":             e.sentCount,
 		"refusals":             e.refusedCount,
 		"after":                e.call.After,
+		"origin":               e.call.Origin,
 		"duration_ms":          time.Since(e.started).Milliseconds(),
 		"steps":                e.steps,
 	}, "request "+outcome)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -200,7 +200,7 @@
 		g.Fleet.RemoveRun(g.Self, placed)
 		g.Announce.RunEnded(placed)
 	}()
-	e.addStep("to %s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, a.CopyName != "", placed.Backup, wait.Milliseconds(), st.lastEventID, c.Reused())
+	e.addStep("to %s version=%s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, s.Version, a.CopyName != "", placed.Backup, wait.Milliseconds(), st.lastEventID, c.Reused())
 
 	watch := &streamWatch{g: g, st: st, server: s, lossCountAtStart: s.LossCount(), started: now, expected: wait}
 	e.countSend()
