gateway, front: a stream continues only at the software version that began it

Callers saw: 86 streams held events of two software versions of a service. Cause: no node read the version of a server or the attempt that a client resumes, so a stream that lost its engine, and one whose client returned, was placed like a new one; copies of runs too. Class: an identity that must stay the same over a recovery is not part of what the recovery knows.

The version is recorded before the first event leaves: the host tells all others by datagram, at once (internal/streamversion). A host that lacks the record asks three peers, and a service that has had one version only lately needs none. All hosts may end at once, so while a service has several versions the reader writes those of new streams to the store, two rows a second at most, and which versions there were lately; nodes read them at their start. Engines, copies and moves are chosen among those of the stream's version. Before a stream continues from its prompt beside other versions, the engine is asked whether it still is the incarnation of the list. A host that cannot know the version refuses with 503 and Retry-After; the request has not run. Clients that do not name an attempt are recognised by the content of the request.

--- a/internal/fleet/announced_test.go
+++ b/internal/fleet/announced_test.go
@@ -55,7 +55,7 @@
 			t.Fatalf("chose %+v", c)
 		}
 	}
-	if f.ChooseBackup(now, b, 88_000, Prompt{Tokens: 10}, nil) != nil || len(f.Accepting(now, "s")) != 1 || f.Accepts(a, now) {
+	if f.ChooseBackup(now, b, 88_000, Prompt{Tokens: 10}, nil) != nil || len(f.Accepting(now, "s", "")) != 1 || f.Accepts(a, now) {
 		t.Error("the server counts as accepting work")
 	}
 	if !f.IsUsable(a, now) || f.BackoffLeft(now, "s") != 0 {
@@ -138,7 +138,7 @@
 		if !ok {
 			t.Fatal("no engine")
 		}
-		if slices.Contains(f.LikelyHolders(now, "s", p.SuffixHash, asked), choice.Server) {
+		if slices.Contains(f.LikelyHolders(now, "s", "", p.SuffixHash, asked), choice.Server) {
 			found++
 		}
 		placed := Placement{Run: uint64(i), Server: choice.Server.ID, Tokens: 9100, SuffixHash: p.SuffixHash, Prefill: choice.Prefill}
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -67,19 +67,19 @@
 	return s.Service == service && !s.Draining && !now.Before(s.lostUntil) && !f.inLostDataCentre(s, now)
 }
 
-// candidates returns the usable servers of a service that have not asked for a pause and
-// whose limits, as far as known, allow a request now. If there is none, it returns the
+// candidates returns the usable servers of a service and version (empty for any) that have
+// not asked for a pause and whose limits, as far as known, allow a request now. If there is none, it returns the
 // usable ones that have not asked for a pause: the limit may allow a request again. If
 // there is none, it returns the servers that are only suspected to be lost: the
 // suspicion may be wrong, and trying a server is better than refusing the request. If
 // there are none of those either and includeUnreachable is set, it returns the servers
 // that were found unreachable. Callers that choose an engine do not set it, because an engine restarts
 // under a new id and it is better to wait for the new one.
-func (f *Fleet) candidates(service string, now time.Time, exclude Exclude, includeUnreachable bool) []*Server {
+func (f *Fleet) candidates(service, version string, now time.Time, exclude Exclude, includeUnreachable bool) []*Server {
 	var usable, denied, suspected, unreachable []*Server
 	for _, s := range f.servers {
 		switch {
-		case s.Service != service || s.Draining || now.Before(s.backoffUntil) || slices.Contains(exclude, s.ID):
+		case s.Service != service || !s.runsVersion(version) || s.Draining || now.Before(s.backoffUntil) || slices.Contains(exclude, s.ID):
 		case f.usable(s, service, now) && now.Before(s.deniedUntil):
 			denied = append(denied, s)
 		case f.usable(s, service, now):
@@ -106,7 +106,7 @@
 func (f *Fleet) ChooseEngine(now time.Time, service string, memory int, p Prompt, exclude Exclude) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	candidates := f.candidates(service, now, exclude, false)
+	candidates := f.candidates(service, p.Version, now, exclude, false)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -151,8 +151,8 @@
 	return 1 - float64(s.usedTokens()+p.Tokens+p.MaxOutput)/float64(memory)
 }
 
-// ChooseBackup chooses the engine that holds the copy of a run: the one with the most
-// free memory in a data centre other than the primary's, and if possible one that names no
+// ChooseBackup chooses the engine that holds the copy of a run: the one of the primary's
+// version with the most free memory in a data centre other than the primary's, and if possible one that names no
 // limit of requests. It returns nil if no engine
 // has room for the copy.
 func (f *Fleet) ChooseBackup(now time.Time, primary *Server, memory int, p Prompt, exclude Exclude) *Server {
@@ -164,7 +164,7 @@
 	var bestUsed int
 	var bestHash uint64
 	for _, s := range f.servers {
-		if s.ID == primary.ID || s.DataCentre == primary.DataCentre || !f.accepts(s, primary.Service, now) || slices.Contains(exclude, s.ID) {
+		if s.ID == primary.ID || s.DataCentre == primary.DataCentre || !s.runsVersion(primary.Version) || !f.accepts(s, primary.Service, now) || slices.Contains(exclude, s.ID) {
 			continue
 		}
 		used := s.usedTokens()
@@ -219,7 +219,7 @@
 	var best Choice
 	var bestCost time.Duration
 	equals := 0
-	candidates := f.candidates(service, now, exclude, true)
+	candidates := f.candidates(service, "", now, exclude, true)
 	for _, s := range candidates {
 		cost := (f.plainWait(s, now) + f.failureCost(s, now)).Truncate(plainRequestTime)
 		switch {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -96,11 +96,14 @@
 // put implements Put. The lock is held.
 func (f *Fleet) put(now time.Time, e Entry) (changed bool) {
 	s := f.servers[e.ID]
-	if s != nil && s.Incarnation == e.Incarnation && s.Address == e.Address && s.Service == e.Service {
+	if s != nil && s.isSame(e) {
 		if e.Incarnation != 0 && e.Sequence < s.Sequence {
 			return false // from an older list, received from a peer
 		}
 		s.unlisted = false
+		if e.Version != UnknownVersion {
+			s.Version = e.Version
+		}
 		if e.Sequence > s.Sequence {
 			s.entryReportedAt, s.removedAt = now, time.Time{}
 			if now.Sub(s.lostAt) > maxReportAge {
@@ -131,6 +134,13 @@
 	return true
 }
 
+// isSame reports whether an entry is of the same start of a server. A server that reports
+// no incarnation may have started again with another version.
+func (s *Server) isSame(e Entry) bool {
+	sameVersion := s.Version == e.Version || s.Version == UnknownVersion || e.Version == UnknownVersion
+	return s.Incarnation == e.Incarnation && s.Address == e.Address && s.Service == e.Service && sameVersion
+}
+
 // meanSlowdown returns the mean slowdown of the known engines of a service. It is
 // the initial value for a new engine, so that not all hosts prefer the new engine at
 // once.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -269,7 +269,7 @@
 	placed := Placement{Run: 1, Server: "b2", Prefill: time.Second, Tokens: 8600, SuffixHash: 7}
 	f.AddRun(at(0), "peer", placed)
 	f.RemoveRun("peer", placed)
-	if f.IsPromptCached(at(500), service, 7) {
+	if f.IsPromptCached(at(500), service, "", 7) {
 		t.Error("a prompt counts as held before its first event")
 	}
 	f.AddRun(at(600), "peer", placed)
@@ -279,7 +279,7 @@
 		t.Errorf("the prompt is read again on %s", c.Server.ID)
 	}
 	f.RecordLoss(at(7000), "b2", LossSilent)
-	if f.IsPromptCached(at(7000), service, 7) {
+	if f.IsPromptCached(at(7000), service, "", 7) {
 		t.Error("a prompt counts as held by an unreachable engine")
 	}
 }
@@ -337,7 +337,7 @@
 	next := old
 	next.Incarnation, next.Sequence = 5, 1
 	f.Put(at(100), next)
-	if f.IsPromptCached(at(100), service, 7) {
+	if f.IsPromptCached(at(100), service, "", 7) {
 		t.Error("a new incarnation counts as holding the prompts of the previous one")
 	}
 	old.Sequence = 99
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/streamversion"
 )
 
 // Prompt describes a request to an engine for the purposes of placement.
@@ -15,6 +16,9 @@
 	// SuffixHash is a hash of the last part of the prompt, which is specific to the
 	// request or its session; 0 if unknown.
 	SuffixHash uint64
+	// Version is the software version of the engines that may run the request; empty for
+	// any.
+	Version string
 	// CopiedTokens is the number of prompt tokens that the engine already holds in a
 	// copy.
 	CopiedTokens int
@@ -37,6 +41,9 @@
 	Prefill    time.Duration   `json:"p,omitempty"`
 	Tokens     int             `json:"t,omitempty"`
 	SuffixHash uint64          `json:"h,omitempty"`
+	// Began is the version that began a stream. It is set for the first event of a stream,
+	// and not for that of a run that resumes one.
+	Began *streamversion.Record `json:"o,omitempty"`
 }
 
 // AddRun records a new run on p.Server and, if p.Backup is set, its copy there.
@@ -160,38 +167,38 @@
 	}
 }
 
-// IsPromptCached reports whether a usable engine of the service is recorded as holding
-// the prompt whose last part has the given hash.
-func (f *Fleet) IsPromptCached(now time.Time, service string, suffixHash uint64) bool {
+// IsPromptCached reports whether a usable engine of the service and version (empty for any)
+// is recorded as holding the prompt whose last part has the given hash.
+func (f *Fleet) IsPromptCached(now time.Time, service, version string, suffixHash uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.servers {
-		if _, ok := s.cachedPrompts[suffixHash]; ok && f.usable(s, service, now) {
+		if _, ok := s.cachedPrompts[suffixHash]; ok && s.runsVersion(version) && f.usable(s, service, now) {
 			return true
 		}
 	}
 	return false
 }
 
-// LikelyHolders returns up to limit servers of a service to which new work may be sent,
-// in the order in which placement prefers them for the prompt whose last part has the
+// LikelyHolders returns up to limit servers of a service and version to which new work may
+// be sent, in the order in which placement prefers them for the prompt whose last part has the
 // given hash.
-func (f *Fleet) LikelyHolders(now time.Time, service string, suffixHash uint64, limit int) []*Server {
-	list := f.Accepting(now, service)
+func (f *Fleet) LikelyHolders(now time.Time, service, version string, suffixHash uint64, limit int) []*Server {
+	list := f.Accepting(now, service, version)
 	slices.SortFunc(list, func(a, b *Server) int {
 		return cmp.Compare(rendezvousHash(suffixHash, b), rendezvousHash(suffixHash, a))
 	})
 	return list[:min(limit, len(list))]
 }
 
-// Accepting returns the servers of a service to which new work may be sent, in no
-// particular order.
-func (f *Fleet) Accepting(now time.Time, service string) []*Server {
+// Accepting returns the servers of a service and version (empty for any) to which new work
+// may be sent, in no particular order.
+func (f *Fleet) Accepting(now time.Time, service, version string) []*Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []*Server
 	for _, s := range f.servers {
-		if f.accepts(s, service, now) {
+		if s.runsVersion(version) && f.accepts(s, service, now) {
 			list = append(list, s)
 		}
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -29,8 +29,8 @@
 	Service     string           `json:"v"`
 	Address     string           `json:"a"` // IP:port; may be reused by other servers later
 	DataCentre  ident.DataCentre `json:"d"`
-	// Version is the version of the server's software; empty if the server does not
-	// report it.
+	// Version is the version of the server's software, or one of the values Unversioned
+	// and UnknownVersion.
 	Version  string `json:"w,omitempty"`
 	Slots    int    `json:"n"`
 	Draining bool   `json:"l,omitempty"`
@@ -62,8 +62,8 @@
 // Server is one incarnation of a backend server. Unless noted otherwise, fields are
 // guarded by the mutex of the Fleet.
 type Server struct {
-	// Entry does not change except for Draining and Sequence, which are guarded by the
-	// mutex of the Fleet.
+	// Entry does not change except for Draining, Sequence and Version, which are guarded
+	// by the mutex of the Fleet. Version changes only if it was not known.
 	Entry
 	// lastDataNanos is the time of the latest data from the server, in nanoseconds since
 	// Fleet.epoch. It is written by the goroutines that read streams.
--- a/internal/fleetsim/policy.go
+++ b/internal/fleetsim/policy.go
@@ -49,7 +49,7 @@
 // pick returns the engine that a rule selects from the usable engines, which are passed
 // to it in random order.
 func pick(sim *simulation, h *host, rule func([]*fleet.Server) *fleet.Server) (fleet.Choice, bool) {
-	servers := h.fleet.Accepting(sim.clock(), service)
+	servers := h.fleet.Accepting(sim.clock(), service, "")
 	if len(servers) == 0 {
 		return fleet.Choice{}, false
 	}
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -22,6 +22,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/retryshare"
 	"github.com/yuccahatch/yuccahatch/internal/routing"
 	"github.com/yuccahatch/yuccahatch/internal/serverlimit"
+	"github.com/yuccahatch/yuccahatch/internal/streamversion"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
@@ -72,6 +73,7 @@
 	assembler changeAssembler
 	loans     loanTable
 	permits   pendingAnswers[mesh.PermitAnswer]
+	origins   pendingAnswers[mesh.OriginAnswer]
 	limiter   serverlimit.Limiter // of the servers that this node owns
 	// registerAgain signals register to write this node's row again.
 	registerAgain chan struct{}
@@ -91,6 +93,7 @@
 
 	leaving       atomic.Bool
 	leavingSince  atomicTime
+	streamsLoaded atomic.Bool // the versions of streams have been read from the store
 	serversLoaded atomic.Bool // the list of servers has been read at least once
 	inFlight      atomic.Int64
 	// storeRecoveredAt is the time at which the latest outage of the store, as
@@ -116,6 +119,11 @@
 	peersReadStore atomic.Bool
 	fetchingState  atomic.Bool // a request for a peer's state is in progress
 	crashes        crashcause.Tracker
+	streams        streamversion.Registry
+	versions       streamversion.History
+	// historyStored is the history of versions that this node wrote to the store or read
+	// last; nil if there was none.
+	historyStored atomic.Pointer[streamversion.Snapshot]
 	// crashesStored is the row of crashes that this node wrote or read last; nil if there
 	// was none.
 	crashesStored atomic.Pointer[crashcause.Evidence]
@@ -160,11 +168,14 @@
 		Lend: func(now time.Time, service string, requested int) int {
 			return n.gateway.Budgets.Lend(now, service, requested)
 		},
-		Lent:      n.onLoan,
-		Limit:     func(now time.Time, l fleet.LimitNotice) { n.mergeLimit(now, l, "peer") },
-		Permit:    n.onPermit,
-		Permitted: n.onPermitted,
-		Panicked:  n.logPanic,
+		Lent:           n.onLoan,
+		Began:          n.Began,
+		VersionOf:      n.knownVersion,
+		OriginAnswered: n.onOriginAnswer,
+		Limit:          func(now time.Time, l fleet.LimitNotice) { n.mergeLimit(now, l, "peer") },
+		Permit:         n.onPermit,
+		Permitted:      n.onPermitted,
+		Panicked:       n.logPanic,
 	})
 	if err != nil {
 		return nil, err
@@ -180,6 +191,7 @@
 		AlivePeers: func() int { return n.mesh.CountAlive(time.Now()) },
 		Overload:   &overload.Controller{},
 		Crashes:    &n.crashes,
+		Versions:   n,
 		Leaving:    n.leaving.Load, AcceptsStreams: n.acceptsStreams,
 	}
 	n.Tune(DefaultTuning())
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -13,6 +13,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
+	"github.com/yuccahatch/yuccahatch/internal/streamversion"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
@@ -60,6 +61,8 @@
 	Departed []fleet.Departed `json:"departed,omitempty"`
 	// Position is the position in the store up to which Servers has been read.
 	Position ident.StorePosition `json:"position,omitzero"`
+	// Versions are the versions that services had lately.
+	Versions streamversion.Snapshot `json:"versions,omitempty"`
 	// Crashes holds the crashes of servers and the content that may have caused them.
 	Crashes crashcause.Evidence `json:"crashes,omitzero"`
 }
@@ -78,6 +81,9 @@
 		n.servers.applyMu.Lock()
 		doc.Servers, doc.Position = n.fleet.Entries(), n.servers.position.Load()
 		n.servers.applyMu.Unlock()
+		if n.versions.Complete() {
+			doc.Versions = n.versions.SnapshotOf(time.Now(), n.fleet.Versions())
+		}
 	}
 	if r.URL.Query().Has("departed") {
 		doc.Departed = n.fleet.Departed()
@@ -230,6 +236,9 @@
 		return
 	}
 	n.applyPeerServers(doc.Servers, doc.Position)
+	if len(doc.Versions) > 0 {
+		n.versions.Load(time.Now(), doc.Versions, 0)
+	}
 }
 
 // applyPeerServers replaces the list of servers by that of a peer. A list older
--- a/internal/front/pending.go
+++ b/internal/front/pending.go
@@ -12,18 +12,24 @@
 
 // open returns the number of a new request and the channel for its answer.
 func (p *pendingAnswers[T]) open() (uint64, chan T) {
+	answer := make(chan T, 1)
+	return p.add(answer), answer
+}
+
+// add returns the number of a new request whose answer is sent to a channel, which must have
+// room for it.
+func (p *pendingAnswers[T]) add(answer chan T) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.waiting == nil {
 		p.waiting = map[uint64]chan T{}
 	}
 	p.lastNumber++
-	answer := make(chan T, 1)
 	p.waiting[p.lastNumber] = answer
-	return p.lastNumber, answer
+	return p.lastNumber
 }
 
-// close removes a request and returns the channel that open returned, or nil if the
+// close removes a request and returns the channel for its answer, or nil if the
 // request is not waiting any more.
 func (p *pendingAnswers[T]) close(number uint64) chan T {
 	p.mu.Lock()
--- a/internal/front/register.go
+++ b/internal/front/register.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// writeRow writes this node's row to the store and reads the rows of the other nodes
-// and the crashes that are kept there. It retries with backoff until all succeed or the
+// writeRow writes this node's row to the store and reads the rows of the other nodes,
+// the crashes and, if they were not read yet, the versions of streams that are kept there. It retries with backoff until all succeed or the
 // context ends.
 func (n *Node) writeRow(ctx context.Context) {
 	raw, err := json.Marshal(n.member(time.Now()))
@@ -42,10 +42,15 @@
 		if err == nil {
 			err = n.loadCrashes(ctx)
 		}
+		if err == nil && n.streamsLoaded.CompareAndSwap(false, true) {
+			if err = n.loadStreams(ctx); err != nil {
+				n.streamsLoaded.Store(false)
+			}
+		}
 		if err == nil {
 			return
 		}
-		n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableNodes}, "cannot write this node's row to the store or read the rows of other nodes or the crashes, retrying")
+		n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableNodes}, "cannot write this node's row to the store or read the rows of other nodes, the crashes or the versions of streams, retrying")
 		select {
 		case <-time.After(backoff):
 		case <-ctx.Done():
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -53,7 +53,7 @@
 		return err
 	}
 	var wg sync.WaitGroup
-	for _, worker := range []func(context.Context){n.mesh.Run, n.config.run, n.servers.run, n.register, n.housekeep, n.pruneLoop, n.rediscover, n.storeCrashes} {
+	for _, worker := range []func(context.Context){n.mesh.Run, n.config.run, n.servers.run, n.register, n.housekeep, n.pruneLoop, n.rediscover, n.storeCrashes, n.storeStreams} {
 		wg.Go(func() { worker(ctx) })
 	}
 	end := time.Now()
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -75,6 +75,7 @@
 	if first {
 		n.awaitPeer()
 		n.readDeparted()
+		n.loadStreamsAtStart()
 	}
 	now := time.Now()
 	n.applyServers(rows, c)
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -24,6 +24,9 @@
 	// TableCrashes holds, in a single row, the crashes of servers that may have been caused
 	// by requests, for nodes that start when no other runs.
 	TableCrashes Table = "crashes"
+	// TableStreams holds the software versions that began streams lately, for the same
+	// nodes.
+	TableStreams Table = "streams"
 )
 
 // configKey is the key of the row that holds the configuration.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -24,7 +24,7 @@
 		n, err := response.Body.Read(buf)
 		if n > 0 {
 			events.add(buf[:n])
-			if r, ok := st.deliver(&events, response.Header, p.placed, watch); !ok {
+			if r, ok := st.deliver(&events, response.Header, s, p.placed, watch); !ok {
 				st.sentCount++
 				g := st.g
 				g.Pool.Close(c)
@@ -76,7 +76,7 @@
 // deliver writes the complete events that have arrived to the client. Event ids
 // increase by one, so any other id is a fault of the engine. If deliver returns
 // false, the attempt ends with the returned result.
-func (st *streamState) deliver(events *eventReader, head http.Header, placed fleet.Placement, watch *streamWatch) (result, bool) {
+func (st *streamState) deliver(events *eventReader, head http.Header, s *fleet.Server, placed fleet.Placement, watch *streamWatch) (result, bool) {
 	wrote := false
 	for {
 		ev, ok := events.next()
@@ -89,7 +89,7 @@
 		}
 		// Recorded before the client can know of it: its next request would otherwise
 		// find the engine still reading this prompt.
-		st.recordFirstEvent(placed, watch)
+		st.recordFirstEvent(s, placed, watch)
 		st.writeHead(head)
 		if _, err := st.w.Write(ev.raw); err != nil {
 			return resultAborted, false
@@ -117,13 +117,14 @@
 
 // recordFirstEvent records the first event of a run, and the resume time if the
 // run resumes a stream after a loss. It does nothing for later events.
-func (st *streamState) recordFirstEvent(placed fleet.Placement, watch *streamWatch) {
+func (st *streamState) recordFirstEvent(s *fleet.Server, placed fleet.Placement, watch *streamWatch) {
 	if watch.eventDelivered {
 		return
 	}
 	now := time.Now()
 	watch.eventDelivered, watch.firstEventAt = true, now
 	st.g.Fleet.RecordPromptRead(now, st.g.Self, placed)
+	placed.Began = st.recordVersion(now, s)
 	st.g.Announce.FirstEvent(placed)
 	if st.lostAt.IsZero() {
 		st.g.Metrics.firstEventTime.RecordDuration(now.Sub(st.started))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	// all hosts together.
 	Permit   func(ctx context.Context, s *fleet.Server) serverlimit.Decision
 	Overload *overload.Controller
+	Versions StreamVersions
 	// ResumeWeight is the fraction of the streams whose runs have copies, 0 to 1.
 	ResumeWeight Weight
 	// Leaving reports whether the node is about to stop.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -21,7 +21,7 @@
 // resume elsewhere. Otherwise it keeps waiting: a slow stream is worth more than a broken
 // one.
 func (st *streamState) mayMove(now time.Time) bool {
-	return st.attemptsLeft() > 1 && len(st.g.Fleet.Accepting(now, st.service.Name)) > 1 && st.g.Budgets.HasLeft(now, st.service.Name)
+	return st.attemptsLeft() > 1 && len(st.g.Fleet.Accepting(now, st.service.Name, st.version)) > 1 && st.g.Budgets.HasLeft(now, st.service.Name)
 }
 
 // reserveRetry takes a retry for the next attempt while the current one still waits for
@@ -31,7 +31,7 @@
 		return true
 	}
 	isOther := func(s *fleet.Server) bool { return s != current }
-	if st.attemptsLeft() <= 1 || !slices.ContainsFunc(st.g.Fleet.Accepting(now, st.service.Name), isOther) {
+	if st.attemptsLeft() <= 1 || !slices.ContainsFunc(st.g.Fleet.Accepting(now, st.service.Name, st.version), isOther) {
 		return false
 	}
 	st.retryReserved = st.takeRetry(now) || st.g.Borrow(st.ctx, st.service.Name) && st.takeRetry(time.Now())
@@ -133,11 +133,18 @@
 // whose limit allows a request; other requests are refused at once.
 func (st *streamState) begun() bool { return st.headSent || st.sentCount > 0 }
 
+// prompt returns the prompt of the stream, for engines of the version that began it.
+func (st *streamState) prompt() fleet.Prompt {
+	p := st.call.Prompt
+	p.Version = st.version
+	return p
+}
+
 // bestEngine chooses the engine for the next attempt. It prefers engines that have not
 // failed the stream, and returns none whose limit has just allowed no request.
 func (st *streamState) bestEngine(now time.Time) (fleet.Choice, bool) {
 	choose := func(exclude fleet.Exclude) (fleet.Choice, bool) {
-		return st.g.Fleet.ChooseEngine(now, st.service.Name, st.engineMemory(), st.call.Prompt, exclude)
+		return st.g.Fleet.ChooseEngine(now, st.service.Name, st.engineMemory(), st.prompt(), exclude)
 	}
 	choice, found := choose(slices.Concat(st.exclude, st.denied))
 	if !found && len(st.exclude) > 0 {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -67,18 +67,27 @@
 // errProbeStatus is the error of a probe that was answered with a failure.
 var errProbeStatus = errors.New("the probe was answered with a failure")
 
-// probe requests the state of an engine and returns an error if the incarnation s did not
-// answer: errGone if it has ended. An engine that does not report its start time counts
+// probe is confirmIncarnation for an engine that seems to be lost. An engine that does not report its start time counts
 // as the same incarnation. One that has asked for a pause, or whose limit allows none, is sent no request: only a
 // refused connection shows that it has ended.
 func (g *Gateway) probe(s *fleet.Server) error {
-	method, target := g.Codec.Probe()
-	response, body, err := g.call(s, method, target)
+	err := g.confirmIncarnation(s)
 	switch {
 	case errors.Is(err, errBackoff) && g.refusesConnections(s):
 		return errGone
 	case errors.Is(err, errBackoff):
 		return nil
+	}
+	return err
+}
+
+// confirmIncarnation requests the state of an engine and returns an error if the
+// incarnation s did not answer: errGone if it has ended, and errBackoff if no request may
+// be sent to it now.
+func (g *Gateway) confirmIncarnation(s *fleet.Server) error {
+	method, target := g.Codec.Probe()
+	response, body, err := g.call(s, method, target)
+	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return errGone
 	case err != nil:
@@ -115,6 +124,7 @@
 		return fleet.Entry{}, false
 	}
 	e := s.Entry
+	e.Version = fleet.UnknownVersion
 	e.ID, e.Incarnation, e.Draining, e.Sequence = g.Codec.Identity(response.Header), state.Incarnation, false, 0
 	return e, e.ID != "" && e.ID != s.ID
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,8 +45,9 @@
 // from the copy on that engine.
 type streamState struct {
 	*exchange
-	lastEventID int64 // id of the last event that the client has; 0 if it has none
-	headSent    bool  // the head of the answer has been passed on
+	version     string // software version that began the stream; empty if none has
+	lastEventID int64  // id of the last event that the client has; 0 if it has none
+	headSent    bool   // the head of the answer has been passed on
 	// lostCopy is the copy of the run that was lost last, from which the next attempt
 	// is to resume; nil if there is none.
 	lostCopy *runCopy
@@ -82,8 +83,12 @@
 // serveStream serves a request that is answered by a series of events.
 func (e *exchange) serveStream() {
 	st := &streamState{exchange: e, lastEventID: e.call.After, responseControl: http.NewResponseController(e.w)}
-	if st.lastEventID > 0 {
-		e.g.locatePrompt(e.ctx, e.service.Name, e.call.Prompt.SuffixHash)
+	if st.lastEventID > 0 && st.route.Resumable {
+		if !st.findVersion() {
+			st.failStream("the version that began the stream is not known")
+			return
+		}
+		e.g.locatePrompt(e.ctx, e.service.Name, st.version, e.call.Prompt.SuffixHash)
 	}
 	for {
 		now := time.Now()
@@ -188,6 +193,9 @@
 	if backup != nil {
 		a.Backup, placed.Backup = backup.Address, backup.ID
 	}
+	if !st.confirmVersion(s, a) {
+		return resultNotRun
+	}
 	c, stop, err := e.connect(e.ctx, s, streamMaxIdle)
 	if err != nil {
 		return st.connectionFailed(s, err)
@@ -200,7 +208,7 @@
 		g.Fleet.RemoveRun(g.Self, placed)
 		g.Announce.RunEnded(placed)
 	}()
-	e.addStep("to %s version=%s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, s.Version, a.CopyName != "", placed.Backup, wait.Milliseconds(), st.lastEventID, c.Reused())
+	e.addStep("to %s version=%s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, g.Fleet.VersionOf(s), a.CopyName != "", placed.Backup, wait.Milliseconds(), st.lastEventID, c.Reused())
 
 	watch := &streamWatch{g: g, st: st, server: s, lossCountAtStart: s.LossCount(), started: now, expected: wait}
 	e.countSend()
--- /dev/null
+++ b/internal/gateway/version.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/streamversion"
+)
+
+// StreamVersions knows the versions that began the streams of all hosts.
+type StreamVersions interface {
+	// Began records the version that began a stream of this host. The caller tells the
+	// peers.
+	Began(now time.Time, x streamversion.Record)
+	// Version returns the version that began a stream of any host. It may ask peers.
+	Version(ctx context.Context, service string, k streamversion.Key) (version string, known bool)
+	// Sole returns the only version that a service has and had lately, if that is known.
+	Sole(now time.Time, service string) (version string, ok bool)
+}
+
+// streamKey returns the key under which the version of the stream is recorded: that of the
+// attempt that began it.
+func (st *streamState) streamKey() streamversion.Key {
+	target := st.team + " " + st.call.Method + " " + st.call.Target
+	if st.call.After == 0 {
+		return streamversion.KeyOf(st.call.ID, target, st.call.Body)
+	}
+	return streamversion.KeyOf(st.call.Origin, target, st.call.Body)
+}
+
+// findVersion finds the version that began the stream that a client resumes, and reports
+// whether it is known.
+func (st *streamState) findVersion() bool {
+	version, known := st.g.Versions.Version(st.ctx, st.service.Name, st.streamKey())
+	if known {
+		st.version = version
+		st.addStep("version=%s began the stream", version)
+	}
+	return known
+}
+
+// recordVersion records the version of the engine that is about to send the first event of
+// the stream, and returns the record for the peers. It returns nil if the stream had begun
+// before.
+func (st *streamState) recordVersion(now time.Time, s *fleet.Server) *streamversion.Record {
+	if st.version != "" {
+		return nil
+	}
+	st.version = st.g.Fleet.VersionOf(s)
+	x := streamversion.Record{Key: st.streamKey(), Version: st.version}
+	st.g.Versions.Began(now, x)
+	return &x
+}
+
+// confirmVersion reports whether a stream that has begun may continue at a server. The
+// server may have started again, perhaps with another version, since the list was read. A
+// copy of a run does not outlast its engine, so an attempt from a copy needs no check.
+func (st *streamState) confirmVersion(s *fleet.Server, a Attempt) bool {
+	if st.lastEventID == 0 || a.CopyName != "" {
+		return true
+	}
+	if _, ok := st.g.Versions.Sole(time.Now(), st.service.Name); ok {
+		return true
+	}
+	err := st.g.confirmIncarnation(s)
+	if err == nil {
+		return true
+	}
+	st.addStep("%s may run another version: %v", s.ID, err)
+	if errors.Is(err, errGone) {
+		st.g.recordLoss(s, fleet.LossReplaced, errReplaced)
+	}
+	st.unavailableCount++
+	st.connectFailures++
+	st.exclude = append(st.exclude, s.ID)
+	return false
+}
--- a/internal/peer/mesh/announce.go
+++ b/internal/peer/mesh/announce.go
@@ -13,7 +13,11 @@
 
 // FirstEvent implements gateway.Announcer.
 func (m *Mesh) FirstEvent(p fleet.Placement) {
-	m.enqueue(Event{Kind: EventFirst, Placed: &fleet.Placement{Run: p.Run, Server: p.Server}}, m.pending)
+	signal := m.pending
+	if p.Began != nil {
+		signal = m.urgent // the client is about to have the event
+	}
+	m.enqueue(Event{Kind: EventFirst, Placed: &fleet.Placement{Run: p.Run, Server: p.Server, Began: p.Began}}, signal)
 }
 
 // RunEnded implements gateway.Announcer.
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/ring"
+	"github.com/yuccahatch/yuccahatch/internal/streamversion"
 )
 
 const (
@@ -78,6 +79,12 @@
 	ServerChanges func(ServerChanges)
 	// Lend returns how many of the requested retries to a service this node lends.
 	Lend func(now time.Time, service string, requested int) int
+	// Began is called for each stream of a peer that begins.
+	Began func(time.Time, streamversion.Record)
+	// VersionOf returns the version that began a stream, or nothing if it is not known.
+	// OriginAnswered is called for each answer to such a question of this node.
+	VersionOf      func(time.Time, streamversion.Key) string
+	OriginAnswered func(OriginAnswer)
 	// Limit is called for each change of the limit of a server that a peer reports.
 	Limit func(time.Time, fleet.LimitNotice)
 	// Permit is called for each request for permission to send, with the address to which
@@ -207,6 +214,12 @@
 	m.sendTo(address, m.encoded(message{Permitted: &x}))
 }
 
+// AskOrigin asks a node which version began a stream. The answer, if there is one, is passed
+// to Handlers.OriginAnswered.
+func (m *Mesh) AskOrigin(to Member, x OriginRequest) {
+	m.sendTo(to.Mesh, m.encoded(message{Origin: &x}))
+}
+
 // Silent returns the other nodes that do not count as alive, but have sent a datagram
 // within the given time.
 func (m *Mesh) Silent(now time.Time, within time.Duration) []ident.HostID {
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -19,6 +19,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/retryshare"
 	"github.com/yuccahatch/yuccahatch/internal/serverlimit"
+	"github.com/yuccahatch/yuccahatch/internal/streamversion"
 )
 
 // State is the state of a node as announced in its heartbeats.
@@ -135,12 +136,28 @@
 	// LoanRequest asks the receiver to lend retries; Loan is the answer.
 	LoanRequest *Loan `json:"b,omitempty"`
 	Loan        *Loan `json:"g,omitempty"`
+	// Origin asks the receiver which version began a stream; OriginAnswer is the answer.
+	Origin       *OriginRequest `json:"o,omitempty"`
+	OriginAnswer *OriginAnswer  `json:"w,omitempty"`
 	// Permit asks the receiver for permission to send a request to a server that limits
 	// them; Permitted is the answer.
 	Permit    *PermitRequest `json:"y,omitempty"`
 	Permitted *PermitAnswer  `json:"z,omitempty"`
 }
 
+// OriginRequest asks which version began a stream.
+type OriginRequest struct {
+	Number uint64            `json:"n"` // unique within one incarnation of the sender
+	Key    streamversion.Key `json:"k"`
+}
+
+// OriginAnswer is the answer to an OriginRequest with the same number. Version is empty if
+// the sender does not know it.
+type OriginAnswer struct {
+	Number  uint64 `json:"n"`
+	Version string `json:"v,omitempty"`
+}
+
 // PermitRequest asks the owner of a server for permission to send one request to it.
 type PermitRequest struct {
 	Number uint64            `json:"n"` // unique within one incarnation of the sender
--- a/internal/peer/mesh/receive.go
+++ b/internal/peer/mesh/receive.go
@@ -60,6 +60,7 @@
 	}
 	m.handleLoans(now, msg)
 	m.handlePermits(now, msg)
+	m.handleOrigins(now, msg)
 	if msg.Member == nil {
 		return
 	}
@@ -105,6 +106,25 @@
 	}
 }
 
+// handleOrigins answers a question for the version that began a stream, and passes an
+// answer on to the handler.
+func (m *Mesh) handleOrigins(now time.Time, msg message) {
+	if x := msg.OriginAnswer; x != nil {
+		m.OriginAnswered(*x)
+	}
+	x := msg.Origin
+	if x == nil {
+		return
+	}
+	m.mu.Lock()
+	sender := m.members.peers[msg.Host]
+	m.mu.Unlock()
+	if sender != nil {
+		answer := OriginAnswer{Number: x.Number, Version: m.VersionOf(now, x.Key)}
+		m.sendTo(sender.Mesh, m.encoded(message{OriginAnswer: &answer}))
+	}
+}
+
 func (m *Mesh) apply(now time.Time, host ident.HostID, e Event) {
 	switch {
 	case e.Kind == EventFound && e.Found != nil:
@@ -123,6 +143,9 @@
 	case e.Kind == EventPlaced:
 		m.fleet.AddRun(now, host, *e.Placed)
 	case e.Kind == EventFirst:
+		if e.Placed.Began != nil {
+			m.Began(now, *e.Placed.Began)
+		}
 		m.fleet.RecordPromptRead(now, host, *e.Placed)
 	case e.Kind == EventCopied:
 		m.fleet.AddCopy(host, *e.Placed)
