front, platform: a held call to the store is not lost when the store is away for a moment

Nodes kept an old configuration for up to 27 s after a store that was away for 120 ms. Cause: the configuration is followed by one call that the store holds. When the store closes its connection, net/http sends the call again by itself, since the connection was a reused one, and a store that is away takes it and never answers; the node sees no failure. Only a failed call for the list of servers ended the wait, and in a short outage there is none.

--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -244,8 +244,14 @@
 // consecutive failures.
 func callTimeout(failed int) time.Duration { return callTimeoutMin << (failed % callTimeoutSteps) }
 
+// read makes one call. After a failed call the store is asked to answer at once, with a short
+// timeout: a store that is away may receive a call and never answer it.
 func (f *follower) read(ctx context.Context, position ident.StorePosition, list bool, failed int) (Rows, error) {
-	if list || f.pollWait == 0 {
+	wait := f.pollWait
+	if failed > 0 {
+		wait = 0
+	}
+	if list || wait == 0 {
 		timeoutCtx, cancel := context.WithTimeout(ctx, callTimeout(failed))
 		defer cancel()
 		ctx = timeoutCtx
@@ -257,7 +263,7 @@
 	defer cancelCall(nil)
 	f.setCancelCall(cancelCall)
 	defer f.setCancelCall(nil)
-	rows, err := f.store.Follow(ctx, f.table, position, f.pollWait)
+	rows, err := f.store.Follow(ctx, f.table, position, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errCallRestarted) {
 		err = errCallRestarted
 	}
