gateway: no hedges at servers that limit requests

A hedge took a permission that a call which had failed, or was not sent yet, needed more. Comments of candidates and ChooseBackup.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -67,14 +67,16 @@
 	return s.Service == service && !s.Draining && !now.Before(s.lostUntil) && !f.inLostDataCentre(s, now)
 }
 
-// candidates returns the usable servers of a service and version (empty for any) that have
-// not asked for a pause and whose limits, as far as known, allow a request now. If there is none, it returns the
-// usable ones that have not asked for a pause: the limit may allow a request again. If
-// there is none, it returns the servers that are only suspected to be lost: the
-// suspicion may be wrong, and trying a server is better than refusing the request. If
-// there are none of those either and includeUnreachable is set, it returns the servers
-// that were found unreachable. Callers that choose an engine do not set it, because an engine restarts
-// under a new id and it is better to wait for the new one.
+// candidates returns the servers of a service and version (empty for any) that a request may
+// be sent to and that have not asked for a pause. It returns the first of these groups that
+// is not empty:
+//   - usable servers whose limit of requests, as far as known, allows one now
+//   - other usable servers: their limits may allow a request again
+//   - servers that are only suspected to be lost: the suspicion may be wrong, and trying a
+//     server is better than refusing the request
+//   - if includeUnreachable is set, servers that were found unreachable. Callers that choose
+//     an engine do not set it, because an engine restarts under a new id and it is better to
+//     wait for the new one.
 func (f *Fleet) candidates(service, version string, now time.Time, exclude Exclude, includeUnreachable bool) []*Server {
 	var usable, denied, suspected, unreachable []*Server
 	for _, s := range f.servers {
@@ -151,10 +153,10 @@
 	return 1 - float64(s.usedTokens()+p.Tokens+p.MaxOutput)/float64(memory)
 }
 
-// ChooseBackup chooses the engine that holds the copy of a run: the one of the primary's
-// version with the most free memory in a data centre other than the primary's, and if possible one that names no
-// limit of requests. It returns nil if no engine
-// has room for the copy.
+// ChooseBackup chooses the engine that holds the copy of a run: the one with the most free
+// memory among those of the primary's version in other data centres. Engines that limit
+// requests are chosen only if there are no others. It returns nil if no engine has room for
+// the copy.
 func (f *Fleet) ChooseBackup(now time.Time, primary *Server, memory int, p Prompt, exclude Exclude) *Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -50,6 +50,13 @@
 	return false
 }
 
+// limited reports whether the next server for a call limits requests, or there is none. The
+// requests that a limit allows are left to calls that have failed or were not sent yet.
+func (e *exchange) limited(now time.Time) bool {
+	s := e.bestServer(now)
+	return s == nil || e.g.Fleet.Limited(s)
+}
+
 // waitForTurn returns the time until a server that limits requests accepts this one; 0 if
 // no server was asked.
 func (e *exchange) waitForTurn(now time.Time) time.Duration {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -110,6 +110,9 @@
 		if e.sentCount+running >= max(1, e.route.Attempts) || e.refusedCount > maxRefusals {
 			return false
 		}
+		if p == retryshare.Optional && e.limited(now) {
+			return false
+		}
 		s, ok := e.chooseServer(now)
 		if !ok {
 			return false
