--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -181,8 +181,8 @@
 }
 
 // LikelyHolders returns up to limit servers of a service and version to which new work may
-// be sent, in the order in which placement prefers them for the prompt whose last part has the
-// given hash.
+// be sent, in the order in which placement prefers them for the prompt whose last part has
+// the given hash.
 func (f *Fleet) LikelyHolders(now time.Time, service, version string, suffixHash uint64, limit int) []*Server {
 	list := f.Accepting(now, service, version)
 	slices.SortFunc(list, func(a, b *Server) int {
--- a/internal/gateway/locate.go
+++ b/internal/gateway/locate.go
@@ -45,10 +45,10 @@
 	done chan struct{}
 }
 
-// locatePrompt asks the engines of a service and version that may hold a prompt for what they have
-// cached, unless the fleet already records an engine that holds the prompt with the
-// given hash of its last part. It is used for requests that resume an answer. It
-// returns when the engines have answered, after locateTimeout, or when ctx ends.
+// locatePrompt asks the engines of a service and version that may hold a prompt for what
+// they have cached, unless the fleet already records an engine that holds the prompt with
+// the given hash of its last part. It is used for requests that resume an answer. It returns
+// when the engines have answered, after locateTimeout, or when ctx ends.
 func (g *Gateway) locatePrompt(ctx context.Context, service, version string, part uint64) {
 	now := time.Now()
 	if part == 0 || g.Fleet.IsPromptCached(now, service, version, part) {
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -43,9 +43,9 @@
 
 // recordVersion records the version of the engine that is about to send the first event of
 // the stream, and returns the record for the peers. It returns nil if the stream had begun
-// before.
+// before or cannot be resumed.
 func (st *streamState) recordVersion(now time.Time, s *fleet.Server) *streamversion.Record {
-	if st.version != "" {
+	if st.version != "" || !st.route.Resumable {
 		return nil
 	}
 	st.version = st.g.Fleet.VersionOf(s)
