--- a/internal/streamversion/registry.go
+++ b/internal/streamversion/registry.go
@@ -171,3 +171,10 @@
 	defer r.mu.Unlock()
 	r.stored = min(len(r.records), r.stored+count)
 }
+
+// MarkUnstored records that the store may have lost what was written to it.
+func (r *Registry) MarkUnstored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stored = 0
+}
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -72,6 +72,10 @@
 			t.Errorf("record %d written %d times", id, n)
 		}
 	}
+	r.MarkUnstored()
+	if records, _ := r.Unstored(at(time.Second), 100); len(records) != 25 {
+		t.Errorf("%d of 25 records are written again after the store has lost them", len(records))
+	}
 	for i := range maxRecords + 100 {
 		r.Add(at(2*time.Second), Record{Key: key(fmt.Sprint("m", i), fmt.Sprint(i)), Version: "v1"})
 	}
