--- a/internal/front/crashes.go
+++ b/internal/front/crashes.go
@@ -43,28 +43,20 @@
 // storeCrashes writes the crashes to the store when there are new ones, if this node is
 // the reader.
 func (n *Node) storeCrashes(ctx context.Context) {
-	ticker := time.NewTicker(crashWriteInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
+	every(ctx, crashWriteInterval, func(now time.Time) {
 		if n.crashes.Len(now) == 0 || !n.isReader(now) {
-			continue
+			return
 		}
 		e := n.crashes.Suspicious(now)
 		if stored := n.crashesStored.Load(); stored != nil && e.SameCrashes(*stored) || stored == nil && len(e.Crashes) == 0 {
-			continue
+			return
 		}
 		if err := n.writeCrashes(ctx, now, e); err != nil {
 			n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableCrashes}, "cannot write the crashes of servers to the store, retrying")
-			continue
+			return
 		}
 		n.crashesStored.Store(&e)
-	}
+	})
 }
 
 func (n *Node) writeCrashes(ctx context.Context, now time.Time, e crashcause.Evidence) error {
--- a/internal/front/prune.go
+++ b/internal/front/prune.go
@@ -59,14 +59,5 @@
 
 // pruneLoop calls prune every pruneInterval until the context ends.
 func (n *Node) pruneLoop(ctx context.Context) {
-	ticker := time.NewTicker(pruneInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			n.prune(ctx, now)
-		}
-	}
+	every(ctx, pruneInterval, func(now time.Time) { n.prune(ctx, now) })
 }
--- a/internal/front/rediscover.go
+++ b/internal/front/rediscover.go
@@ -25,25 +25,19 @@
 // the list of servers cannot be read. Once the list has been readable for
 // 2*lapseWindow, it removes the servers found this way that are not on the list.
 func (n *Node) rediscover(ctx context.Context) {
-	ticker := time.NewTicker(rediscoverInterval)
-	defer ticker.Stop()
-	for round := uint64(0); ; round++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
+	round := uint64(0)
+	every(ctx, rediscoverInterval, func(now time.Time) {
+		round++
 		if n.serversAge(now) < storeStaleAfter {
 			if !n.storeRecoveredAt.Load().IsZero() && n.storeRecoveredAt.since(now) > 2*lapseWindow {
 				n.fleet.DropUnlisted()
 			}
-			continue
+			return
 		}
 		if service := n.onlyEngineService(); service != nil {
 			n.probeMissing(now, service, round)
 		}
-	}
+	})
 }
 
 // onlyEngineService returns the service that has engines, or nil if there is none
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -163,16 +163,8 @@
 // housekeep periodically removes expired state, fetches a peer's state if the
 // store data is stale, and flushes the log.
 func (n *Node) housekeep(ctx context.Context) {
-	ticker := time.NewTicker(housekeepingInterval)
-	defer ticker.Stop()
 	flush := 0
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
+	every(ctx, housekeepingInterval, func(now time.Time) {
 		n.fleet.Expire(now)
 		n.limiter.Expire(now)
 		n.pool.Retain(now, func(s backendconn.Server) bool { return n.isListed(s) })
@@ -180,6 +172,20 @@
 		if flush++; flush%10 == 0 {
 			n.log.Flush()
 		}
+	})
+}
+
+// every calls f at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f(time.Now())
+		}
 	}
 }
 
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -36,8 +36,8 @@
 }
 
 // onRestored reads the configuration again, and writes this node's row and the versions of
-// streams again, after the store was restored from an older copy. The call for the configuration may wait at a
-// revision that the store has not reached again.
+// streams again, after the store was restored from an older copy. The call for the
+// configuration may wait at a revision that the store has not reached again.
 func (n *Node) onRestored() {
 	n.streams.MarkUnstored()
 	n.historyStored.Store(nil)
--- a/internal/front/versions.go
+++ b/internal/front/versions.go
@@ -117,23 +117,15 @@
 // storeStreams writes the versions of streams to the store while a service has several, if
 // this node is the reader.
 func (n *Node) storeStreams(ctx context.Context) {
-	ticker := time.NewTicker(streamWriteInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
+	every(ctx, streamWriteInterval, func(now time.Time) {
 		n.versions.Update(now, n.fleet.Versions())
 		if !n.isReader(now) {
-			continue
+			return
 		}
 		if err := n.writeStreams(ctx, now); err != nil {
 			n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableStreams}, "cannot write the versions of streams to the store, retrying")
 		}
-	}
+	})
 }
 
 // writeStreams writes the history if it has changed, and one row of streams if a service
--- /dev/null
+++ b/internal/gateway/outcome.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/yuccahatch/yuccahatch/internal/telemetry"
+)
+
+// rejectCall refuses a request before a server was chosen for it, and logs the
+// reason.
+func (g *Gateway) rejectCall(w http.ResponseWriter, c *Call, status int, retryAfter time.Duration, reason string) {
+	writeRefusal(w, status, retryAfter, reason)
+	g.Log.Log(logrus.InfoLevel, telemetry.EventRequestTroubled, logrus.Fields{
+		telemetry.FieldRequest: c.ID, "host_name": c.Host, "path": c.Path, "config_version": g.Routes.Version(),
+		"outcome": "refused", "status": status, "reason": reason, "retry_after_ms": retryAfter.Milliseconds(),
+	}, "request refused")
+}
+
+// writeRefusal answers a request with an error of this node instead of a backend
+// server's answer.
+func writeRefusal(w http.ResponseWriter, status int, retryAfter time.Duration, reason string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	body := fmt.Sprintf("{\"error\":%q}\n", reason)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body) // fails only if the client has disconnected
+}
+
+// fail sends an error to the client of a request that failed before any part of an
+// answer was passed on. The error states that the request did not run only if no
+// server can have run it.
+func (e *exchange) fail(reason string, retryAfter time.Duration) {
+	now := time.Now()
+	status := http.StatusBadGateway
+	switch {
+	case e.clientGone():
+		e.recordOutcome("client_gone", 0, reason)
+		return
+	case e.sentCount == 0:
+		status = http.StatusServiceUnavailable
+		retryAfter = max(retryAfter, minRetryAfter)
+	case e.timeLeft(now) <= 0:
+		status = http.StatusGatewayTimeout
+		retryAfter = 0
+	default:
+		retryAfter = 0
+	}
+	writeRefusal(e.w, status, retryAfter, reason)
+	outcome := "failed"
+	if status == http.StatusServiceUnavailable {
+		outcome = "refused"
+	}
+	e.recordOutcome(outcome, status, reason)
+}
+
+// crashRetryAfter is the Retry-After sent to a client whose request crashes
+// servers.
+const crashRetryAfter = time.Minute
+
+// minRetryAfter is the shortest Retry-After sent for a request that did not run. It
+// keeps refused clients from retrying at once.
+const minRetryAfter = 150 * time.Millisecond
+
+// retryAfter returns a random time from base to twice base after which a refused
+// client may retry. The jitter keeps clients that were refused together from
+// retrying together.
+func retryAfter(base time.Duration) time.Duration {
+	return base + time.Duration(rand.Int64N(int64(base)+1))
+}
+
+// addStep adds a step, with the time since the request started, to the
+// request's log line. Steps beyond the 24th are dropped.
+func (e *exchange) addStep(format string, args ...any) {
+	if len(e.steps) < 24 {
+		e.steps = append(e.steps, strconv.Itoa(int(time.Since(e.started).Milliseconds()))+"ms "+fmt.Sprintf(format, args...))
+	}
+}
+
+// recordOutcome logs the outcome of the request with its steps, and counts it.
+func (e *exchange) recordOutcome(outcome string, status int, reason string) {
+	e.g.Metrics.finished(e.route.Kind, outcome, time.Since(e.started))
+	level := logrus.InfoLevel
+	event := telemetry.EventRequestServed
+	if outcome != "served" || e.sentCount > 1 {
+		event = telemetry.EventRequestTroubled
+	}
+	e.g.Log.Log(level, event, logrus.Fields{
+		telemetry.FieldRequest: e.call.ID,
+		"route":                e.route.Name,
+		"kind":                 e.route.Kind.String(),
+		"team":                 e.team,
+		"config_version":       e.g.Routes.Version(),
+		"outcome":              outcome,
+		"status":               status,
+		"reason":               reason,
+		"attempts":             e.sentCount,
+		"refusals":             e.refusedCount,
+		"after":                e.call.After,
+		"origin":               e.call.Origin,
+		"duration_ms":          time.Since(e.started).Milliseconds(),
+		"steps":                e.steps,
+	}, "request "+outcome)
+}
--- a/internal/serverlimit/route.go
+++ b/internal/serverlimit/route.go
@@ -17,7 +17,7 @@
 
 // Stages of a request for permission.
 const (
-	// Asked is a request from the host that wants to send.
+	// Asked is a request of the host that is about to send.
 	Asked Stage = iota
 	// Passed was passed on by a host that does not own the server.
 	Passed
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -106,7 +106,7 @@
 	return b
 }
 
-// Expire forgets servers that were not used for unusedTTL.
+// Expire removes the buckets of servers that were not used for unusedTTL.
 func (l *Limiter) Expire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/streamversion/model_test.go
+++ b/internal/streamversion/model_test.go
@@ -64,7 +64,7 @@
 	writtenAt time.Duration
 	next      int
 
-	mixed            []string // streams that went on at another version
+	mixed            []string // streams that continued at another version
 	takenUp, resumed int      // at hosts in touch, while the version has servers
 }
 
