--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -70,18 +70,6 @@
 	return versions[0], true
 }
 
-// Mixed reports whether a service had several versions lately.
-func (h *History) Mixed(now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for service := range h.seen {
-		if len(h.recent(now, service)) > 1 {
-			return true
-		}
-	}
-	return false
-}
-
 // Complete reports whether the history before the start of this host is known.
 func (h *History) Complete() bool {
 	h.mu.Lock()
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -106,13 +106,13 @@
 	if v, ok := h.Sole(at(20*time.Second), "s"); ok {
 		t.Errorf("%s is the only version 19 s after the last server of another", v)
 	}
-	if !h.Mixed(at(20 * time.Second)) {
-		t.Error("not mixed")
+	if s := h.SnapshotOf(at(20*time.Second), map[string][]string{"s": {"v2"}}); !s.Mixed() {
+		t.Errorf("snapshot %v is not mixed", s)
 	}
 	later := at(2*time.Second + historyMemory)
-	h.Update(later, map[string][]string{"s": {"v2"}})
-	if v, ok := h.Sole(later, "s"); !ok || v != "v2" || h.Mixed(later) {
-		t.Errorf("version %q, known %t after the memory of the other", v, ok)
+	s := h.SnapshotOf(later, map[string][]string{"s": {"v2"}})
+	if v, ok := h.Sole(later, "s"); !ok || v != "v2" || s.Mixed() {
+		t.Errorf("version %q, known %t, snapshot %v after the memory of the other", v, ok, s)
 	}
 }
 
