--- a/review/world/world.go
+++ b/review/world/world.go
@@ -198,10 +198,13 @@
 	return errors.New(n.Name + " is not ready")
 }
 
-// PID returns the id of the node's process.
+// PID returns the id of the node's process, or 0 before its start.
 func (n *Node) PID() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.cmd == nil {
+		return 0
+	}
 	return n.cmd.Process.Pid
 }
 
