--- a/review/1/main.go
+++ b/review/1/main.go
@@ -111,7 +111,7 @@
 		}
 	}
 	d.report()
-	time.Sleep(4500 * time.Millisecond)
+	time.Sleep(4900 * time.Millisecond)
 	d.crashZone(1)
 	time.Sleep(max(0, outageLength-time.Since(outageBegan)))
 	d.setDown(false)
