front, streamversion: the version of an engine found without the list is unknown

While the store is away, the engines of a data centre crash and come back newer at the same addresses; then those of another crash.

Cause: probeMissing gave the successor of a lost engine the only version that the service had, and told all nodes, so that streams and copies went there. Behind it stand two related guesses: a node counted as in step while the store answered nobody, and a stream that began at an engine of unknown version would have been taken for one of the known version.

Change: only the list tells the version of an engine; a guess that an older build tells is not taken over. A stream that begins at an engine of unknown version is recorded with its server, and gets the version from the list later. A service with a server of unknown version has no only version, and a node is not in step while the store answers nobody.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -174,12 +174,13 @@
 }
 
 // AddDiscovered adds a server that is not in the list yet and was discovered at the
-// address of a lost server while the list could not be read. It reports whether the
-// server was added; it does nothing if the server is already in the fleet, or was
-// removed from it a short time ago.
+// address of a lost server while the list could not be read. Only the list tells its
+// version. It reports whether the server was added; it does nothing if the server is already
+// in the fleet, or was removed from it a short time ago.
 func (f *Fleet) AddDiscovered(now time.Time, e Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	e.Version = UnknownVersion
 	if f.servers[e.ID] != nil || !f.put(now, e) {
 		return false
 	}
--- a/internal/front/instep.go
+++ b/internal/front/instep.go
@@ -14,18 +14,15 @@
 // is above the noise between two readings of the clocks.
 const maxSuspension = 100 * time.Millisecond
 
-// inStep reports whether this node's list of servers is as current as a list can be. That is
-// so if the store has answered lately, to this node or to a peer that knows of no change, or
-// if the store answers none of the hosts and most of them are heard.
+// inStep reports whether this node's list of servers is current: the store has answered
+// lately, to this node or to a peer that knows of no change. While the store answers none of
+// the hosts, servers may start with versions that none of them knows.
 func (n *Node) inStep(now time.Time) bool {
 	if n.suspendedSince() > maxSuspension {
 		n.servers.readNow()
 		return false
 	}
-	if n.serversAge(now) < storeStaleAfter {
-		return true
-	}
-	return n.storeUnreachable.Load() && 2*n.mesh.CountAlive(now) >= n.mesh.CountKnown()
+	return n.serversAge(now) < storeStaleAfter
 }
 
 // suspendedSince returns the time for which the host was suspended since the store last
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -255,6 +255,10 @@
 	listed := make(map[ident.BackendID]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
+		if e.Sequence == 0 { // found without the list, see gateway.Successor
+			n.fleet.AddDiscovered(now, e)
+			continue
+		}
 		n.fleet.Put(now, e)
 	}
 	for _, id := range n.fleet.IDs() {
--- a/internal/front/rediscover.go
+++ b/internal/front/rediscover.go
@@ -78,9 +78,6 @@
 		}
 		probed++
 		e, ok := n.gateway.Successor(s, service)
-		if sole, known := n.soleVersion(now, service.Name); known {
-			e.Version = sole
-		}
 		if !ok || !n.fleet.AddDiscovered(time.Now(), e) {
 			continue
 		}
--- a/internal/front/versions.go
+++ b/internal/front/versions.go
@@ -57,12 +57,6 @@
 	if !n.inStep(now) {
 		return "", false
 	}
-	return n.soleVersion(now, service)
-}
-
-// soleVersion returns the only version that a service has and had lately, as far as this
-// node knows.
-func (n *Node) soleVersion(now time.Time, service string) (version string, ok bool) {
 	n.versions.Update(now, n.fleet.Versions())
 	return n.versions.Sole(now, service)
 }
@@ -70,8 +64,9 @@
 // Version implements gateway.StreamVersions.
 func (n *Node) Version(ctx context.Context, service string, k streamversion.Key) (version string, known bool) {
 	now := time.Now()
+	n.streams.Resolve(n.fleet.KnownVersion)
 	if version, known := n.streams.Version(now, k); known {
-		return version, true
+		return version, version != streamversion.Unknown
 	}
 	if sole, ok := n.Sole(now, service); ok {
 		return sole, true
@@ -120,7 +115,11 @@
 
 // knownVersion returns the version that began a stream for a peer, or nothing.
 func (n *Node) knownVersion(now time.Time, k streamversion.Key) string {
+	n.streams.Resolve(n.fleet.KnownVersion)
 	version, _ := n.streams.Version(now, k)
+	if version == streamversion.Unknown {
+		return ""
+	}
 	return version
 }
 
@@ -129,6 +128,7 @@
 func (n *Node) storeStreams(ctx context.Context) {
 	every(ctx, streamWriteInterval, func(now time.Time) {
 		n.versions.Update(now, n.fleet.Versions())
+		n.streams.Resolve(n.fleet.KnownVersion)
 		if !n.isReader(now) {
 			return
 		}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -146,6 +146,7 @@
 
 // prompt returns the prompt of the stream, for engines of the version that began it.
 func (st *streamState) prompt() fleet.Prompt {
+	st.resolveVersion()
 	p := st.call.Prompt
 	p.Version = st.version
 	return p
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -366,6 +366,9 @@
 		return
 	}
 	st.version = version
+	if version == streamversion.Unknown {
+		return // the other host has told which server began the stream
+	}
 	st.g.Versions.Began(time.Now(), streamversion.Record{Key: st.streamKey(), Version: version})
 }
 
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -50,10 +50,21 @@
 	}
 	st.version = st.g.Fleet.VersionOf(s)
 	x := streamversion.Record{Key: st.streamKey(), Version: st.version}
+	if st.version == streamversion.Unknown {
+		x.Server = streamversion.Server{ID: s.ID, Incarnation: s.Incarnation}
+	}
 	st.g.Versions.Began(now, x)
 	return &x
 }
 
+// resolveVersion looks up the version that began the stream again if it was not known: the
+// list may have told it since.
+func (st *streamState) resolveVersion() {
+	if st.version == streamversion.Unknown {
+		st.findVersion()
+	}
+}
+
 // confirmVersion reports whether a stream that has begun may continue at a server. The
 // server may have started again, perhaps with another version, since the list was read. A
 // copy of a run does not outlast its engine, so an attempt from a copy needs no check.
--- a/internal/streamversion/registry.go
+++ b/internal/streamversion/registry.go
@@ -31,6 +31,10 @@
 	storeTTL = time.Minute
 )
 
+// Unknown is the version of a stream that began at a server whose version nobody has told
+// yet. It is not the same as that of any other stream.
+const Unknown = "unknown"
+
 // Key identifies a stream. ID is the hash of the id of the client's attempt that brought
 // its first event, and Content that of the request without its id, for clients that do not
 // name the attempt. A hash of 0 is not set.
@@ -58,6 +62,14 @@
 	Key
 	Version string `json:"v"`
 	AgeMs   int64  `json:"a,omitempty"` // milliseconds since the first event
+	// Server is the incarnation of the server that began the stream, if Version is Unknown.
+	Server Server `json:"s,omitzero"`
+}
+
+// Server identifies one incarnation of a server.
+type Server struct {
+	ID          ident.BackendID `json:"i"`
+	Incarnation int64           `json:"b,omitempty"`
 }
 
 // entry is what is kept of a stream. version is empty if two versions were reported for
@@ -77,6 +89,8 @@
 	// written to the store. Guarded by mu.
 	records []timedRecord
 	stored  int
+	// unresolved is the number of records whose version is Unknown. Guarded by mu.
+	unresolved int
 }
 
 type timedRecord struct {
@@ -92,22 +106,63 @@
 		r.byID, r.byContent = map[uint64]entry{}, map[uint64]entry{}
 	}
 	at := now.Add(-time.Duration(max(0, x.AgeMs)) * time.Millisecond)
-	if now.Sub(at) > recordTTL || x.ID != 0 && r.byID[x.ID] == (entry{x.Version, r.byID[x.ID].at}) {
-		return // too old, or known already
+	if now.Sub(at) > recordTTL || r.knows(x) {
+		return
 	}
 	add(r.byID, x.ID, entry{x.Version, at})
 	add(r.byContent, x.Content, entry{x.Version, at})
 	r.records = append(r.records, timedRecord{x, at})
+	if x.Version == Unknown {
+		r.unresolved++
+	}
 	r.expire(now)
 }
 
+// knows reports whether a record says nothing new. The lock is held.
+func (r *Registry) knows(x Record) bool {
+	known, ok := r.byID[x.ID]
+	return ok && x.ID != 0 && (known.version == x.Version || x.Version == Unknown)
+}
+
+// Resolve replaces the unknown versions of records by those of their servers, as far as
+// versionOf knows them by now. It returns an empty version for one that it does not know.
+func (r *Registry) Resolve(versionOf func(Server) string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unresolved == 0 {
+		return
+	}
+	for i := range r.records {
+		x := &r.records[i]
+		if x.Version != Unknown {
+			continue
+		}
+		version := versionOf(x.Server)
+		if version == "" || version == Unknown {
+			continue
+		}
+		x.Version, x.Server = version, Server{}
+		r.unresolved--
+		resolve(r.byID, x.ID, version)
+		resolve(r.byContent, x.Content, version)
+	}
+}
+
+// resolve replaces the unknown version of a key.
+func resolve(m map[uint64]entry, key uint64, version string) {
+	if e, ok := m[key]; ok && e.version == Unknown {
+		e.version = version
+		m[key] = e
+	}
+}
+
 // add adds an entry to a map of the registry. Two versions for one key leave it unknown
 // which of them holds.
 func add(m map[uint64]entry, key uint64, e entry) {
 	if key == 0 {
 		return
 	}
-	if known, ok := m[key]; ok && known.version != e.version {
+	if known, ok := m[key]; ok && (known.version != e.version || e.version == Unknown) {
 		e.version = ""
 	}
 	m[key] = e
@@ -122,6 +177,9 @@
 	for _, x := range r.records[:drop] {
 		remove(r.byID, x.ID, x.at)
 		remove(r.byContent, x.Content, x.at)
+		if x.Version == Unknown {
+			r.unresolved--
+		}
 	}
 	r.records = r.records[drop:]
 	r.stored = max(0, r.stored-drop)
@@ -134,8 +192,8 @@
 	}
 }
 
-// Version returns the version that began the stream with a key. It goes by the id, and by
-// the content only if the key has no id.
+// Version returns the version that began the stream with a key, which may be Unknown. It
+// goes by the id, and by the content only if the key has no id.
 func (r *Registry) Version(now time.Time, k Key) (version string, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -142,3 +142,49 @@
 		t.Error("a change without cause")
 	}
 }
+
+// Guards against streams that began at servers of unknown version and are taken for those of
+// one version, and against their versions not being learned once the list tells them.
+func TestUnknownVersionIsResolved(t *testing.T) {
+	now := time.Now()
+	var r Registry
+	server := func(i int) Server { return Server{ID: ident.BackendID(fmt.Sprint("s", i)), Incarnation: 7} }
+	keys := []Key{KeyOf("a", "t", []byte("one")), KeyOf("b", "t", []byte("two"))}
+	for i, k := range keys {
+		r.Add(now, Record{Key: k, Version: Unknown, Server: server(i)})
+	}
+	if v, known := r.Version(now, keys[0]); !known || v != Unknown {
+		t.Fatalf("version %q, known %t", v, known)
+	}
+	r.Resolve(func(s Server) string {
+		if s == server(0) {
+			return "v2"
+		}
+		return ""
+	})
+	r.Add(now, Record{Key: keys[0], Version: Unknown, Server: server(0)}) // a late copy of the datagram
+	for i, want := range []string{"v2", Unknown} {
+		if v, _ := r.Version(now, keys[i]); v != want {
+			t.Errorf("stream %d has version %q, want %q", i, v, want)
+		}
+	}
+	if v, _ := r.Version(now, Key{Content: keys[0].Content}); v != "v2" {
+		t.Errorf("by content the version is %q", v)
+	}
+	r.Resolve(func(Server) string { return "v3" })
+	if v, _ := r.Version(now, keys[1]); v != "v3" {
+		t.Errorf("version %q after the list told it", v)
+	}
+}
+
+// Guards against a service that counts as one of a single version while a server of it has an
+// unknown one.
+func TestUnknownVersionIsNotSole(t *testing.T) {
+	now := time.Now()
+	var h History
+	h.Load(now, nil, 0)
+	h.Update(now, map[string][]string{"s": {"v1", Unknown}})
+	if v, ok := h.Sole(now, "s"); ok {
+		t.Errorf("%s counts as the only version", v)
+	}
+}
