front, fleet, listsync: nodes compare their lists of servers

Cause, from the logs of all nodes: at the end of the outage the reader keeps the lapsed entries for a while, and their return is no change to it, so that it tells nobody. The other nodes call the store too rarely to notice the outage and drop the entries at once. Their positions go on with the reader's, so they never read the list again.

Change: heartbeats carry a digest of the list; a node that differs from the reader reads the whole list from the store, spread over the hosts. Being listed is a state of its own, a removal is a change by itself, an outage is judged when it ends and its end is told, and full listings are not sent as changes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,6 +63,7 @@
 	servers          map[ident.BackendID]*Server
 	departed         map[ident.BackendID]departure // servers that were removed less than departedTTL ago
 	dataCentreLostAt map[dataCentreKey]time.Time   // time of the latest loss of each data centre, per service
+	digest           uint64                        // see ListDigest; 0 if it must be computed
 }
 
 // New returns an empty fleet for the host self.
@@ -96,8 +97,9 @@
 // Put adds or updates a server from its entry in the list. It ignores entries of an
 // earlier incarnation and, if Incarnation is not 0, entries of the same incarnation
 // with a lower Sequence. It reports whether the list shows a change: a new server or
-// incarnation, or one that begins or ceases to be draining. A server that is known to be
-// draining from its answers changes in the list once more.
+// incarnation, one that begins or ceases to be draining, or one that was known but not
+// listed, because its entry had lapsed or it was discovered without the list. A server that
+// is known to be draining from its answers changes in the list once more.
 func (f *Fleet) Put(now time.Time, e Entry) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -114,17 +116,22 @@
 		if e.Sequence-s.Sequence >= maxSequenceStep {
 			return false // not from the server itself
 		}
+		wasListed, version := s.listed(), s.Version
 		s.unlisted = false
 		if e.Version != UnknownVersion {
 			s.Version = e.Version
 		}
+		if e.Incarnation == 0 || e.Sequence > s.Sequence {
+			s.removedAt = time.Time{}
+		}
 		if e.Sequence > s.Sequence {
-			s.entryReportedAt, s.removedAt = now, time.Time{}
+			s.entryReportedAt = now
 			if now.Sub(s.lostAt) > maxReportAge {
 				s.lostUntil = time.Time{}
 			}
 		}
-		changed = s.listedDraining != e.Draining
+		changed = s.listed() != wasListed || s.listedDraining != e.Draining || s.Version != version
+		f.invalidateDigest(changed)
 		s.listedDraining, s.Draining = e.Draining, e.Draining || s.leaving
 		s.Sequence = e.Sequence
 		return changed
@@ -136,6 +143,7 @@
 		return false // an older row, from a list of a peer or a restored copy of the store
 	}
 	delete(f.departed, e.ID)
+	f.invalidateDigest(true)
 	f.servers[e.ID] = &Server{
 		Entry:          e,
 		firstSeen:      now,
@@ -222,19 +230,22 @@
 
 // Remove removes a server whose entry is no longer in the list. If lapsed is set, the
 // entry disappeared during an outage of the store, and the server is kept for
-// lapsedEntryGrace unless it is draining.
-func (f *Fleet) Remove(now time.Time, id ident.BackendID, lapsed bool) {
+// lapsedEntryGrace after the first removal unless it is draining. It reports whether the
+// server was known.
+func (f *Fleet) Remove(now time.Time, id ident.BackendID, lapsed bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.servers[id]
-	if s == nil {
-		return
-	}
-	if lapsed && !s.Draining {
+	switch {
+	case s == nil:
+		return false
+	case !lapsed || s.Draining:
+		f.remove(now, s)
+	case s.removedAt.IsZero():
 		s.removedAt = now
-		return
+		f.invalidateDigest(true)
 	}
-	f.remove(now, s)
+	return true
 }
 
 // Expire removes servers whose lapsedEntryGrace has passed, and runs and cached
@@ -275,17 +286,6 @@
 	return ids
 }
 
-// Entries returns the entries of all servers.
-func (f *Fleet) Entries() []Entry {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	entries := make([]Entry, 0, len(f.servers))
-	for _, s := range f.servers {
-		entries = append(entries, s.Entry)
-	}
-	return entries
-}
-
 // Server returns the server with the given id, or nil.
 func (f *Fleet) Server(id ident.BackendID) *Server {
 	f.mu.Lock()
--- a/internal/front/crashes.go
+++ b/internal/front/crashes.go
@@ -107,7 +107,7 @@
 
 // readPeerCrashes adds the crashes that a peer keeps to those of this node.
 func (n *Node) readPeerCrashes(ctx context.Context, m mesh.Member) {
-	doc, err := fetchState(ctx, m.Mesh, "crashes")
+	doc, err := n.peerState(ctx, m.Mesh, "crashes")
 	if err != nil {
 		n.log.LogError(logrus.WarnLevel, telemetry.EventPeerCallFailed, err, logrus.Fields{telemetry.FieldPeer: m.Host}, "cannot fetch the crashes that a peer keeps")
 		return
--- a/internal/front/follower.go
+++ b/internal/front/follower.go
@@ -60,7 +60,10 @@
 	// wait before due is called again. It is nil for tables that are always
 	// followed.
 	due func(now time.Time, position ident.StorePosition) (bool, time.Duration)
-	// replace installs a full listing of the table; apply applies changed rows.
+	// prepare is called before the first listing is installed. It may be nil.
+	prepare func()
+	// replace installs a full listing of the table; apply applies changed rows. Both are
+	// called with applyMu held.
 	replace func(rows Rows, c readContext)
 	apply   func(rows Rows, c readContext)
 	// onRead is called after every answer. onRecovered is called before onRead
@@ -165,10 +168,15 @@
 			backoff = nextBackoff(backoff, f.isReader != nil && f.isReader(now))
 			continue
 		}
-		if lost {
+		// The last failed call may have ended long before: the pauses between calls grow.
+		outage := !failingSince.IsZero() && now.Sub(failingSince) > storeLostAfter
+		if outage {
 			f.log.Log(logrus.InfoLevel, telemetry.EventStoreBack, logrus.Fields{"table": f.table, "outage_ms": now.Sub(failingSince).Milliseconds()}, "store is answering again")
 		}
-		f.install(rows, list, lost)
+		if f.prepare != nil && position.IsZero() {
+			f.prepare()
+		}
+		f.install(rows, list, outage)
 		recovered := !failingSince.IsZero()
 		failingSince, lost, backoff, failed = time.Time{}, false, retryInitial, 0
 		f.failing.Store(false)
@@ -210,12 +218,27 @@
 	case list:
 		f.replace(rows, c)
 		f.listNext.Store(false)
-	case len(rows.Rows) > 0:
-		f.apply(rows, c)
+	default:
+		if rows.Rows = changedAfter(rows.Rows, position); len(rows.Rows) > 0 {
+			f.apply(rows, c)
+		}
 	}
 	f.position.Store(rows.Position)
 }
 
+// changedAfter returns the rows that were changed after a position. Changes received from a
+// peer while a call was in progress may be in its answer too, and a removal among them must
+// not undo a later return of the row.
+func changedAfter(rows []Row, position ident.StorePosition) []Row {
+	var later []Row
+	for _, r := range rows {
+		if r.Version == 0 || r.Version > position.Revision {
+			later = append(later, r)
+		}
+	}
+	return later
+}
+
 // reportEra counts an invalid era, and logs the first one. The lock applyMu is held.
 func (f *follower) reportEra(value string) {
 	if value == "" {
--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -1,8 +1,10 @@
 package front
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -16,6 +18,7 @@
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
+	"github.com/yuccahatch/yuccahatch/internal/listsync"
 	"github.com/yuccahatch/yuccahatch/internal/overload"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
 	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
@@ -67,7 +70,8 @@
 	routes    routing.Holder
 	fleet     *fleet.Fleet
 	pool      *backendconn.Pool
-	mesh      *mesh.Mesh
+	mesh      peerMesh
+	peerState peerStateFunc
 	gateway   *gateway.Gateway
 	config    *follower
 	servers   *follower
@@ -122,10 +126,16 @@
 	// peersReadStore is true if a peer has been able to read the store during the
 	// current outage of the store as seen by this node.
 	peersReadStore atomic.Bool
-	fetchingState  atomic.Bool // a request for a peer's state is in progress
-	crashes        crashcause.Tracker
-	streams        streamversion.Registry
-	versions       streamversion.History
+	// unreachableAt is the latest time at which storeUnreachable was found true.
+	unreachableAt atomicTime
+	// listMonitor compares the list of servers with those of peers, and listDiffers is set
+	// while the list is to be read anew because it differs.
+	listMonitor   listsync.Monitor
+	listDiffers   atomic.Bool
+	fetchingState atomic.Bool // a request for a peer's state is in progress
+	crashes       crashcause.Tracker
+	streams       streamversion.Registry
+	versions      streamversion.History
 	// historyStored is the history of versions that this node wrote to the store or read
 	// last; nil if there was none.
 	historyStored atomic.Pointer[streamversion.Snapshot]
@@ -142,6 +152,30 @@
 	rawConfig []byte
 }
 
+// peerMesh is what a node uses of mesh.Mesh.
+type peerMesh interface {
+	Run(ctx context.Context)
+	Seed(addresses []string)
+	Hello()
+	AddKnown(now time.Time, list []mesh.Member)
+	Alive(now time.Time) []mesh.Member
+	CountAlive(now time.Time) int
+	CountKnown() int
+	Silence(now time.Time, host ident.HostID) time.Duration
+	Silent(now time.Time, within time.Duration) []ident.HostID
+	Announce()
+	AnnounceServerChanges(from, to ident.StorePosition, rows []mesh.ServerChange)
+	Found(e fleet.Entry)
+	AskOrigin(to mesh.Member, x mesh.OriginRequest)
+	RequestLoan(to mesh.Member, x mesh.Loan)
+	RequestPermit(to mesh.Member, x mesh.PermitRequest)
+	AnswerPermit(address string, x mesh.PermitAnswer)
+	Release(to mesh.Member, x mesh.Release)
+}
+
+// peerStateFunc requests the state of a peer; see serveState for the query.
+type peerStateFunc func(ctx context.Context, address, query string) (stateDocument, error)
+
 // New returns a node that is not running yet. Log lines are written to out.
 func New(s Settings, store Store, codec interface {
 	gateway.Codec
@@ -163,9 +197,10 @@
 		log: log, scope: scope, metrics: page, closers: []io.Closer{closer, writer},
 		fleet: fleet.New(s.Host, now), pool: backendconn.NewPool(s.Dial),
 	}
+	n.listMonitor.Place = rand.Float64()
 	n.addressTTL.Store(int64(s.AddressTTL))
 	n.grace.Store(int64(s.Grace))
-	n.mesh, err = mesh.New(s.Mesh, n.fleet, n.member, mesh.Handlers{
+	nodeMesh, err := mesh.New(s.Mesh, n.fleet, n.member, mesh.Handlers{
 		Heartbeat:     n.onHeartbeat,
 		Crash:         func(now time.Time, x crashcause.Crash) { n.crashes.Add(now, x) },
 		Answered:      func(now time.Time, c crashcause.Content) { n.crashes.Answered(now, c) },
@@ -188,9 +223,10 @@
 	if err != nil {
 		return nil, err
 	}
+	n.mesh, n.peerState = nodeMesh, fetchState
 	n.gateway = &gateway.Gateway{
 		Codec: codec, Routes: &n.routes, Fleet: n.fleet, Pool: n.pool, Self: s.Host,
-		Announce: n.mesh, Log: log, Metrics: gateway.NewMetrics(scope),
+		Announce: nodeMesh, Log: log, Metrics: gateway.NewMetrics(scope),
 		Budgets: retryshare.New(
 			retryshare.Limits{Ratio: s.Retry.Ratio, Base: s.Retry.Slack, Window: s.Retry.Window},
 			now, func() int { return n.mesh.CountKnown() + 1 }),
@@ -214,7 +250,7 @@
 	// serversDue determines when the list of servers is read, so the store must
 	// answer at once: the wait is 0.
 	n.servers = n.newFollower(TableServers, 0, n.replaceServers, n.applyServers)
-	n.servers.due = n.serversDue
+	n.servers.due, n.servers.prepare = n.serversDue, n.prepareServers
 	// After an outage, the connection of the long poll for the configuration may be
 	// dead without an error.
 	n.servers.onRecovered = n.config.restartCall
@@ -276,11 +312,9 @@
 	if n.gateway != nil { // nil while New calls mesh.New, which calls member
 		m.Usage = n.gateway.Budgets.Usage(now)
 		m.Limits = n.ownedLimits(now)
-		m.ServersChanged, m.ServersListed, m.ServersRead = n.serversChanged.Load(), n.serversListed.Load(), n.servers.position.Load()
+		n.describeList(now, &m)
 		m.Crashes = n.crashes.Len(now)
 		m.LostPaths = n.paths.LostServices()
-		m.Settled = now.Sub(n.started) >= settledAfter
-		m.StoreAgeMs = n.servers.age(now).Milliseconds()
 	}
 	switch {
 	case n.leaving.Load():
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -54,8 +55,12 @@
 // stateDocument is what a node has read from the store, as sent to peers. Config
 // is encoded as in the store.
 type stateDocument struct {
-	Config  []byte        `json:"config,omitempty"`
-	Servers []fleet.Entry `json:"servers,omitempty"`
+	Config []byte `json:"config,omitempty"`
+	// Servers, Leaving, Discovered and Lapsed are the parts of a fleet.List.
+	Servers    []fleet.Entry             `json:"servers,omitempty"`
+	Leaving    []ident.BackendID         `json:"leaving,omitempty"`
+	Discovered []fleet.Entry             `json:"discovered,omitempty"`
+	Lapsed     map[ident.BackendID]int64 `json:"lapsed,omitempty"`
 	// ConfigEra is the era of the store in which Config was read.
 	ConfigEra int64 `json:"config_era,omitempty"`
 	// Departed lists the servers that were removed a short time ago.
@@ -79,9 +84,7 @@
 		n.mu.Unlock()
 	}
 	if r.URL.Query().Has("servers") {
-		n.servers.applyMu.Lock()
-		doc.Servers, doc.Position = n.fleet.Entries(), n.servers.position.Load()
-		n.servers.applyMu.Unlock()
+		n.describeState(&doc)
 		if n.versions.Complete() {
 			doc.Versions = n.versions.SnapshotOf(time.Now(), n.fleet.Versions())
 		}
@@ -96,11 +99,21 @@
 	_ = json.NewEncoder(w).Encode(doc) // the peer retries if it gets no answer
 }
 
+// describeState adds this node's list of servers to its state.
+func (n *Node) describeState(doc *stateDocument) {
+	n.servers.applyMu.Lock()
+	defer n.servers.applyMu.Unlock()
+	list := n.fleet.List(time.Now())
+	doc.Servers, doc.Leaving, doc.Discovered, doc.Lapsed = list.Listed, list.Leaving, list.Discovered, list.Lapsed
+	doc.Position = n.servers.position.Load()
+}
+
 // onHeartbeat handles a heartbeat of a peer. It retries failed store calls at once
 // if the peer can read the store again, and fetches the changes that the peer has
 // read and this node has not.
 func (n *Node) onHeartbeat(m mesh.Member) {
 	n.peerHeardOnce.Do(func() { close(n.peerHeard) })
+	n.noteLapse(time.Now(), m)
 	if m.StoreAgeMs < storeRecoveredAge.Milliseconds() && n.storeUnreachable.Swap(false) {
 		n.config.retryNow()
 		n.servers.retryNow()
@@ -110,6 +123,7 @@
 		n.servers.retryOnPeerChange(time.Now())
 	}
 	n.advanceTo(m)
+	n.compareLists(time.Now(), m)
 	n.compareCrashes(m)
 	for _, l := range m.Limits {
 		n.mergeLimit(time.Now(), l, string(m.Host))
@@ -160,7 +174,7 @@
 		if m.State != mesh.Ready {
 			continue
 		}
-		doc, err := fetchState(ctx, m.Mesh, "departed")
+		doc, err := n.peerState(ctx, m.Mesh, "departed")
 		if err != nil {
 			n.log.LogError(logrus.WarnLevel, telemetry.EventPeerCallFailed, err, logrus.Fields{telemetry.FieldPeer: m.Host}, "cannot ask a peer for the servers that have left")
 			return
@@ -195,6 +209,11 @@
 		return
 	}
 	n.storeUnreachable.Store(true)
+	defer func() {
+		if n.storeUnreachable.Load() {
+			n.unreachableAt.Store(now)
+		}
+	}()
 	// A node that is not ready, such as one that has read nothing yet, accepts the
 	// state of any peer whose store data is newer than its own.
 	limit := maxPeerAge
@@ -211,7 +230,10 @@
 		n.storeUnreachable.Store(false) // the store is unreachable for this node only
 	}
 	if best != nil {
-		if age > sharedOutageAge && best.StoreAgeMs < maxPeerAge.Milliseconds() {
+		// Right after an outage that affected all nodes, some can read the store before
+		// others.
+		affectedAll := n.unreachableAt.since(now) < storeStaleAfter
+		if age > sharedOutageAge && best.StoreAgeMs < maxPeerAge.Milliseconds() && !affectedAll {
 			n.peersReadStore.Store(true)
 		}
 		n.readPeerState(ctx, *best, true)
@@ -225,7 +247,7 @@
 	if servers {
 		query = "servers"
 	}
-	doc, err := fetchState(ctx, m.Mesh, query)
+	doc, err := n.peerState(ctx, m.Mesh, query)
 	if err != nil {
 		n.log.LogError(logrus.WarnLevel, telemetry.EventPeerCallFailed, err, logrus.Fields{telemetry.FieldPeer: m.Host}, "cannot fetch the state of a peer")
 		return
@@ -233,10 +255,10 @@
 	if len(doc.Config) > 0 {
 		n.installConfig(doc.Config, doc.ConfigEra, string(m.Host))
 	}
-	if !servers || len(doc.Servers) == 0 {
+	if !servers || len(doc.Servers)+len(doc.Lapsed) == 0 {
 		return
 	}
-	n.applyPeerServers(doc.Servers, doc.Position)
+	n.applyPeerServers(doc)
 	if len(doc.Versions) > 0 {
 		n.versions.Load(time.Now(), doc.Versions, 0)
 	}
@@ -245,32 +267,49 @@
 // applyPeerServers replaces the list of servers by that of a peer. A list older
 // than this node's own is ignored, since it may hold servers that have left, which
 // would be sent requests again.
-func (n *Node) applyPeerServers(list []fleet.Entry, position ident.StorePosition) {
+func (n *Node) applyPeerServers(doc stateDocument) {
 	n.servers.applyMu.Lock()
 	defer n.servers.applyMu.Unlock()
-	if position.Before(n.servers.position.Load()) {
+	if doc.Position.Before(n.servers.position.Load()) {
 		return
 	}
 	now := time.Now()
-	listed := make(map[ident.BackendID]bool, len(list))
-	for _, e := range list {
-		listed[e.ID] = true
-		if e.Sequence == 0 { // found without the list, see gateway.Successor
+	known := n.putPeerServers(now, doc)
+	for _, id := range n.fleet.IDs() {
+		if known[id] {
+			continue
+		}
+		ms, lapsed := doc.Lapsed[id]
+		n.removeServer(now.Add(-time.Duration(ms)*time.Millisecond), id, lapsed)
+	}
+	n.servers.position.Store(doc.Position)
+	n.servers.suspendedAtAnswer.Store(int64(suspension.Total()))
+	n.lastChangePosition = doc.Position
+	n.serversListed.Store(doc.Position)
+	n.serversLoaded.Store(true)
+}
+
+// putPeerServers adds the servers of a peer's list, and returns their ids.
+func (n *Node) putPeerServers(now time.Time, doc stateDocument) map[ident.BackendID]bool {
+	known := make(map[ident.BackendID]bool, len(doc.Servers))
+	for _, e := range doc.Servers {
+		known[e.ID] = true
+		// Some builds list servers that were found without the list among the others. They
+		// have made no report yet.
+		if e.Sequence == 0 && n.fleet.Server(e.ID) == nil {
 			n.fleet.AddDiscovered(now, e)
 			continue
 		}
 		n.fleet.Put(now, e)
-	}
-	for _, id := range n.fleet.IDs() {
-		if !listed[id] {
-			n.removeServer(now, id, false)
+		if slices.Contains(doc.Leaving, e.ID) {
+			n.fleet.RecordLeaving(e.ID, e.Incarnation)
 		}
 	}
-	n.servers.position.Store(position)
-	n.servers.suspendedAtAnswer.Store(int64(suspension.Total()))
-	n.lastChangePosition = position
-	n.serversListed.Store(position)
-	n.serversLoaded.Store(true)
+	for _, e := range doc.Discovered {
+		known[e.ID] = true
+		n.fleet.AddDiscovered(now, e)
+	}
+	return known
 }
 
 // stateClient is the HTTP client for requests to peers. They are too rare to keep
--- a/internal/front/peers_test.go
+++ b/internal/front/peers_test.go
@@ -20,16 +20,19 @@
 		fleet: fleet.New("self", time.Now()), servers: &follower{},
 		log: telemetry.NewEventLog(telemetry.NewLogger(io.Discard, "error", "h", "d")),
 	}
-	n.applyPeerServers([]fleet.Entry{entry("a"), entry("new")}, position(1, 20))
-	n.applyPeerServers([]fleet.Entry{entry("a"), entry("left")}, position(1, 15))
+	apply := func(p ident.StorePosition, servers ...fleet.Entry) {
+		n.applyPeerServers(stateDocument{Servers: servers, Position: p})
+	}
+	apply(position(1, 20), entry("a"), entry("new"))
+	apply(position(1, 15), entry("a"), entry("left"))
 	if n.fleet.Server("left") != nil || n.fleet.Server("new") == nil {
 		t.Errorf("an older list was applied: %v", n.fleet.IDs())
 	}
-	n.applyPeerServers([]fleet.Entry{entry("a")}, position(1, 25))
+	apply(position(1, 25), entry("a"))
 	if n.fleet.Server("new") != nil || n.servers.position.Load() != position(1, 25) {
 		t.Errorf("a newer list was ignored: %v at %v", n.fleet.IDs(), n.servers.position.Load())
 	}
-	n.applyPeerServers([]fleet.Entry{entry("a"), entry("b")}, position(2, 10))
+	apply(position(2, 10), entry("a"), entry("b"))
 	if n.fleet.Server("b") == nil {
 		t.Errorf("a list of a later era was ignored because its revision is lower: %v", n.fleet.IDs())
 	}
--- a/internal/front/reader.go
+++ b/internal/front/reader.go
@@ -78,10 +78,13 @@
 }
 
 // advanceTo moves the position of this node's list to that of a peer's, if the list
-// already holds all changes up to there.
+// already holds all changes up to there, and the same servers.
 func (n *Node) advanceTo(m mesh.Member) {
 	n.servers.applyMu.Lock()
 	defer n.servers.applyMu.Unlock()
+	if m.ServersDigest != 0 && m.ServersDigest != n.fleet.ListDigest() {
+		return
+	}
 	position := n.servers.position.Load()
 	if !position.IsZero() && position.Era == m.ServersRead.Era && showsCurrent(m, position) {
 		n.servers.position.Advance(m.ServersRead)
--- a/internal/front/reader_test.go
+++ b/internal/front/reader_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/peer/mesh"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
@@ -198,6 +199,18 @@
 	})
 }
 
+// Guards against an outage that counts as none because the last call that failed did so early
+// in it: the pauses between calls grow to four seconds.
+func TestOutageIsJudgedAtItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		down := failWith(errors.New("down"))
+		applied, _ := runFollower(t, 10*time.Second, rows(5, "a"), down, down, down, rows(6, "b"), rows(6))
+		if len(applied) != 2 || applied[1] != "apply after outage b" {
+			t.Errorf("applied: %v", applied)
+		}
+	})
+}
+
 // Guards against ignoring the rows of a restored store because their revisions are
 // lower than those read before, and against taking such a listing for an ordinary one.
 func TestFollowerAfterRestore(t *testing.T) {
@@ -243,8 +256,9 @@
 		{"the peer began later", mesh.Member{ServersListed: position(1, 110), ServersRead: position(1, 130)}, position(1, 100)},
 		{"the peer has read less", mesh.Member{ServersRead: position(1, 80)}, position(1, 100)},
 		{"another era", mesh.Member{ServersRead: position(2, 130)}, position(1, 100)},
+		{"other servers", mesh.Member{ServersRead: position(1, 130), ServersDigest: 7}, position(1, 100)},
 	} {
-		n := &Node{servers: &follower{}}
+		n := &Node{servers: &follower{}, fleet: fleet.New("self", time.Now())}
 		n.servers.position.Store(position(1, 100))
 		n.advanceTo(test.member)
 		if got := n.servers.position.Load(); got != test.want {
--- a/internal/front/servers.go
+++ b/internal/front/servers.go
@@ -55,6 +55,25 @@
 	return n.sharedOutageEndedAt.since(now) < lapseWindow
 }
 
+// lapseMs returns Member.LapseMs of this node.
+func (n *Node) lapseMs(now time.Time) int64 {
+	if !n.mayHaveLapsed(now) {
+		return 0
+	}
+	return max(1, n.sharedOutageEndedAt.since(now).Milliseconds())
+}
+
+// noteLapse records that a peer has seen the end of an outage in which entries may have
+// lapsed. This node may have called the store too rarely to notice the outage.
+func (n *Node) noteLapse(now time.Time, m mesh.Member) {
+	if m.LapseMs <= 0 {
+		return
+	}
+	if ended := now.Add(-time.Duration(m.LapseMs) * time.Millisecond); ended.After(n.sharedOutageEndedAt.Load()) {
+		n.sharedOutageEndedAt.Store(ended)
+	}
+}
+
 // afterServersRead runs after each answer of the store to a read of the list of
 // servers. If this node is the reader, which reads the list for all nodes, it sends
 // a heartbeat at once. If calls for the configuration are failing, the next one is
@@ -68,6 +87,13 @@
 	}
 }
 
+// prepareServers asks for what must be known before the first list of servers is installed.
+func (n *Node) prepareServers() {
+	n.awaitPeer()
+	n.readDeparted()
+	n.loadStreamsAtStart()
+}
+
 // replaceServers replaces the list of servers with a full listing.
 func (n *Node) replaceServers(rows Rows, c readContext) {
 	listed := make(map[ident.BackendID]bool, len(rows.Rows))
@@ -75,17 +101,18 @@
 		listed[ident.BackendID(r.Key)] = true
 	}
 	first := !n.serversLoaded.Load()
-	if first {
-		n.awaitPeer()
-		n.readDeparted()
-		n.loadStreamsAtStart()
-	}
+	n.recordOutageEnd(c)
 	now := time.Now()
-	n.applyServers(rows, c)
+	n.installRows(now, rows)
 	lapsed := n.mayHaveLapsed(now)
+	// Peers need not read a list that was read only because it differed from theirs.
+	differed := n.listDiffers.Swap(false)
 	for _, id := range n.fleet.IDs() {
-		if !listed[id] {
-			n.removeServer(now, id, lapsed)
+		if listed[id] {
+			continue
+		}
+		n.removeServer(now, id, lapsed)
+		if !differed {
 			n.serversChanged.Advance(rows.Position)
 		}
 	}
@@ -101,30 +128,30 @@
 
 // applyServers applies changed rows to the list of servers. If this node is the
 // reader, it also sends the changes to its peers, except those of the first answer
-// after an outage of the store or a restore.
+// after an outage of the store or a restore. A full listing is not sent: it does not tell
+// which servers were removed.
 func (n *Node) applyServers(rows Rows, c readContext) {
 	n.recordOutageEnd(c)
 	now := time.Now()
 	from := n.lastChangePosition
-	var changed []mesh.ServerChange
+	changed := n.installRows(now, rows)
+	if len(changed) > 0 && !from.IsZero() && !c.outage && !c.restored && n.isReader(now) {
+		n.mesh.AnnounceServerChanges(from, rows.Position, changed)
+	}
+}
+
+// installRows applies rows to the list of servers and returns the changes.
+func (n *Node) installRows(now time.Time, rows Rows) (changed []mesh.ServerChange) {
 	for _, r := range rows.Rows {
-		if !n.applyServer(now, r) {
-			continue
-		}
-		n.serversChanged.Advance(changePosition(r, rows.Position))
-		if s := n.fleet.Server(ident.BackendID(r.Key)); s != nil && !r.Removed {
-			changed = append(changed, mesh.ServerChange{Server: s.Entry})
-		} else {
-			changed = append(changed, mesh.ServerChange{Removed: ident.BackendID(r.Key)})
+		if change, ok := n.applyServer(now, r); ok {
+			n.serversChanged.Advance(changePosition(r, rows.Position))
+			changed = append(changed, change)
 		}
 	}
-	if len(changed) == 0 {
-		return
-	}
-	n.lastChangePosition = rows.Position
-	if !from.IsZero() && !c.outage && !c.restored && n.isReader(now) {
-		n.mesh.AnnounceServerChanges(from, rows.Position, changed)
+	if len(changed) > 0 {
+		n.lastChangePosition = rows.Position
 	}
+	return changed
 }
 
 // changePosition returns the position at which a row was changed, or, if its version is
@@ -136,35 +163,36 @@
 	return ident.StorePosition{Era: read.Era, Revision: r.Version}
 }
 
-// applyServer applies one row and reports whether the server was added, removed or
-// changed. A row that only shows that the server is alive is not a change.
-func (n *Node) applyServer(now time.Time, r Row) bool {
+// applyServer applies one row. It returns the change of the list if the server was added,
+// removed or changed. A row that only shows that the server is alive is not a change. A
+// removal is one also if this node did not know the server: others may list it.
+func (n *Node) applyServer(now time.Time, r Row) (change mesh.ServerChange, ok bool) {
 	id := ident.BackendID(r.Key)
 	if r.Removed {
-		return n.removeServer(now, id, n.mayHaveLapsed(now))
+		n.removeServer(now, id, n.mayHaveLapsed(now))
+		return mesh.ServerChange{Removed: id}, true
 	}
 	e, err := n.decoder.DecodeEntry(r.Key, r.Value)
 	if err != nil {
 		n.log.LogError(logrus.WarnLevel, telemetry.EventBackendListed, err, nil, "invalid entry of a backend server")
-		return n.removeServer(now, id, false)
+		return mesh.ServerChange{Removed: id}, n.removeServer(now, id, false)
 	}
-	changed := n.fleet.Put(now, e)
-	if changed {
-		n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
-			telemetry.FieldBackend: e.ID, "address": e.Address, "service": e.Service, "version": e.Version, "leaving": e.Draining, "sequence": e.Sequence,
-		}, "backend server listed")
+	if !n.fleet.Put(now, e) {
+		return mesh.ServerChange{}, false
 	}
-	return changed
+	n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
+		telemetry.FieldBackend: e.ID, "address": e.Address, "service": e.Service, "version": e.Version, "leaving": e.Draining, "sequence": e.Sequence,
+	}, "backend server listed")
+	return mesh.ServerChange{Server: e}, true
 }
 
-// removeServer removes a server from the list and reports whether it was listed.
+// removeServer removes a server from the list and reports whether it was known.
 // lapsed is true if its entry may have lapsed during an outage of the store; see
 // fleet.Fleet.Remove.
 func (n *Node) removeServer(now time.Time, id ident.BackendID, lapsed bool) bool {
-	if n.fleet.Server(id) == nil {
+	if !n.fleet.Remove(now, id, lapsed) {
 		return false
 	}
-	n.fleet.Remove(now, id, lapsed)
 	n.log.Log(logrus.InfoLevel, telemetry.EventBackendListed, logrus.Fields{
 		telemetry.FieldBackend: id, "lapsed": lapsed,
 	}, "backend server removed from the list")
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -60,6 +60,12 @@
 	ServersChanged ident.StorePosition `json:"r,omitzero"`
 	ServersListed  ident.StorePosition `json:"b,omitzero"`
 	ServersRead    ident.StorePosition `json:"p,omitzero"`
+	// ServersDigest is a hash of the list of servers; 0 if the node does not tell it. See
+	// fleet.Fleet.ListDigest.
+	ServersDigest uint64 `json:"t,omitempty"`
+	// LapseMs is the time in milliseconds, at least 1, since the end of an outage of the
+	// store in which entries may have lapsed; 0 if there was none lately.
+	LapseMs int64 `json:"g,omitempty"`
 	// LostPaths lists the services to whose servers the node has no network path.
 	LostPaths []string `json:"x,omitempty"`
 	// Crashes is the number of crashes that the node keeps.
