gateway, backendconn: a request is not sent twice on one connection

Cause: a server that refused a request is asked again after a pause, on the same connection. A faulty server sends the refusal once more where the next answer is due; it bears the id of the request, so it is taken for the answer to the second send. Streams have the same fault.

Change: a request takes no connection that has carried it before; the connection stays in the pool for other requests, to which the id tells a late copy.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -78,8 +78,8 @@
 		e.recordAttemptFailure(ctx, s, started, err)
 		return r
 	}
-	g.Pool.Put(addressOf(s), c, response)
 	if r.notRun {
+		e.keepRefusing(s, c, response)
 		if replaced {
 			g.recordLoss(s, fleet.LossReplaced, errReplaced)
 		} else {
@@ -87,6 +87,7 @@
 		}
 		return r
 	}
+	g.Pool.Put(addressOf(s), c, response)
 	g.Fleet.RecordResult(s, r.status < 500)
 	return r
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -230,7 +230,7 @@
 	answer := g.readAnswer(s, response)
 	if answer.NotExecuted {
 		_, _ = io.CopyN(io.Discard, response.Body, 4<<10) // a short text; if it is longer, the connection is not reused
-		g.Pool.Put(addressOf(s), c, response)
+		e.keepRefusing(s, c, response)
 		e.addStep("not run, status %d", response.StatusCode)
 		switch {
 		case answer.Replaced:
--- a/internal/peer/backendconn/pool.go
+++ b/internal/peer/backendconn/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,12 +69,15 @@
 	return &Pool{dial: dial, idle: map[Server][]*Conn{}}
 }
 
-// Get returns an idle or a new connection to a server. An idle connection on which
-// nothing was received for longer than maxSilence is closed and not reused, since
+// Get returns an idle or a new connection to a server, none of except. An idle connection
+// on which nothing was received for longer than maxSilence is closed and not reused, since
 // its network path to the server may be broken.
-func (p *Pool) Get(ctx context.Context, server Server, maxSilence time.Duration) (*Conn, error) {
+//
+// A request must not be sent again on a connection that has carried it: there, a late copy
+// of the first answer could not be told from the second answer.
+func (p *Pool) Get(ctx context.Context, server Server, maxSilence time.Duration, except ...*Conn) (*Conn, error) {
 	for {
-		c := p.pop(server)
+		c := p.pop(server, except...)
 		if c == nil {
 			return p.Dial(ctx, server)
 		}
@@ -86,16 +90,18 @@
 	}
 }
 
-func (p *Pool) pop(server Server) *Conn {
+// pop takes the newest idle connection to a server that is none of except out of the pool.
+func (p *Pool) pop(server Server, except ...*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[server]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !slices.Contains(except, c) {
+			p.idle[server] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[server] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // Dial opens a new connection to a server, also if there are idle ones.
