gateway, soak: a server's failure is not passed on as a promise

Cause: a server that fails after it has run a request may answer 503, 429 or 408 with its proof and without the statement that the request did not run. Such an answer was passed on unchanged, and its status is a promise to the client.

Change: for a request that must run once such an answer is replaced by 502 without the proof, also one that an older build passes on through another host.

--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/yuccahatch/yuccahatch/internal/routing"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
@@ -67,6 +68,21 @@
 	e.recordOutcome(outcome, status, reason)
 }
 
+// statesNotRun reports whether a status tells a client that its request has not run and will
+// not run.
+func statesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// onlyOnce reports whether the request must not run more than once.
+func (e *exchange) onlyOnce() bool {
+	return e.route.Kind == routing.NonIdempotent || e.route.Kind == routing.Stream && !e.route.Resumable
+}
+
 // mayHaveRunHere reports whether a server may have run the request for this node. What the
 // sender of a relayed request has sent before is known to the sender.
 func (e *exchange) mayHaveRunHere() bool {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -313,8 +313,23 @@
 	return true
 }
 
-// sendReply passes a server's answer on to the client and records the outcome.
+// reasonUnstated is the reason for replacing an answer whose status would state that the
+// request did not run.
+const reasonUnstated = "the server failed, and may have run the request"
+
+// sendReply passes a server's answer on to the client and records the outcome. An answer
+// whose status would state that the call did not run, although the server has not stated
+// that, is replaced by one that states nothing.
 func (e *exchange) sendReply(r *reply) {
+	if e.onlyOnce() && statesNotRun(r.status) {
+		if r.rest != nil {
+			r.rest.stop()
+			e.g.Pool.Close(r.rest.conn)
+		}
+		e.addStep("%s answered status %d", r.server.ID, r.status)
+		e.fail(reasonUnstated, 0)
+		return
+	}
 	if r.rest != nil {
 		e.streamReply(r)
 		return
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -204,6 +204,12 @@
 	}
 	e.sentCount++
 	e.addStep("through %s", host.Host)
+	if e.onlyOnce() && statesNotRun(response.StatusCode) { // from a host of a build that passes it on
+		e.g.RelayPool.Close(c)
+		e.g.Metrics.relayed("sent", "failed")
+		e.fail(reasonUnstated, 0)
+		return true
+	}
 	e.passRelayedAnswer(host, c, response)
 	return true
 }
@@ -319,7 +325,7 @@
 		return resultFailed
 	}
 	st.g.RelayPool.Put(host.server(), c, response)
-	if relayAnswerOf(response) == relayAnswered {
+	if relayAnswerOf(response) == relayAnswered && !(st.onlyOnce() && statesNotRun(response.StatusCode)) {
 		st.lastFailure = &bufferedAnswer{response.StatusCode, response.Header, body}
 	}
 	return resultFailed
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -321,7 +321,7 @@
 		st.g.Pool.Close(c)
 	} else {
 		st.g.Pool.Put(addressOf(s), c, response)
-		if answer.Forwardable && response.StatusCode >= 300 {
+		if answer.Forwardable && response.StatusCode >= 300 && !(st.onlyOnce() && statesNotRun(response.StatusCode)) {
 			st.lastFailure = &bufferedAnswer{response.StatusCode, response.Header, body}
 		}
 	}
