gateway, backendconn: a late copy of the answer to an own call is not taken for the next

Found on the paths related to late copies of refusals. The node's calls to engines (make or free the copy of a run) bear no id, and their connections were reused for each other, so that a late copy of one answer could name the copy of another run.

Change: such a call takes no connection on which the latest request was such a call too.

TestLateCopyOfUnidentifiedAnswer fails with the check switched off and passes.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -32,7 +32,7 @@
 		return nil, nil, errBackoff
 	}
 	g.Metrics.probes.Inc(1)
-	c, err := g.Pool.Get(ctx, addressOf(s), 0)
+	c, err := g.Pool.GetUnidentified(ctx, addressOf(s), 0)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -50,6 +50,7 @@
 // exchangeSmall makes one exchange and reads the body of the answer into memory. A body
 // of more than maxStateBytes is an error. It waits for the answer until ctx ends.
 func (g *Gateway) exchangeSmall(ctx context.Context, s *fleet.Server, c *backendconn.Conn, r *backendconn.Request) (*http.Response, []byte, error) {
+	r.Unidentified = true
 	r.Watch = func(time.Time, time.Duration) error { return ctx.Err() }
 	g.Metrics.sends[sendOwn].Inc(1)
 	response, err := c.Exchange(ctx, r)
--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -63,6 +63,9 @@
 	Body   []byte
 	// Matches reports whether a response header belongs to this request.
 	Matches func(http.Header) bool
+	// Unidentified is set if responses do not name the request to which they belong. Its
+	// connection must come from Pool.GetUnidentified.
+	Unidentified bool
 	// OnRead, if not nil, is called after each read that returned bytes.
 	OnRead func(now time.Time)
 	// Watch may be nil; reads then wait without a limit.
@@ -84,6 +87,8 @@
 	// server may close it.
 	expires   time.Time
 	reused    bool
+	// unidentified is set if the latest request on the connection was an unidentified one.
+	unidentified bool
 	watch     Watch
 	onRead    func(time.Time)
 	watchedAt time.Time // time of the latest call of watch
@@ -260,6 +265,7 @@
 			continue
 		}
 		if r.Matches(response.Header) {
+			c.unidentified = r.Unidentified
 			return response, nil
 		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBody); !errors.Is(err, io.EOF) {
--- a/internal/peer/backendconn/conn_test.go
+++ b/internal/peer/backendconn/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -123,11 +124,13 @@
 	}
 }
 
+func anyConn(*Conn) bool { return true }
+
 // waitUntilUnusable waits until the client side of the idle connection detects that
 // it cannot be reused, for at most 1000 checks, 1 ms apart.
 func waitUntilUnusable(t *testing.T, p *Pool, s Server) {
 	t.Helper()
-	c := p.pop(s)
+	c := p.pop(s, anyConn)
 	if c == nil {
 		return
 	}
@@ -202,7 +205,7 @@
 	if err != nil || body != "ok" {
 		t.Fatalf("%q, %v", body, err)
 	}
-	if c := p.pop(s); c != nil {
+	if c := p.pop(s, anyConn); c != nil {
 		t.Error("the connection is kept")
 	}
 }
@@ -215,7 +218,56 @@
 		t.Fatal(err)
 	}
 	p.Retain(time.Now(), func(Server) bool { return false })
-	if p.pop(s) != nil {
+	if p.pop(s, anyConn) != nil {
 		t.Error("a connection to a server that is no longer listed is kept")
 	}
 }
+
+// Guards against a late copy of the response to a request that responses do not name, taken
+// for the response to the next such request: the name of the copy of one run would be taken
+// for that of another.
+func TestLateCopyOfUnidentifiedAnswer(t *testing.T) {
+	var latest sync.Map // response to the latest request, by connection
+	s := serve(t, func(conn net.Conn, r *http.Request) {
+		if again, ok := latest.LoadAndDelete(conn); ok {
+			_, _ = io.WriteString(conn, again.(string))
+		}
+		if r.URL.Path == "/r" {
+			_, _ = io.WriteString(conn, answer)
+			return
+		}
+		response := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + r.URL.Path[1:]
+		latest.Store(conn, response)
+		_, _ = io.WriteString(conn, response)
+	})
+	p := NewPool(nil)
+	own := func(target string) (string, bool) {
+		c, err := p.GetUnidentified(context.Background(), s, time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := c.Exchange(context.Background(), &Request{
+			Method: "GET", Target: target, Host: "h", Unidentified: true, Matches: func(http.Header) bool { return true },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Put(s, c, response)
+		return string(body), c.Reused()
+	}
+	own("/1")
+	if body, _ := own("/2"); body != "2" {
+		t.Errorf("the second request got %q", body)
+	}
+	// A request with an id in between skips a late copy, so that the connection is free again.
+	if _, c, err := exchange(p, s, &Request{Method: "GET", Target: "/r", Host: "h"}); err != nil || !c.Reused() {
+		t.Fatalf("error %v", err)
+	}
+	if body, reused := own("/3"); body != "3" || !reused {
+		t.Errorf("the third request got %q, on a used connection %t", body, reused)
+	}
+}
--- a/internal/peer/backendconn/pool.go
+++ b/internal/peer/backendconn/pool.go
@@ -76,8 +76,19 @@
 // A request must not be sent again on a connection that has carried it: there, a late copy
 // of the first answer could not be told from the second answer.
 func (p *Pool) Get(ctx context.Context, server Server, maxSilence time.Duration, except ...*Conn) (*Conn, error) {
+	return p.get(ctx, server, maxSilence, func(c *Conn) bool { return !slices.Contains(except, c) })
+}
+
+// GetUnidentified is Get for a request whose response does not name it. It returns no
+// connection on which the latest request was such a one too: a late copy of the response to
+// that could not be told from the response to this one.
+func (p *Pool) GetUnidentified(ctx context.Context, server Server, maxSilence time.Duration) (*Conn, error) {
+	return p.get(ctx, server, maxSilence, func(c *Conn) bool { return !c.unidentified })
+}
+
+func (p *Pool) get(ctx context.Context, server Server, maxSilence time.Duration, allowed func(*Conn) bool) (*Conn, error) {
 	for {
-		c := p.pop(server, except...)
+		c := p.pop(server, allowed)
 		if c == nil {
 			return p.Dial(ctx, server)
 		}
@@ -90,13 +101,13 @@
 	}
 }
 
-// pop takes the newest idle connection to a server that is none of except out of the pool.
-func (p *Pool) pop(server Server, except ...*Conn) *Conn {
+// pop takes the newest idle connection to a server that is allowed out of the pool.
+func (p *Pool) pop(server Server, allowed func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[server]
 	for i, c := range slices.Backward(conns) {
-		if !slices.Contains(except, c) {
+		if allowed(c) {
 			p.idle[server] = slices.Delete(conns, i, i+1)
 			return c
 		}
