front, gateway: a planned stop answers the calls that it has passed on

Callers' calls were cut off without an answer at the end of the grace period, among them ones that must not be repeated (reported by other operators).

Cause: a stopping node took calls until 3.2 s after the signal, whatever they needed, and closed all connections half a second before the end of the grace period.

Change: calls are taken for 0.35 of the grace period, later ones get a true 503; the time of each request ends 150 ms before the connections do, so that it is answered.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -240,7 +240,7 @@
 		Overload:   &overload.Controller{},
 		Crashes:    &n.crashes,
 		Versions:   n,
-		Leaving:    n.leaving.Load, AcceptsStreams: n.acceptsStreams,
+		Leaving:    n.leaving.Load, AcceptsNew: n.acceptsNew, AnswerBy: n.answerBy,
 	}
 	n.pool.Dialed = n.gateway.OnDialed
 	n.Tune(DefaultTuning())
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/yuccahatch/yuccahatch/internal/gateway"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
+	"github.com/yuccahatch/yuccahatch/internal/routing"
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
@@ -20,12 +21,18 @@
 	// newStreamShare is the fraction of the grace period during which a leaving
 	// node still accepts new streams. A later stream is unlikely to end in time.
 	newStreamShare = 0.25
+	// newCallShare is the same for calls, most of which end within a second. What is left of
+	// the grace period after it is time for the others.
+	newCallShare = 0.35
 	// minLeaveTime is the minimum time for which a leaving node keeps listening:
 	// clients keep a list of addresses for up to three times its TTL.
 	minLeaveTime = 3*maxAddressTTL + 200*time.Millisecond
 	// killMargin is the time left between the end of the wait for requests in
 	// flight and the end of the grace period, when the process is killed.
 	killMargin = 500 * time.Millisecond
+	// answerMargin is the time before the end of that wait at which requests that still wait
+	// for a server are answered, so that their clients' connections are not cut off.
+	answerMargin = 150 * time.Millisecond
 	// headerTimeout is the maximum time for reading the header of a request.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes is the maximum size of the header of a request. It is above the
@@ -81,15 +88,29 @@
 	return nil
 }
 
-// acceptsStreams reports whether a stream that starts now is likely to end before
-// the node stops.
-func (n *Node) acceptsStreams() bool {
+// acceptsNew reports whether a request that starts now is likely to end before the node
+// stops.
+func (n *Node) acceptsNew(kind routing.Kind) bool {
 	if !n.leaving.Load() {
 		return true
 	}
+	share := newCallShare
+	if kind == routing.Stream {
+		share = newStreamShare
+	}
 	grace := time.Duration(n.grace.Load())
 	since := n.leavingSince.since(time.Now())
-	return grace == 0 || since < time.Duration(newStreamShare*float64(grace))
+	return grace == 0 || since < time.Duration(share*float64(grace))
+}
+
+// answerBy returns the time by which requests must be answered because the node stops; zero
+// if it does not.
+func (n *Node) answerBy() time.Time {
+	grace := time.Duration(n.grace.Load())
+	if !n.leaving.Load() || grace == 0 {
+		return time.Time{}
+	}
+	return n.leavingSince.Load().Add(max(grace-killMargin-answerMargin, 0))
 }
 
 // leave announces that the node is leaving and listens on for minLeaveTime. It returns the
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,7 +54,7 @@
 		Matches: func(h http.Header) bool { return g.Codec.IsAnswerTo(e.call, h) },
 		OnRead:  func(now time.Time) { g.Fleet.RecordData(s, now) },
 		Watch: func(now time.Time, idle time.Duration) error {
-			if !now.Before(e.deadline) {
+			if e.timeLeft(now) <= 0 {
 				return errDeadline
 			}
 			if s.GoneSince(goneCount) && idle > callSilenceLimit {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,9 +84,12 @@
 	Leaving func() bool
 	// AlivePeers returns the number of other hosts that are alive.
 	AlivePeers func() int
-	// AcceptsStreams reports whether a new stream may begin. A refused stream has
-	// not run, and its client sends it to another node.
-	AcceptsStreams func() bool
+	// AcceptsNew reports whether a new request may begin. A refused one has not run, and its
+	// client sends it to another node.
+	AcceptsNew func(routing.Kind) bool
+	// AnswerBy returns the time by which requests must be answered because the node stops;
+	// zero if it does not.
+	AnswerBy func() time.Time
 
 	// Paths knows the network paths of this host to the servers. PathChanged notifies peers
 	// when one is lost or back.
@@ -201,7 +204,7 @@
 		return
 	}
 	call.Body = body
-	if route.Kind == routing.Stream && !g.AcceptsStreams() {
+	if !g.AcceptsNew(route.Kind) {
 		g.rejectCall(w, call, http.StatusServiceUnavailable, minRetryAfter, "the node is about to stop")
 		return
 	}
@@ -242,8 +245,15 @@
 	return timeout
 }
 
-// timeLeft returns the time until the request's deadline.
-func (e *exchange) timeLeft(now time.Time) time.Duration { return e.deadline.Sub(now) }
+// timeLeft returns the time until the request's deadline, or until it must be answered
+// because the node stops, if that is earlier.
+func (e *exchange) timeLeft(now time.Time) time.Duration {
+	left := e.deadline.Sub(now)
+	if by := e.g.AnswerBy(); !by.IsZero() {
+		left = min(left, by.Sub(now))
+	}
+	return left
+}
 
 func (e *exchange) clientGone() bool { return e.ctx.Err() != nil }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -108,7 +108,7 @@
 	running := 0
 	launch := func(p retryshare.Priority) bool {
 		now := time.Now()
-		if e.sentCount+running >= max(1, e.route.Attempts) || e.refusedCount > maxRefusals {
+		if e.timeLeft(now) <= 0 || e.sentCount+running >= max(1, e.route.Attempts) || e.refusedCount > maxRefusals {
 			return false
 		}
 		if p == retryshare.Optional && e.limited(now) || e.canRelay() {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -97,7 +97,7 @@
 		Matches: func(http.Header) bool { return true },
 		Watch: func(now time.Time, idle time.Duration) error {
 			switch {
-			case !now.Before(e.deadline.Add(relayGrace)):
+			case e.timeLeft(now) <= -relayGrace:
 				return errDeadline
 			case idle > relaySilence && !e.g.Relays.Alive(host.Host):
 				return backendconn.NewSilentError(idle, "the host does not answer")
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -62,7 +62,7 @@
 
 // check implements backendconn.Watch.
 func (w *streamWatch) check(now time.Time, idle time.Duration) error {
-	if !now.Before(w.st.deadline) {
+	if w.st.timeLeft(now) <= 0 {
 		return errDeadline
 	}
 	if !w.eventDelivered && w.st.crashesServers(now) {
--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -85,14 +85,14 @@
 	lastRead time.Time
 	// expires is the time after which the idle connection is not reused, since the
 	// server may close it.
-	expires   time.Time
-	reused    bool
+	expires time.Time
+	reused  bool
 	// unidentified is set if the latest request on the connection was an unidentified one.
 	unidentified bool
-	watch     Watch
-	onRead    func(time.Time)
-	watchedAt time.Time // time of the latest call of watch
-	watchErr  error     // error with which watch ended a read; nil if it has not
+	watch        Watch
+	onRead       func(time.Time)
+	watchedAt    time.Time // time of the latest call of watch
+	watchErr     error     // error with which watch ended a read; nil if it has not
 	// headLeft is the number of bytes that may still be read before the header is
 	// complete; it is not used while readingHead is false.
 	headLeft    int
