gateway: an open connection alone shows no path to the servers

Cause: a control connection counted as opened when it stayed open for 20 ms, so each check of the path was sound.

Change: the server must answer a status check on the control connection, or, if that stays open, some server of the service must have sent data meanwhile.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -309,6 +309,11 @@
 	return list[:min(limit, len(list))]
 }
 
+// ServiceDataSince reports whether data of any server of a service has arrived after a time.
+func (f *Fleet) ServiceDataSince(service string, at time.Time) bool {
+	return slices.ContainsFunc(f.OfService(service), func(s *Server) bool { return f.DataSince(s, at) })
+}
+
 // RandomServers returns up to limit servers of a service, except some, chosen at random.
 func (f *Fleet) RandomServers(service string, except []ident.BackendID, limit int) []*Server {
 	list := slices.DeleteFunc(f.OfService(service), func(s *Server) bool { return slices.Contains(except, s.ID) })
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,6 +23,9 @@
 	// controlTimeout is the timeout of a control connection. It is far above the few
 	// milliseconds that opening one takes.
 	controlTimeout = 150 * time.Millisecond
+	// controlAnswerTimeout is the time within which the server must answer a status check on
+	// a control connection.
+	controlAnswerTimeout = 250 * time.Millisecond
 	// checkPoll is how often a request looks for the end of a check.
 	checkPoll = 5 * time.Millisecond
 )
@@ -90,7 +94,7 @@
 			ok := false
 			defer func() { opened <- ok }()
 			defer g.recoverPanic("control connection")
-			ok = g.openControl(s)
+			ok = g.reaches(s)
 		}()
 	}
 	sample := reach.Sample{Tried: len(targets)}
@@ -102,6 +106,54 @@
 	return sample
 }
 
+// reaches reports whether a server answers a status check on a new connection. A device on
+// the path may accept connections and reset them some time later, so that an open connection
+// shows nothing. A server with a long queue does not answer in time: if the connection stays
+// open, data of any server of the service shows that there is a path. Servers that limit
+// requests are sent no check.
+func (g *Gateway) reaches(s *fleet.Server) bool {
+	method, target, known := g.statusCheck(s)
+	if !known || g.Fleet.Limited(s) || g.Fleet.InBackoff(s, time.Now()) {
+		return g.openControl(s)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	began := time.Now()
+	c, err := g.Pool.OpenSettled(ctx, addressOf(s))
+	if err != nil {
+		return false
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), controlAnswerTimeout)
+	defer cancel()
+	g.Metrics.probes.Inc(1)
+	response, _, err := g.exchangeSmall(ctx, s, c, &backendconn.Request{
+		Method: method, Target: target, Host: s.Address, Header: http.Header{}, Matches: g.Codec.IsOwnAnswer,
+	})
+	if response != nil && err == nil {
+		g.Pool.Put(addressOf(s), c, response)
+		return true
+	}
+	g.Pool.Close(c)
+	return response != nil || ctx.Err() != nil && g.Fleet.ServiceDataSince(s.Service, began)
+}
+
+// statusCheck returns the call with which a server is asked for its state.
+func (g *Gateway) statusCheck(s *fleet.Server) (method, target string, known bool) {
+	table := g.Routes.Current()
+	if table == nil {
+		return "", "", false
+	}
+	service := table.Service(s.Service)
+	switch {
+	case service == nil:
+		return "", "", false
+	case service.Engine != nil: // which answers this call without a slot
+		method, target = g.Codec.Probe()
+		return method, target, true
+	}
+	return http.MethodGet, service.HealthPath, service.HealthPath != ""
+}
+
 // openControl opens a connection to a server, which is kept for the next request.
 func (g *Gateway) openControl(s *fleet.Server) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
--- a/internal/peer/backendconn/pool.go
+++ b/internal/peer/backendconn/pool.go
@@ -161,16 +161,25 @@
 // OpenIdle opens a connection and adds it to the pool if it stays open for settleTime: a
 // device on the path may accept connections and reset them.
 func (p *Pool) OpenIdle(ctx context.Context, server Server) error {
+	c, err := p.OpenSettled(ctx, server)
+	if err == nil {
+		p.Keep(server, c)
+	}
+	return err
+}
+
+// OpenSettled opens a connection that stays open for settleTime. A device on the path may
+// still reset it later: only bytes from the server show that there is a path to it.
+func (p *Pool) OpenSettled(ctx context.Context, server Server) (*Conn, error) {
 	c, err := p.Dial(ctx, server)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if err := c.settle(); err != nil {
 		c.raw.Close()
-		return err
+		return nil, err
 	}
-	p.Keep(server, c)
-	return nil
+	return c, nil
 }
 
 // Keep adds a new connection that has carried no request to the pool.
