gateway: the bodies of requests have a budget of the host's memory

Cause: each body is held until its answer ends, for any number of requests, and nothing compared the sum with the memory of the host.

Change: all bodies together hold at most half of the host's memory, those above 64 KB at most 0.85 of that; beyond it a request gets 503 before anything of it is sent.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -242,6 +242,7 @@
 		Versions:   n,
 		Leaving:    n.leaving.Load, AcceptsNew: n.acceptsNew, AnswerBy: n.answerBy,
 	}
+	n.gateway.Bodies.SetHostMemory(int64(s.MemoryMB) << 20)
 	n.pool.Dialed = n.gateway.OnDialed
 	n.Tune(DefaultTuning())
 	n.config = n.newFollower(TableConfig, configPollWait, n.applyConfig, n.applyConfig)
@@ -367,3 +368,6 @@
 // ConfigVersion returns the version of the configuration in force, or 0 if there
 // is none yet.
 func (n *Node) ConfigVersion() int64 { return n.routes.Version() }
+
+// BodyBytes returns the number of bytes that the bodies of requests hold in memory.
+func (n *Node) BodyBytes() int64 { return n.gateway.Bodies.Held() }
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -20,39 +19,22 @@
 // minBodyTime is the least time that a client has for sending the body of a request.
 const minBodyTime = time.Second
 
-// readBodyWithin is readBody with a deadline. The deadline is removed afterwards, since
-// the connection is read on to notice that the client disconnects.
-func readBodyWithin(control *http.ResponseController, r *http.Request, limit int64, deadline time.Time) ([]byte, int) {
+// readWithin reads a body with a deadline. The deadline is removed afterwards, since
+// the connection is read on to notice that the client disconnects. It returns a status other
+// than 0 if the request must be refused for its body.
+func (h *heldBody) readWithin(control *http.ResponseController, r *http.Request, limit int64, deadline time.Time) (status int) {
 	if r.Body == http.NoBody {
-		return nil, 0
+		return 0
 	}
 	_ = control.SetReadDeadline(deadline) // fails only if the client has disconnected
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	return readBody(r, limit)
+	status = h.read(r, limit)
+	if status == http.StatusServiceUnavailable {
+		// A client that still writes when the connection ends may not see the refusal.
+		_, _ = io.CopyN(io.Discard, r.Body, max(limit, defaultBodyBytes)) // ends with the body
+	}
+	return status
 }
 
 // defaultBodyBytes is the maximum size of a request's body if the configuration sets none.
 const defaultBodyBytes = 1 << 20
-
-// readBody reads the whole body, since it may have to be sent more than once.
-// It returns a status other than 0 if the request must be refused for its body.
-func readBody(r *http.Request, limit int64) ([]byte, int) {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength > limit {
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	var buf bytes.Buffer
-	if r.ContentLength > 0 {
-		buf.Grow(int(r.ContentLength))
-	}
-	n, err := io.Copy(&buf, io.LimitReader(r.Body, limit+1))
-	switch {
-	case n > limit:
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		return nil, http.StatusBadRequest
-	}
-	return buf.Bytes(), 0
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,10 @@
 // defaultTimeout is the timeout of a call whose client sets none.
 const defaultTimeout = 30 * time.Second
 
+// bodyRetryAfter is the value from which the Retry-After of an answer is derived when there
+// is no memory for the body of a request. Large requests are streams, which last seconds.
+const bodyRetryAfter = time.Second
+
 // Weight is a number from 0 to 1 that may be changed while requests are served.
 type Weight struct{ bits atomic.Uint64 }
 
@@ -104,6 +108,9 @@
 	// RelayPool holds the connections to other hosts over which requests are sent.
 	RelayPool *backendconn.Pool
 
+	// Bodies bounds the memory that the bodies of requests hold.
+	Bodies BodyBudget
+
 	locating        locator
 	invalid         invalidHeaders
 	relayedInFlight relayedCount
@@ -198,12 +205,18 @@
 	}
 	timeout := timeoutOf(call, route)
 	setWriteDeadline(control, now.Add(timeout+writeSlack))
-	body, status := readBodyWithin(control, r, table.Limits.BodyBytes, now.Add(max(timeout, minBodyTime)))
-	if status != 0 {
+	body := heldBody{budget: &g.Bodies}
+	defer body.release()
+	switch status := body.readWithin(control, r, table.Limits.BodyBytes, now.Add(max(timeout, minBodyTime))); status {
+	case 0:
+	case http.StatusServiceUnavailable:
+		g.rejectCall(w, call, status, retryAfter(bodyRetryAfter), "the bodies of other requests fill the memory")
+		return
+	default:
 		g.rejectCall(w, call, status, 0, "the body could not be read")
 		return
 	}
-	call.Body = body
+	call.Body = body.bytes
 	if !g.AcceptsNew(route.Kind) {
 		g.rejectCall(w, call, http.StatusServiceUnavailable, minRetryAfter, "the node is about to stop")
 		return
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,14 @@
 		return
 	}
 	defer g.relayedInFlight.end()
+	body := heldBody{budget: &g.Bodies}
+	defer body.release()
+	if !body.take(max(0, r.ContentLength)) {
+		// A host that still writes when the connection ends may not see the refusal.
+		_, _ = io.CopyN(io.Discard, r.Body, maxRelayHead+maxRelayedBody(table)) // ends with the body
+		refuseRelayed(w, retryAfter(bodyRetryAfter), "the bodies of other requests fill the memory")
+		return
+	}
 	control := http.NewResponseController(w)
 	setWriteDeadline(control, now.Add(defaultTimeout))
 	h, err := decodeRelayed(r, maxRelayedBody(table))
