--- a/internal/front/servers_test.go
+++ b/internal/front/servers_test.go
@@ -47,7 +47,7 @@
 }
 
 // Guards against a reader that does not tell the removal of a server that it did not know:
-// the others went on to send requests to it.
+// the others kept sending requests to it.
 func TestRemovalOfUnknownServerIsTold(t *testing.T) {
 	n, sent := readerNode()
 	n.servers.install(Rows{Rows: []Row{{Key: "b", Removed: true, Version: 12}}, Position: position(1, 13)}, false, false)
