gateway: the line of a request in trouble lists its sends

Cause: an answer that states that a request did not run could not be explained from its log line. The steps name servers, but not the connection, how many requests it had carried, or whether answers to other requests were skipped on it, so a late copy of a refusal, a failure without a statement and a send that was not counted looked alike.

No decision changes.

--- a/internal/explain/logs.go
+++ b/internal/explain/logs.go
@@ -142,15 +142,19 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// Detail returns the remaining fields of a line as text. The steps come last, each
-// on its own line.
+// Detail returns the remaining fields of a line as text. The sends and the steps come last,
+// each on its own line.
 func (l LogLine) Detail() string {
 	var b strings.Builder
 	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
-		if name != "steps" && l.Fields[name] != "" {
+		if name != "steps" && name != "sends" && l.Fields[name] != "" {
 			fmt.Fprintf(&b, "%s=%v ", name, l.Fields[name])
 		}
 	}
+	sends, _ := l.Fields["sends"].([]any)
+	for _, send := range sends {
+		fmt.Fprintf(&b, "\n    sent to %v", send)
+	}
 	steps, _ := l.Fields["steps"].([]any)
 	for _, step := range steps {
 		fmt.Fprintf(&b, "\n    %v", step)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,8 +29,10 @@
 	defer g.release(s)
 	defer g.Fleet.EndRequest(s)
 	r := &reply{server: s}
+	send := e.beginSend(string(s.ID))
 	c, stop, err := e.connect(ctx, s, maxIdle)
 	if err != nil {
+		e.endSend(send, sendNotSent, 0, nil)
 		r.notRun, r.connectFailed = true, true
 		if ctx.Err() == nil {
 			g.recordFailure(s, err)
@@ -66,6 +68,7 @@
 	if err == nil {
 		replaced, err = e.readReply(r, c, response, stop)
 	}
+	e.endSend(send, r.sendOutcome(err), r.status, c)
 	if r.rest != nil {
 		return r
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,7 +167,8 @@
 	cachedFingerprint quarantine.Fingerprint
 	fingerprintOnce   sync.Once
 	// sends is the number of attempts for which the request was sent to a server.
-	sends atomic.Int32
+	sends   atomic.Int32
+	sendLog sendLog
 	// steps lists the steps in serving the request, oldest first, for the log.
 	steps   []string
 	started time.Time
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	probes         tally.Counter
 	invalidHeaders tally.Counter
 	denied         tally.Counter
+	skipped        tally.Counter
 	pathsLost      tally.Counter
 	sends          map[sendPurpose]tally.Counter
 	resumes        map[string]tally.Counter
@@ -45,6 +46,7 @@
 		probes:         telemetry.Probes.Counter(scope),
 		invalidHeaders: telemetry.InvalidHeaders.Counter(scope),
 		denied:         telemetry.BackendDenied.Counter(scope),
+		skipped:        telemetry.BackendSkipped.Counter(scope),
 		pathsLost:      telemetry.PathsLost.Counter(scope),
 		sends: map[sendPurpose]tally.Counter{
 			sendFirst:  telemetry.BackendSends.Counter(scope, string(sendFirst)),
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -14,13 +14,16 @@
 	"github.com/yuccahatch/yuccahatch/internal/telemetry"
 )
 
+// fieldSends is the log field with the sends of a request; see sendRecord.
+const fieldSends = "sends"
+
 // rejectCall refuses a request before a server was chosen for it, and logs the
 // reason.
 func (g *Gateway) rejectCall(w http.ResponseWriter, c *Call, status int, retryAfter time.Duration, reason string) {
 	writeRefusal(w, status, retryAfter, reason)
 	g.Log.Log(logrus.InfoLevel, telemetry.EventRequestTroubled, logrus.Fields{
 		telemetry.FieldRequest: c.ID, "host_name": c.Host, "path": c.Path, "config_version": g.Routes.Version(),
-		"outcome": "refused", "status": status, "reason": reason, "retry_after_ms": retryAfter.Milliseconds(),
+		"outcome": "refused", "status": status, "reason": reason, fieldSends: []string{}, "retry_after_ms": retryAfter.Milliseconds(),
 	}, "request refused")
 }
 
@@ -123,7 +126,7 @@
 	if outcome != "served" || e.sentCount > 1 {
 		event = telemetry.EventRequestTroubled
 	}
-	e.g.Log.Log(level, event, logrus.Fields{
+	fields := logrus.Fields{
 		telemetry.FieldRequest: e.call.ID,
 		"route":                e.route.Name,
 		"kind":                 e.route.Kind.String(),
@@ -138,5 +141,9 @@
 		"origin":               e.call.Origin,
 		"duration_ms":          time.Since(e.started).Milliseconds(),
 		"steps":                e.steps,
-	}, "request "+outcome)
+	}
+	if event == telemetry.EventRequestTroubled {
+		fields[fieldSends] = e.sendLog.list()
+	}
+	e.g.Log.Log(level, event, fields, "request "+outcome)
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -53,6 +53,17 @@
 // 500.
 func (r *reply) succeeded() bool { return r.err == nil && !r.notRun && r.status < 500 }
 
+// sendOutcome returns what is known of the attempt, whose exchange ended with err.
+func (r *reply) sendOutcome(err error) sendOutcome {
+	switch {
+	case r.notRun:
+		return sendRefused
+	case err != nil:
+		return sendUnknown
+	}
+	return sendAnswered
+}
+
 // answered reports whether the server ran the call and the answer may be passed
 // on.
 func (r *reply) answered() bool { return r.err == nil && !r.notRun }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -87,8 +87,10 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
+	send := e.beginSend("host " + string(host.Host))
 	c, stop, err = connect(e.ctx, e.g.RelayPool, host.server(), relayMaxIdle)
 	if err != nil {
+		e.endSend(send, sendNotSent, 0, nil)
 		return nil, nil, nil, err
 	}
 	response, err = c.Exchange(e.ctx, &backendconn.Request{
@@ -106,10 +108,12 @@
 		},
 	})
 	if err != nil {
+		e.endSend(send, sendUnknown, 0, c)
 		stop()
 		e.g.RelayPool.Close(c)
 		return nil, nil, nil, err
 	}
+	e.endSend(send, relayAnswerOf(response).sendOutcome(), response.StatusCode, c)
 	return c, response, stop, nil
 }
 
@@ -121,46 +125,6 @@
 	return backendconn.Server{ID: ident.BackendID(h.Host), Address: h.Address}
 }
 
-// relayAnswer is what the second host says of the request in the head of its answer.
-type relayAnswer int
-
-const (
-	relayAnswered    relayAnswer = iota // a server's answer follows
-	relayNotAccepted                    // another host may accept the request
-	relayNotRun                         // the request did not run and will not
-	relayUnknown                        // a server may have run the request
-)
-
-func relayAnswerOf(response *http.Response) relayAnswer {
-	if response.Header.Get(headerRelayed) == "" {
-		if response.StatusCode == http.StatusNotFound {
-			return relayNotAccepted // a node of a version that accepts no requests of others
-		}
-		return relayUnknown
-	}
-	switch response.Header.Get(headerRelayOutcome) {
-	case "":
-		return relayAnswered
-	case relayUnavailable:
-		return relayNotAccepted
-	case relayRefused:
-		return relayNotRun
-	}
-	return relayUnknown
-}
-
-// relayRefusalOf returns the refusal in an answer of the second host.
-func relayRefusalOf(response *http.Response) *refusal {
-	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
-	if err != nil || !(seconds >= 0 && seconds <= maxRelayedRetryAfter.Seconds()) {
-		seconds = 0
-	}
-	return &refusal{"refused by the host through which it was sent", time.Duration(seconds * float64(time.Second))}
-}
-
-// maxRelayedRetryAfter is the longest Retry-After that is taken over from another host.
-const maxRelayedRetryAfter = time.Hour
-
 // serveThroughRelay serves a call through another host. It returns false if the call did
 // not run and may still be served otherwise.
 func (e *exchange) serveThroughRelay() bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -200,8 +200,10 @@
 	if !st.confirmVersion(s, a) {
 		return resultNotRun
 	}
+	send := e.beginSend(string(s.ID))
 	c, stop, err := e.connect(e.ctx, s, streamMaxIdle)
 	if err != nil {
+		e.endSend(send, sendNotSent, 0, nil)
 		return st.connectionFailed(s, err)
 	}
 	defer stop()
@@ -224,11 +226,13 @@
 		Watch:   watch.check,
 	})
 	if err != nil {
+		e.endSend(send, sendUnknown, 0, c)
 		g.Pool.Close(c)
 		return st.attemptLost(s, nil, err, false)
 	}
 	answer := g.readAnswer(s, response)
 	if answer.NotExecuted {
+		e.endSend(send, sendRefused, response.StatusCode, c)
 		_, _ = io.CopyN(io.Discard, response.Body, 4<<10) // a short text; if it is longer, the connection is not reused
 		e.keepRefusing(s, c, response)
 		e.addStep("not run, status %d", response.StatusCode)
@@ -244,6 +248,7 @@
 		e.exclude = append(e.exclude, s.ID)
 		return resultNotRun
 	}
+	e.endSend(send, sendAnswered, response.StatusCode, c)
 	if response.StatusCode >= 300 || !answer.Forwardable {
 		return st.answeredWithFailure(s, c, response, answer)
 	}
--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -87,6 +87,9 @@
 	// server may close it.
 	expires time.Time
 	reused  bool
+	// requests is the number of requests that were sent on the connection, and skipped the
+	// number of responses to others that were skipped while the latest one was waited for.
+	requests, skipped int
 	// unidentified is set if the latest request on the connection was an unidentified one.
 	unidentified bool
 	watch        Watch
@@ -103,6 +106,23 @@
 // Reused reports whether the connection has carried an earlier request.
 func (c *Conn) Reused() bool { return c.reused }
 
+// Requests returns the number of requests that were sent on the connection, the current one
+// included.
+func (c *Conn) Requests() int { return c.requests }
+
+// Skipped returns the number of responses to other requests that were skipped while the
+// response to the latest request was waited for.
+func (c *Conn) Skipped() int { return c.skipped }
+
+// LocalPort returns the local port of the connection, which names it in logs; 0 if the
+// network has no ports.
+func (c *Conn) LocalPort() int {
+	if address, ok := c.raw.LocalAddr().(*net.TCPAddr); ok {
+		return address.Port
+	}
+	return 0
+}
+
 // Abort closes the connection. A blocked read fails with CodeCancelled.
 func (c *Conn) Abort() {
 	c.aborted.Store(true)
@@ -241,6 +261,8 @@
 // pool.
 func (c *Conn) Exchange(ctx context.Context, r *Request) (*http.Response, error) {
 	c.watch, c.onRead = r.Watch, r.OnRead
+	c.requests++
+	c.skipped = 0
 	c.lastRead = time.Now()
 	c.watchedAt = c.lastRead
 	if err := c.send(r); err != nil {
@@ -268,6 +290,7 @@
 			c.unidentified = r.Unidentified
 			return response, nil
 		}
+		c.skipped++
 		if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBody); !errors.Is(err, io.EOF) {
 			return nil, newError(CodeProtocol).Errorf("cannot skip the response to another request from %s: %v", c.raw.RemoteAddr(), err)
 		}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -41,6 +41,7 @@
 	InvalidHeaders          = Metric{"backend_invalid_headers_total", Counter, "headers", nil, "Headers of backend servers that were ignored because their values were invalid."}
 	Probes                  = Metric{"backend_probes_total", Counter, "calls", nil, "Calls that ask a backend server for its state."}
 	BackendSends            = Metric{"backend_sends_total", Counter, "requests", []string{"purpose"}, "Requests sent to backend servers: first attempts, repeats of calls and streams, and calls of the node's own."}
+	BackendSkipped          = Metric{"backend_skipped_answers_total", Counter, "answers", nil, "Answers of backend servers to other requests that were skipped, such as late copies."}
 	BackendDenied           = Metric{"backend_limit_denied_total", Counter, "requests", nil, "Requests that were not sent to a backend server because of the limit that it names."}
 	Relayed                 = Metric{"relayed_requests_total", Counter, "requests", []string{"side", "outcome"}, "Requests that went through a second host: sent to it or received by it, by outcome."}
 	PathsLost               = Metric{"paths_lost_total", Counter, "losses", nil, "Losses of the network path from this host to the servers of a service."}
@@ -59,6 +60,6 @@
 		&RingDropped, &Refused, &QueueLength,
 		&ContractSequence, &ContractFreshAgeSeconds, &Isolated,
 		&Peers, &PeerCalls, &PlatformCalls, &Claims, &Backends, &Quarantined, &ExplainObjects, &OrdersTotal,
-		&RoutedRequests, &RoutedSeconds, &InvalidEras, &InvalidHeaders, &Probes, &BackendSends, &BackendDenied, &Relayed, &PathsLost,
+		&RoutedRequests, &RoutedSeconds, &InvalidEras, &InvalidHeaders, &Probes, &BackendSends, &BackendSkipped, &BackendDenied, &Relayed, &PathsLost,
 	}
 }
