backendconn, gateway: a connection remembers the requests that it carried

What clients saw: a client whose call or stream was refused with 503, and that named the same request in its next attempt, was told again that it had not run, although a server had run it.

Cause: an id identifies an answer only while it was used once on a connection. The connections to avoid were kept by the exchange and forgotten with it, so a later exchange with the same id could take the same connection, where a late copy of the earlier refusal passes for its answer.

TestConnectionCarriesRequestOnce guards the rule in the pool.

Change: the connection keeps the hashes of the ids that it has carried, and Pool.Get returns none that has carried the request, whoever sends it: the same exchange, a later one, or one that comes through another host. Answers other than refusals count too, since a failure is followed by another send as well. The list of the exchange is gone.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,7 @@
 	replaced := false
 	e.countSend()
 	response, err := c.Exchange(ctx, &backendconn.Request{
-		Method: e.call.Method, Target: e.call.Target, Host: e.call.Host,
+		ID: e.call.ID, Method: e.call.Method, Target: e.call.Target, Host: e.call.Host,
 		Header:  g.Codec.Encode(e.call, Attempt{Server: s.ID, Team: e.team, Timeout: e.timeLeft(now)}),
 		Body:    e.call.Body,
 		Matches: func(h http.Header) bool { return g.Codec.IsAnswerTo(e.call, h) },
@@ -82,7 +82,7 @@
 		return r
 	}
 	if r.notRun {
-		e.keepRefusing(s, c, response)
+		g.Pool.Put(addressOf(s), c, response)
 		if replaced {
 			g.recordLoss(s, fleet.LossReplaced, errReplaced)
 		} else {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -157,11 +156,6 @@
 	retryReserved bool // a retry was taken for the next attempt; see reserveRetry
 	// retryWaited is how long the attempt before has waited for a retry already.
 	retryWaited time.Duration
-	// carried holds the connections on which servers have refused the request; see
-	// backendconn.Pool.Get. It is guarded by carriedMu, since a call may have several
-	// attempts at the same time.
-	carriedMu sync.Mutex
-	carried   []*backendconn.Conn
 	// cachedFingerprint is the fingerprint of the request, computed once by content, which
 	// the attempts of a call may need at the same time.
 	cachedFingerprint quarantine.Fingerprint
@@ -340,23 +334,11 @@
 // at most maxIdle and has not carried the request before. The connection is aborted when
 // ctx ends, unless the returned function has been called.
 func (e *exchange) connect(ctx context.Context, s *fleet.Server, maxIdle time.Duration) (*backendconn.Conn, func() bool, error) {
-	e.carriedMu.Lock()
-	carried := slices.Clone(e.carried)
-	e.carriedMu.Unlock()
-	return connect(ctx, e.g.Pool, addressOf(s), maxIdle, carried...)
+	return connect(ctx, e.g.Pool, addressOf(s), e.call.ID, maxIdle)
 }
 
-// keepRefusing returns the connection of an attempt that was refused to the pool, for other
-// requests.
-func (e *exchange) keepRefusing(s *fleet.Server, c *backendconn.Conn, response *http.Response) {
-	e.carriedMu.Lock()
-	e.carried = append(e.carried, c)
-	e.carriedMu.Unlock()
-	e.g.Pool.Put(addressOf(s), c, response)
-}
-
-func connect(ctx context.Context, pool *backendconn.Pool, server backendconn.Server, maxIdle time.Duration, except ...*backendconn.Conn) (*backendconn.Conn, func() bool, error) {
-	c, err := pool.Get(ctx, server, maxIdle, except...)
+func connect(ctx context.Context, pool *backendconn.Pool, server backendconn.Server, id ident.RequestID, maxIdle time.Duration) (*backendconn.Conn, func() bool, error) {
+	c, err := pool.Get(ctx, server, id, maxIdle)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -88,13 +88,13 @@
 		return nil, nil, nil, err
 	}
 	send := e.beginSend("host " + string(host.Host))
-	c, stop, err = connect(e.ctx, e.g.RelayPool, host.server(), relayMaxIdle)
+	c, stop, err = connect(e.ctx, e.g.RelayPool, host.server(), e.call.ID, relayMaxIdle)
 	if err != nil {
 		e.endSend(send, sendNotSent, 0, nil)
 		return nil, nil, nil, err
 	}
 	response, err = c.Exchange(e.ctx, &backendconn.Request{
-		Method: http.MethodPost, Target: RelayPath, Host: host.Address, Body: body,
+		ID: e.call.ID, Method: http.MethodPost, Target: RelayPath, Host: host.Address, Body: body,
 		Header:  http.Header{headerHeadLength: {strconv.Itoa(headLength)}},
 		Matches: func(http.Header) bool { return true },
 		Watch: func(now time.Time, idle time.Duration) error {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -219,7 +219,7 @@
 	watch := &streamWatch{g: g, st: st, server: s, lossCountAtStart: s.LossCount(), started: now, expected: wait}
 	e.countSend()
 	response, err := c.Exchange(e.ctx, &backendconn.Request{
-		Method: e.call.Method, Target: e.call.Target, Host: e.call.Host,
+		ID: e.call.ID, Method: e.call.Method, Target: e.call.Target, Host: e.call.Host,
 		Header: g.Codec.Encode(e.call, a), Body: e.call.Body,
 		Matches: func(h http.Header) bool { return g.Codec.IsAnswerTo(e.call, h) },
 		OnRead:  func(now time.Time) { g.Fleet.RecordData(s, now) },
@@ -234,7 +234,7 @@
 	if answer.NotExecuted {
 		e.endSend(send, sendRefused, response.StatusCode, c)
 		_, _ = io.CopyN(io.Discard, response.Body, 4<<10) // a short text; if it is longer, the connection is not reused
-		e.keepRefusing(s, c, response)
+		g.Pool.Put(addressOf(s), c, response)
 		e.addStep("not run, status %d", response.StatusCode)
 		switch {
 		case answer.Replaced:
--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -23,6 +23,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
 const (
@@ -61,11 +63,14 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response header belongs to this request.
-	Matches func(http.Header) bool
+	// ID is the id by which a response names this request. The connection must come from
+	// Pool.Get with the same id.
+	ID ident.RequestID
 	// Unidentified is set if responses do not name the request to which they belong. Its
 	// connection must come from Pool.GetUnidentified.
 	Unidentified bool
+	// Matches reports whether a response header belongs to this request.
+	Matches func(http.Header) bool
 	// OnRead, if not nil, is called after each read that returned bytes.
 	OnRead func(now time.Time)
 	// Watch may be nil; reads then wait without a limit.
@@ -87,9 +92,10 @@
 	// server may close it.
 	expires time.Time
 	reused  bool
-	// requests is the number of requests that were sent on the connection, and skipped the
-	// number of responses to others that were skipped while the latest one was waited for.
-	requests, skipped int
+	// carried holds the requests that were sent on the connection, and skipped is the number
+	// of responses to others that were skipped while the latest one was waited for.
+	carried requestSet
+	skipped int
 	// unidentified is set if the latest request on the connection was an unidentified one.
 	unidentified bool
 	watch        Watch
@@ -108,7 +114,7 @@
 
 // Requests returns the number of requests that were sent on the connection, the current one
 // included.
-func (c *Conn) Requests() int { return c.requests }
+func (c *Conn) Requests() int { return len(c.carried) }
 
 // Skipped returns the number of responses to other requests that were skipped while the
 // response to the latest request was waited for.
@@ -261,7 +267,7 @@
 // pool.
 func (c *Conn) Exchange(ctx context.Context, r *Request) (*http.Response, error) {
 	c.watch, c.onRead = r.Watch, r.OnRead
-	c.requests++
+	c.carried.add(r.ID)
 	c.skipped = 0
 	c.lastRead = time.Now()
 	c.watchedAt = c.lastRead
--- a/internal/peer/backendconn/conn_test.go
+++ b/internal/peer/backendconn/conn_test.go
@@ -7,10 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
 // serve starts a server that calls script for each request, after it has read the
@@ -51,8 +54,12 @@
 
 func hasMatchingID(h http.Header) bool { return h.Get("Id") == "r" }
 
+// exchange sends a request, with a new id if it has none.
 func exchange(p *Pool, s Server, r *Request) (string, *Conn, error) {
-	c, err := p.Get(context.Background(), s, time.Minute)
+	if r.ID == "" {
+		r.ID = ident.NewRequestID()
+	}
+	c, err := p.Get(context.Background(), s, r.ID, time.Minute)
 	if err != nil {
 		return "", nil, err
 	}
@@ -271,3 +278,33 @@
 		t.Errorf("the third request got %q, on a used connection %t", body, reused)
 	}
 }
+
+// Guards against sending a request once more on a connection that has carried it, whoever
+// sends it, and against forgetting that after many others.
+func TestConnectionCarriesRequestOnce(t *testing.T) {
+	s := serve(t, func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, answer) })
+	p := NewPool(nil)
+	send := func(id string) *Conn {
+		_, c, err := exchange(p, s, &Request{ID: ident.RequestID(id), Method: "GET", Target: "/", Host: "h"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	first := send("0")
+	for n := 1; n < maxCarried; n++ {
+		if c := send(strconv.Itoa(n)); c != first {
+			t.Fatalf("request %d opened a connection", n)
+		}
+	}
+	if p.pop(s, anyConn) != nil {
+		t.Error("a connection that has carried the most requests is kept")
+	}
+	second := send("0")
+	if third := send("0"); third == second || third.Reused() {
+		t.Error("the connection is used for the same request again")
+	}
+	if c := send("1"); !c.Reused() {
+		t.Error("the connections are not used for other requests")
+	}
+}
--- a/internal/peer/backendconn/endless_test.go
+++ b/internal/peer/backendconn/endless_test.go
@@ -25,7 +25,7 @@
 // readEndless sends a request and reads its response until it ends or requestTime is
 // over.
 func readEndless(p *Pool, s Server) (head string, err error) {
-	c, err := p.Get(context.Background(), s, time.Minute)
+	c, err := p.Get(context.Background(), s, "r", time.Minute)
 	if err != nil {
 		return "", err
 	}
--- a/internal/peer/backendconn/pool.go
+++ b/internal/peer/backendconn/pool.go
@@ -69,14 +69,15 @@
 	return &Pool{dial: dial, idle: map[Server][]*Conn{}}
 }
 
-// Get returns an idle or a new connection to a server, none of except. An idle connection
-// on which nothing was received for longer than maxSilence is closed and not reused, since
-// its network path to the server may be broken.
+// Get returns an idle or a new connection to a server that has not carried the request id.
+// An idle connection on which nothing was received for longer than maxSilence is closed and
+// not reused, since its network path to the server may be broken.
 //
-// A request must not be sent again on a connection that has carried it: there, a late copy
-// of the first answer could not be told from the second answer.
-func (p *Pool) Get(ctx context.Context, server Server, maxSilence time.Duration, except ...*Conn) (*Conn, error) {
-	return p.get(ctx, server, maxSilence, func(c *Conn) bool { return !slices.Contains(except, c) })
+// A response names the request by its id alone, so the late copy of the response to an
+// earlier send of the request could not be told from the response to this one. That holds
+// whoever sent it before: an earlier attempt of the same exchange, or the client once more.
+func (p *Pool) Get(ctx context.Context, server Server, id ident.RequestID, maxSilence time.Duration) (*Conn, error) {
+	return p.get(ctx, server, maxSilence, func(c *Conn) bool { return !c.carried.contains(id) })
 }
 
 // GetUnidentified is Get for a request whose response does not name it. It returns no
@@ -141,7 +142,7 @@
 // it cannot carry another request.
 func (p *Pool) Put(server Server, c *Conn, response *http.Response) {
 	now := time.Now()
-	reusable := !response.Close && c.reader.Buffered() == 0 && !c.aborted.Load()
+	reusable := !response.Close && c.reader.Buffered() == 0 && !c.aborted.Load() && !c.carried.full()
 	if c.bodyWritten != nil {
 		select {
 		case err := <-c.bodyWritten:
