backendconn, gateway: a connection carries one call without an id

What clients saw: a stream could continue from the memory of another request.

Cause: answers to the node's own calls name no request. A connection was excluded only while its latest request was such a call, so that after a client's request on it the next call took the late copy of the answer to the last one: the name of the copy of one run became that of another.

Evidence: on TestLateAnswerToCopyOfRun has 7 streams that continued from copies, 3 of them from that of another run; and in TestLateCopyOfUnidentifiedAnswer the third call gets the answer to the second. Both pass now.

Change: requests whose answers name none have the empty id in the record of the connection, so that it carries at most one of them. Pool.GetUnidentified and Request.Unidentified are gone.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 	"github.com/yuccahatch/yuccahatch/internal/peer/backendconn"
 	"github.com/yuccahatch/yuccahatch/internal/routing"
 )
@@ -16,6 +17,9 @@
 // report its state.
 const probeTimeout = 120 * time.Millisecond
 
+// noRequestID stands for the id of a call of the node's own: answers name none.
+const noRequestID = ident.RequestID("")
+
 // errBackoff is the error of a call that is not sent because its server has asked for a
 // pause, or because its limit allows no request.
 var errBackoff = errors.New("the server accepts no requests for some time")
@@ -32,7 +36,7 @@
 		return nil, nil, errBackoff
 	}
 	g.Metrics.probes.Inc(1)
-	c, err := g.Pool.GetUnidentified(ctx, addressOf(s), 0)
+	c, err := g.Pool.Get(ctx, addressOf(s), noRequestID, 0)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -50,7 +54,7 @@
 // exchangeSmall makes one exchange and reads the body of the answer into memory. A body
 // of more than maxStateBytes is an error. It waits for the answer until ctx ends.
 func (g *Gateway) exchangeSmall(ctx context.Context, s *fleet.Server, c *backendconn.Conn, r *backendconn.Request) (*http.Response, []byte, error) {
-	r.Unidentified = true
+	r.ID = noRequestID
 	r.Watch = func(time.Time, time.Duration) error { return ctx.Err() }
 	g.Metrics.sends[sendOwn].Inc(1)
 	response, err := c.Exchange(ctx, r)
--- a/internal/gateway/protect.go
+++ b/internal/gateway/protect.go
@@ -217,7 +217,7 @@
 	if !g.permitted(ctx, source) {
 		return // the holder frees the copy by itself
 	}
-	conn, err := g.Pool.GetUnidentified(ctx, addressOf(source), streamMaxIdle)
+	conn, err := g.Pool.Get(ctx, addressOf(source), noRequestID, streamMaxIdle)
 	if err != nil {
 		return // the source is unreachable; the holder frees the copy by itself
 	}
@@ -242,7 +242,7 @@
 	if !g.permitted(ctx, holder) || !g.permitted(ctx, s) {
 		return "", 0, false
 	}
-	c, err := g.Pool.GetUnidentified(ctx, addressOf(s), streamMaxIdle)
+	c, err := g.Pool.Get(ctx, addressOf(s), noRequestID, streamMaxIdle)
 	if err != nil {
 		return "", 0, false
 	}
--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -63,12 +63,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ID is the id by which a response names this request. The connection must come from
-	// Pool.Get with the same id.
+	// ID is the id by which a response names this request; empty if responses name none. The
+	// connection must come from Pool.Get with the same id.
 	ID ident.RequestID
-	// Unidentified is set if responses do not name the request to which they belong. Its
-	// connection must come from Pool.GetUnidentified.
-	Unidentified bool
 	// Matches reports whether a response header belongs to this request.
 	Matches func(http.Header) bool
 	// OnRead, if not nil, is called after each read that returned bytes.
@@ -94,14 +91,12 @@
 	reused  bool
 	// carried holds the requests that were sent on the connection, and skipped is the number
 	// of responses to others that were skipped while the latest one was waited for.
-	carried requestSet
-	skipped int
-	// unidentified is set if the latest request on the connection was an unidentified one.
-	unidentified bool
-	watch        Watch
-	onRead       func(time.Time)
-	watchedAt    time.Time // time of the latest call of watch
-	watchErr     error     // error with which watch ended a read; nil if it has not
+	carried   requestSet
+	skipped   int
+	watch     Watch
+	onRead    func(time.Time)
+	watchedAt time.Time // time of the latest call of watch
+	watchErr  error     // error with which watch ended a read; nil if it has not
 	// headLeft is the number of bytes that may still be read before the header is
 	// complete; it is not used while readingHead is false.
 	headLeft    int
@@ -293,7 +288,6 @@
 			continue
 		}
 		if r.Matches(response.Header) {
-			c.unidentified = r.Unidentified
 			return response, nil
 		}
 		c.skipped++
--- a/internal/peer/backendconn/pool.go
+++ b/internal/peer/backendconn/pool.go
@@ -76,20 +76,11 @@
 // A response names the request by its id alone, so the late copy of the response to an
 // earlier send of the request could not be told from the response to this one. That holds
 // whoever sent it before: an earlier attempt of the same exchange, or the client once more.
+// Requests whose responses name none have the empty id, so that a connection carries at most
+// one of them.
 func (p *Pool) Get(ctx context.Context, server Server, id ident.RequestID, maxSilence time.Duration) (*Conn, error) {
-	return p.get(ctx, server, maxSilence, func(c *Conn) bool { return !c.carried.contains(id) })
-}
-
-// GetUnidentified is Get for a request whose response does not name it. It returns no
-// connection on which the latest request was such a one too: a late copy of the response to
-// that could not be told from the response to this one.
-func (p *Pool) GetUnidentified(ctx context.Context, server Server, maxSilence time.Duration) (*Conn, error) {
-	return p.get(ctx, server, maxSilence, func(c *Conn) bool { return !c.unidentified })
-}
-
-func (p *Pool) get(ctx context.Context, server Server, maxSilence time.Duration, allowed func(*Conn) bool) (*Conn, error) {
 	for {
-		c := p.pop(server, allowed)
+		c := p.pop(server, func(c *Conn) bool { return !c.carried.contains(id) })
 		if c == nil {
 			return p.Dial(ctx, server)
 		}
