backendconn: TestEndlessAnswers does not depend on the speed of the machine

Under load the test failed once: "only 49 connections were opened" (6 copies of the package's tests with the race detector side by side; it failed in 1 of 24 runs). Connections were not opened within the 300 ms of a dial, and a request was given up 300 ms after it began, also if no byte had come yet.

The test now opens a connection again until it succeeds, counts the time from the first bytes, and asks that all 200 connections are reached instead of half of them.

--- a/internal/peer/backendconn/endless_test.go
+++ b/internal/peer/backendconn/endless_test.go
@@ -19,22 +19,30 @@
 // process needs the other half.
 const maxEndlessMemory = heaptest.SmallestHost / 2
 
-// requestTime is the time after which a request of these tests is given up.
+// requestTime is the time after the first bytes at which a request of these tests is given up.
 const requestTime = 300 * time.Millisecond
 
 // readEndless sends a request and reads its response until it ends or requestTime is
 // over.
 func readEndless(p *Pool, s Server) (head string, err error) {
 	c, err := p.Get(context.Background(), s, "r", time.Minute)
+	for CodeOf(err) == CodeConnect { // the machine is busy
+		c, err = p.Get(context.Background(), s, "r", time.Minute)
+	}
 	if err != nil {
 		return "", err
 	}
 	defer p.Close(c)
-	end := time.Now().Add(requestTime)
+	var end time.Time // zero until the first bytes arrive
 	response, err := c.Exchange(context.Background(), &Request{
 		Method: "GET", Target: "/", Host: "h", Matches: hasMatchingID,
+		OnRead: func(now time.Time) {
+			if end.IsZero() {
+				end = now.Add(requestTime)
+			}
+		},
 		Watch: func(now time.Time, idle time.Duration) error {
-			if now.After(end) {
+			if !end.IsZero() && now.After(end) {
 				return NewSilentError(idle, "out of time")
 			}
 			return nil
@@ -110,7 +118,7 @@
 			for open.Load() > 0 { // ends only if all connections are closed
 				time.Sleep(time.Millisecond)
 			}
-			if n := reached.Load(); n < connections/2 {
+			if n := reached.Load(); n < connections {
 				t.Errorf("only %d connections were opened", n)
 			}
 			if peak > maxEndlessMemory {
