gateway: an answer without an event does not end a stream that has begun

Cause: an answer that ended without an error was taken for the end of the stream, whether or not it had an event, and each status below 300 for a stream. An engine that has nothing left to send answers in the same way as one that fails to continue.

Why it works: if a continuation ends without an event, the engine is asked once more, after the event before. One that knows the stream repeats the last event, which is not passed on again, and the stream is complete, or goes on. One that does not is a failed attempt, and the next engine is asked in the same way; if none is left, the stream is broken off and its client may resume it. The engine itself is asked first: it has just read the prompt, and it is no further runner of the route's attempts. The agreement of two engines would not do, since both may fail. The second host says in Relay-Accepted that it has found the stream to be complete; without that, as from an older build, the first host asks itself. Only status 200 is a stream; other answers of 2xx are failed attempts.

--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -66,6 +66,9 @@
 	// After is the id of the last event that was delivered; 0 if there is
 	// none.
 	After int64
+	// FromStart removes the id of the last event that the client has named: the run is to
+	// send all events.
+	FromStart bool
 	// Urgent gives a resumed run priority over new ones.
 	Urgent bool
 }
--- /dev/null
+++ b/internal/gateway/continuation.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"github.com/yuccahatch/yuccahatch/internal/fleet"
+	"github.com/yuccahatch/yuccahatch/internal/ident"
+)
+
+// A stream that has begun continues after the last event that the client has. A server that
+// has nothing left to send ends its answer without an event, and so does one that fails to
+// continue. The server is then asked to continue after the event before: one that knows the
+// stream repeats the last event, which is not passed on again.
+
+// answerEnd describes an answer to an attempt of a stream that ended without an error.
+type answerEnd struct {
+	resumable bool // the stream may run again
+	begun     bool // the client had events before the attempt
+	delivered bool // the answer had an event that the client did not have
+	asked     bool // the server was asked to repeat the last event that the client has
+	confirmed bool // the server repeated it, or another host found that a server does
+}
+
+// result returns resultEnded if the stream is complete, resultUnconfirmed if the server is to
+// be asked to repeat the last event, and resultFailed if it has not done so.
+func (a answerEnd) result() result {
+	switch {
+	case a.delivered || a.confirmed || !a.begun || !a.resumable:
+		return resultEnded
+	case a.asked:
+		return resultFailed
+	}
+	return resultUnconfirmed
+}
+
+// endOfAnswer returns the result of an attempt whose answer has ended without an error. from
+// is the engine or the host that sent it, and confirmed reports whether that host has found
+// the stream to be complete.
+func (st *streamState) endOfAnswer(from ident.BackendID, watch *streamWatch, confirmed bool) result {
+	end := answerEnd{
+		resumable: st.route.Resumable, begun: st.lastEventID > 0, delivered: watch.eventDelivered,
+		asked: st.repeatLast, confirmed: watch.repeated || confirmed && !st.repeatLast,
+	}
+	r := end.result()
+	switch {
+	case r == resultUnconfirmed:
+		st.addStep("%s ended after=%d without an event: asked to repeat event %d", from, st.lastEventID, st.lastEventID)
+		st.repeatLast = true
+	case r == resultFailed:
+		st.addStep("%s ended after=%d without repeating event %d: not the end of the stream", from, st.lastEventID-1, st.lastEventID)
+	case watch.repeated && !watch.eventDelivered:
+		st.addStep("%s repeated event %d and ended: the stream is complete", from, st.lastEventID)
+	}
+	st.endConfirmed = r == resultEnded && end.resumable && end.begun
+	return r
+}
+
+// continueAfter returns the id of the event after which the next attempt is to continue.
+func (st *streamState) continueAfter() int64 {
+	if st.repeatLast {
+		return st.lastEventID - 1
+	}
+	return st.lastEventID
+}
+
+// recordUnconfirmed records the result of an answer of an engine that had no event.
+func (st *streamState) recordUnconfirmed(s *fleet.Server, r result) {
+	if r == resultUnconfirmed {
+		st.unconfirmedAt = s
+		return
+	}
+	st.g.Fleet.RecordResult(s, false)
+	st.exclude = append(st.exclude, s.ID)
+}
+
+// takeUnconfirmed returns the engine that is to repeat the last event, once; nil if there is
+// none.
+func (st *streamState) takeUnconfirmed() *fleet.Server {
+	s := st.unconfirmedAt
+	st.unconfirmedAt = nil
+	return s
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -45,10 +45,16 @@
 			continue
 		case errors.Is(err, io.EOF) && !events.partial() && (framed(response) || !errors.Is(st.g.probe(s), errGone)):
 			st.sentCount++
+			r := st.endOfAnswer(s.ID, watch, false)
+			if r != resultEnded {
+				st.g.Pool.Close(c) // the request may go to the engine again
+				st.recordUnconfirmed(s, r)
+				return r
+			}
 			st.writeHead(response.Header)
 			st.g.Pool.Put(addressOf(s), c, response)
 			st.g.Fleet.RecordResult(s, true)
-			return resultEnded
+			return r
 		default:
 			st.g.Pool.Close(c)
 			result := st.attemptLost(s, p, c.BodyError(err), watch.eventDelivered)
@@ -73,7 +79,11 @@
 	st.headSent = true
 	passHead(st.w, h)
 	if st.relayed != nil {
-		st.w.Header().Set(headerRelayed, "1")
+		accepted := relayAccepted
+		if st.endConfirmed {
+			accepted = relayConfirmed
+		}
+		st.w.Header().Set(headerRelayed, accepted)
 		st.w.Header().Set(headerRelayVersion, st.version)
 	}
 	st.w.WriteHeader(http.StatusOK)
@@ -90,7 +100,11 @@
 		if !ok {
 			break
 		}
-		if ev.id != st.lastEventID+1 {
+		if st.repeatLast && !watch.repeated && ev.id == st.lastEventID {
+			watch.repeated = true
+			continue
+		}
+		if ev.id != st.lastEventID+1 || st.repeatLast && !watch.repeated {
 			st.addStep("event out of order: %d after %d from %s", ev.id, st.lastEventID, from)
 			return resultFailed, false
 		}
@@ -104,6 +118,7 @@
 			return resultAborted, false
 		}
 		st.lastEventID = ev.id
+		st.repeatLast = false
 		wrote = true
 	}
 	if events.tooLarge() {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -91,6 +91,10 @@
 // place chooses the engine for the next attempt and the one that is to hold the copy
 // of its run (nil for none), or returns the reason for which the stream is refused.
 func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, refused *refusal) {
+	if s := st.takeUnconfirmed(); s != nil && st.g.Fleet.Accepts(s, now) && st.permitted(s, PurposeFits) {
+		st.resumeMode = resumeFromPrompt
+		return s, nil, a, nil
+	}
 	if c := st.lostCopy; c != nil {
 		st.lostCopy = nil
 		if st.g.Fleet.Accepts(c.holder, now) && st.permitted(c.holder, PurposeFits) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -230,8 +230,9 @@
 // that the client has. It returns a refusal if the other host has refused the stream.
 func (st *streamState) runThrough(host RelayHost) (result, *refusal) {
 	defer st.g.Relays.End(host)
+	st.unconfirmedAt = nil // the other host chooses the engine
 	h := st.relayHead(time.Now())
-	h.Call.After, h.Version, h.Losses, h.Begun = st.lastEventID, st.version, st.losses, st.headSent
+	h.Call.After, h.Version, h.Losses, h.Begun = st.continueAfter(), st.version, st.losses, st.headSent
 	if c := st.lostCopy; c != nil {
 		h.Copy = &relayedCopy{Holder: c.holder.ID, Source: c.source, Name: c.name}
 	}
@@ -254,7 +255,7 @@
 	if answer == relayUnknown || response.StatusCode != http.StatusOK {
 		return st.relayAnsweredFailure(host, c, response), nil
 	}
-	st.addStep("through %s after=%d", host.Host, st.lastEventID)
+	st.addStep("through %s after=%d", host.Host, h.Call.After)
 	return st.forwardRelayed(host, c, response), nil
 }
 
@@ -319,10 +320,13 @@
 		case err == nil:
 			continue
 		case errors.Is(err, io.EOF) && !events.partial():
-			st.writeHead(response.Header)
+			r := st.endOfAnswer(ident.BackendID(host.Host), watch, response.Header.Get(headerRelayed) == relayConfirmed)
+			if r == resultEnded {
+				st.writeHead(response.Header)
+			}
 			st.g.RelayPool.Put(host.server(), c, response)
 			st.g.Metrics.relayed("sent", "answered")
-			return resultEnded
+			return r
 		}
 		st.g.RelayPool.Close(c)
 		return st.relayLost(host, c.BodyError(err), true)
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -59,7 +59,7 @@
 		return
 	}
 	setWriteDeadline(control, now.Add(h.TimeLeft+writeSlack))
-	w.Header().Set(headerRelayed, "1")
+	w.Header().Set(headerRelayed, relayAccepted)
 	e := h.exchange(g, w, r, now)
 	e.waitForCrashCause(now)
 	if h.Sent == 0 && e.crashesServers(time.Now()) {
@@ -82,7 +82,7 @@
 
 // refuseRelayed answers that this node does not accept a relayed request.
 func refuseRelayed(w http.ResponseWriter, retryAfter time.Duration, reason string) {
-	w.Header().Set(headerRelayed, "1")
+	w.Header().Set(headerRelayed, relayAccepted)
 	w.Header().Set(headerRelayOutcome, relayUnavailable)
 	writeRefusal(w, http.StatusServiceUnavailable, retryAfter, reason)
 }
--- a/internal/gateway/relaymessage.go
+++ b/internal/gateway/relaymessage.go
@@ -28,6 +28,14 @@
 	headerRelayVersion = "Relay-Stream-Version"
 )
 
+// Values of headerRelayed.
+const (
+	relayAccepted = "1"
+	// relayConfirmed: the answer has no event, and the stream is complete. A host of an older
+	// build does not say so.
+	relayConfirmed = "confirmed"
+)
+
 // Values of headerRelayOutcome.
 const (
 	// relayUnavailable: the node does not accept the request; another one may.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,8 +56,15 @@
 	resumeMode string // resumeFromCopy or resumeFromPrompt, for the current attempt
 	// lastFailure is the latest complete answer with a failure status. It is
 	// passed on if no later attempt succeeds.
-	lastFailure     *bufferedAnswer
-	losses          int  // engines that failed after they had received the request
+	lastFailure *bufferedAnswer
+	losses      int // engines that failed after they had received the request
+	// repeatLast makes the next attempt ask for the last event that the client has, which
+	// is not passed on again, and unconfirmedAt is the engine that is to be asked; nil for
+	// any. endConfirmed reports that the stream has ended and that its last event was
+	// confirmed. See answerEnd.
+	repeatLast      bool
+	unconfirmedAt   *fleet.Server
+	endConfirmed    bool
 	sound           bool // a run of the stream has delivered events for soundAfter
 	lossReported    bool // the current run is given up because another request found its engine lost
 	responseControl *http.ResponseController
@@ -74,11 +81,12 @@
 type result int
 
 const (
-	resultEnded      result = iota // the answer is complete
-	resultAborted                  // the client has disconnected or the deadline has passed
-	resultNotRun                   // the engine did not run the request
-	resultFailed                   // the engine may have run the request, and failed
-	resultNotRelayed               // another host did not accept the request
+	resultEnded       result = iota // the answer is complete
+	resultAborted                   // the client has disconnected or the deadline has passed
+	resultNotRun                    // the engine did not run the request
+	resultFailed                    // the engine may have run the request, and failed
+	resultNotRelayed                // another host did not accept the request
+	resultUnconfirmed               // the answer had no event, and it is not known whether the stream is complete
 )
 
 // serveStream serves a request that is answered by a series of events.
@@ -131,7 +139,7 @@
 			}
 			st.failStream("out of time")
 			return
-		case resultNotRelayed:
+		case resultNotRelayed, resultUnconfirmed:
 		case resultNotRun:
 			e.refusedCount++
 			if e.refusedCount-e.unavailableCount >= maxRefusals+st.losses || e.unavailableCount >= maxUnavailable {
@@ -184,7 +192,8 @@
 	st.lossReported = false
 	e, g := st.exchange, st.g
 	defer g.release(s)
-	a.Server, a.Team, a.Timeout, a.After = s.ID, e.team, e.timeLeft(now), st.lastEventID
+	a.Server, a.Team, a.Timeout, a.After = s.ID, e.team, e.timeLeft(now), st.continueAfter()
+	a.FromStart = a.After == 0 && st.lastEventID > 0
 	a.Urgent = st.headSent || e.sentCount > 0 || e.call.After > 0
 	prompt := e.call.Prompt
 	if a.CopyName != "" {
@@ -214,7 +223,7 @@
 		g.Fleet.RemoveRun(g.Self, placed)
 		g.Announce.RunEnded(placed)
 	}()
-	e.addStep("to %s version=%s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, g.Fleet.VersionOf(s), a.CopyName != "", placed.Backup, wait.Milliseconds(), st.lastEventID, c.Reused())
+	e.addStep("to %s version=%s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, g.Fleet.VersionOf(s), a.CopyName != "", placed.Backup, wait.Milliseconds(), a.After, c.Reused())
 
 	watch := &streamWatch{g: g, st: st, server: s, lossCountAtStart: s.LossCount(), started: now, expected: wait}
 	e.countSend()
@@ -249,7 +258,7 @@
 		return resultNotRun
 	}
 	e.endSend(send, sendAnswered, response.StatusCode, c)
-	if response.StatusCode >= 300 || !answer.Forwardable {
+	if response.StatusCode != http.StatusOK || !answer.Forwardable {
 		return st.answeredWithFailure(s, c, response, answer)
 	}
 	return st.forward(s, c, response, watch, newCopyManager(st, s, backup, placed))
@@ -315,7 +324,7 @@
 	return resultFailed
 }
 
-// answeredWithFailure handles an answer with a status other than success, or one that
+// answeredWithFailure handles an answer with a status other than 200, or one that
 // may not be passed on. It stores a complete answer with a failure status that may be
 // passed on in lastFailure. After a status of 300 to 499 it sends lastFailure to the
 // client at once, unless the head of an answer has already been sent.
