gateway: a stream found complete is answered with the head of its empty answer

A client that resumes a stream after its last event is answered 200 without an event. The head came from the answer to the request to repeat the last event, whose body is not passed on; it is now that of the empty answer, which is the one that the client gets. The connection of such an answer goes back to the pool: it remembers the request.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net/http"
+
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
@@ -31,10 +33,11 @@
 	return resultUnconfirmed
 }
 
-// endOfAnswer returns the result of an attempt whose answer has ended without an error. from
-// is the engine or the host that sent it, and confirmed reports whether that host has found
-// the stream to be complete.
-func (st *streamState) endOfAnswer(from ident.BackendID, watch *streamWatch, confirmed bool) result {
+// endOfAnswer returns the result of an attempt whose answer has ended without an error, and
+// sends the head of the answer to the client if the stream is complete. from is the engine or
+// the host that sent it, and confirmed reports whether that host has found the stream to be
+// complete.
+func (st *streamState) endOfAnswer(from ident.BackendID, head http.Header, watch *streamWatch, confirmed bool) result {
 	end := answerEnd{
 		resumable: st.route.Resumable, begun: st.lastEventID > 0, delivered: watch.eventDelivered,
 		asked: st.repeatLast, confirmed: watch.repeated || confirmed && !st.repeatLast,
@@ -43,13 +46,19 @@
 	switch {
 	case r == resultUnconfirmed:
 		st.addStep("%s ended after=%d without an event: asked to repeat event %d", from, st.lastEventID, st.lastEventID)
-		st.repeatLast = true
+		st.repeatLast, st.emptyHead = true, head
 	case r == resultFailed:
 		st.addStep("%s ended after=%d without repeating event %d: not the end of the stream", from, st.lastEventID-1, st.lastEventID)
 	case watch.repeated && !watch.eventDelivered:
 		st.addStep("%s repeated event %d and ended: the stream is complete", from, st.lastEventID)
 	}
 	st.endConfirmed = r == resultEnded && end.resumable && end.begun
+	if r == resultEnded && !watch.eventDelivered && st.emptyHead != nil {
+		head = st.emptyHead // the answer that is passed on is the empty one
+	}
+	if r == resultEnded {
+		st.writeHead(head)
+	}
 	return r
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -45,14 +45,12 @@
 			continue
 		case errors.Is(err, io.EOF) && !events.partial() && (framed(response) || !errors.Is(st.g.probe(s), errGone)):
 			st.sentCount++
-			r := st.endOfAnswer(s.ID, watch, false)
+			st.g.Pool.Put(addressOf(s), c, response)
+			r := st.endOfAnswer(s.ID, response.Header, watch, false)
 			if r != resultEnded {
-				st.g.Pool.Close(c) // the request may go to the engine again
 				st.recordUnconfirmed(s, r)
 				return r
 			}
-			st.writeHead(response.Header)
-			st.g.Pool.Put(addressOf(s), c, response)
 			st.g.Fleet.RecordResult(s, true)
 			return r
 		default:
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -320,10 +320,7 @@
 		case err == nil:
 			continue
 		case errors.Is(err, io.EOF) && !events.partial():
-			r := st.endOfAnswer(ident.BackendID(host.Host), watch, response.Header.Get(headerRelayed) == relayConfirmed)
-			if r == resultEnded {
-				st.writeHead(response.Header)
-			}
+			r := st.endOfAnswer(ident.BackendID(host.Host), response.Header, watch, response.Header.Get(headerRelayed) == relayConfirmed)
 			st.g.RelayPool.Put(host.server(), c, response)
 			st.g.Metrics.relayed("sent", "answered")
 			return r
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -60,9 +60,11 @@
 	losses      int // engines that failed after they had received the request
 	// repeatLast makes the next attempt ask for the last event that the client has, which
 	// is not passed on again, and unconfirmedAt is the engine that is to be asked; nil for
-	// any. endConfirmed reports that the stream has ended and that its last event was
-	// confirmed. See answerEnd.
+	// any. emptyHead is the head of the answer without an event that made this necessary.
+	// endConfirmed reports that the stream has ended and that its last event was confirmed.
+	// See answerEnd.
 	repeatLast      bool
+	emptyHead       http.Header
 	unconfirmedAt   *fleet.Server
 	endConfirmed    bool
 	sound           bool // a run of the stream has delivered events for soundAfter
