gateway: a request whose client is gone aborts the connection

Cause: the node takes it for a client that has left and gives the request up. The handler returned, and net/http ended the answer as a whole one.

Change: a request that is abandoned panics with http.ErrAbortHandler, so that the connection is closed without an end of the answer.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,6 +163,9 @@
 	// sends is the number of attempts for which the request was sent to a server.
 	sends   atomic.Int32
 	sendLog sendLog
+	// abandoned is set if the request has ended without a whole answer because its client is
+	// gone.
+	abandoned bool
 	// steps lists the steps in serving the request, oldest first, for the log.
 	steps   []string
 	started time.Time
@@ -230,14 +233,24 @@
 		return
 	}
 	g.Budgets.RecordRequest(now, service.Name)
-	switch {
-	case route.Kind == routing.Stream:
+	e.serve()
+}
+
+// serve serves the request by the kind of its route. If it was abandoned, the connection is
+// aborted: net/http would end the answer as a whole one, with status 200 if it had not begun,
+// and a client that has closed only its own direction of the connection receives that.
+func (e *exchange) serve() {
+	switch e.route.Kind {
+	case routing.Stream:
 		e.serveStream()
-	case route.Kind == routing.Idempotent:
+	case routing.Idempotent:
 		e.serveIdempotent()
 	default:
 		e.serveOnce()
 	}
+	if e.abandoned {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // timeoutOf returns the client's timeout, or defaultTimeout if it set none,
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -49,7 +49,7 @@
 	status := http.StatusBadGateway
 	switch {
 	case e.clientGone():
-		e.recordOutcome("client_gone", 0, reason)
+		e.recordOutcome(outcomeClientGone, 0, reason)
 		return
 	case !e.mayHaveRunHere():
 		status = http.StatusServiceUnavailable
@@ -118,8 +118,13 @@
 	}
 }
 
+// outcomeClientGone is the outcome of a request whose client has disconnected, or has closed
+// its direction of the connection.
+const outcomeClientGone = "client_gone"
+
 // recordOutcome logs the outcome of the request with its steps, and counts it.
 func (e *exchange) recordOutcome(outcome string, status int, reason string) {
+	e.abandoned = outcome == outcomeClientGone
 	e.g.Metrics.finished(e.route.Kind, outcome, time.Since(e.started))
 	level := logrus.InfoLevel
 	event := telemetry.EventRequestServed
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -61,7 +61,7 @@
 	case err != nil:
 		return sendUnknown
 	}
-	return sendAnswered
+	return sanswerPaniced
 }
 
 // answered reports whether the server ran the call and the answer may be passed
@@ -197,7 +197,7 @@
 			e.fail("out of time", 0)
 			return
 		case <-e.ctx.Done():
-			e.recordOutcome("client_gone", 0, "")
+			e.recordOutcome(outcomeClientGone, 0, "")
 			return
 		}
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -183,7 +183,7 @@
 	e.addStep("through %s: %v", host.Host, err)
 	e.g.Metrics.relayed("sent", "failed")
 	if e.clientGone() {
-		e.recordOutcome("client_gone", 0, "")
+		e.recordOutcome(outcomeClientGone, 0, "")
 		return true
 	}
 	if backendconn.CodeOf(err) == backendconn.CodeConnect {
--- a/internal/gateway/relayanswer.go
+++ b/internal/gateway/relayanswer.go
@@ -42,7 +42,7 @@
 	case relayUnknown:
 		return sendUnknown
 	}
-	return sendAnswered
+	return sanswerPaniced
 }
 
 // relayRefusalOf returns the refusal in an answer of the second host.
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -66,14 +66,7 @@
 		e.fail(reasonCrashes, crashRetryAfter)
 		return
 	}
-	switch e.route.Kind {
-	case routing.Stream:
-		e.serveStream()
-	case routing.Idempotent:
-		e.serveIdempotent()
-	default:
-		e.serveOnce()
-	}
+	e.serve()
 }
 
 // maxRelayedBody is the maximum size of the body of a relayed request. The sender may have a
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -136,7 +136,7 @@
 			return
 		case resultAborted:
 			if e.clientGone() {
-				e.recordOutcome("client_gone", 0, "")
+				e.recordOutcome(outcomeClientGone, 0, "")
 				return
 			}
 			st.failStream("out of time")
@@ -259,7 +259,7 @@
 		e.exclude = append(e.exclude, s.ID)
 		return resultNotRun
 	}
-	e.endSend(send, sendAnswered, response.StatusCode, c)
+	e.endSend(send, sanswerPaniced, response.StatusCode, c)
 	if response.StatusCode != http.StatusOK || !answer.Forwardable {
 		return st.answeredWithFailure(s, c, response, answer)
 	}
