gateway: limits of the request for the last event of a stream

What clients could see, found by the review of: a stream that ran on one engine more than its route allows; the head and proof of one engine with a part of its answer; a failure in answer to a request that the client had not made. A client that named an event beyond the end of its stream cost six sends a request and made engines count as failing.

Cause: an engine that could not be asked for the last event did not count as an engine that had failed, an event that only the client has named was taken for one that exists, and the answer to the changed request was treated like that to the client's.

Change: such an engine counts as one that failed; at most three engines are asked for an event that only the client has named, and they do not count as failing; the answer keeps the head of the first engine that answered; an answer to the changed request is never passed on as the last failure. A run that has repeated the event has begun, so that its loss is no evidence of a crash by content.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
@@ -12,6 +13,10 @@
 // continue. The server is then asked to continue after the event before: one that knows the
 // stream repeats the last event, which is not passed on again.
 
+// maxNamedUnconfirmed is the number of servers that are asked to repeat an event that only the
+// client has named. The event may not exist, which says nothing about the servers.
+const maxNamedUnconfirmed = 3
+
 // answerEnd describes an answer to an attempt of a stream that ended without an error.
 type answerEnd struct {
 	resumable bool // the stream may run again
@@ -53,9 +58,6 @@
 		st.addStep("%s repeated event %d and ended: the stream is complete", from, st.lastEventID)
 	}
 	st.endConfirmed = r == resultEnded && end.resumable && end.begun
-	if r == resultEnded && !watch.eventDelivered && st.emptyHead != nil {
-		head = st.emptyHead // the answer that is passed on is the empty one
-	}
 	if r == resultEnded {
 		st.writeHead(head)
 	}
@@ -76,14 +78,31 @@
 		st.unconfirmedAt = s
 		return
 	}
-	st.g.Fleet.RecordResult(s, false)
 	st.exclude = append(st.exclude, s.ID)
+	if st.knowsLastEvent() {
+		st.g.Fleet.RecordResult(s, false)
+		return
+	}
+	if st.namedUnconfirmed++; st.namedUnconfirmed >= maxNamedUnconfirmed {
+		st.losses = maxLosses
+	}
+}
+
+// knowsLastEvent reports whether a server has sent the last event to this host or the one
+// that sends the stream through it. Otherwise only the client has named it.
+func (st *streamState) knowsLastEvent() bool {
+	return st.lastEventID > st.call.After || st.relayed != nil && st.relayed.Begun
 }
 
 // takeUnconfirmed returns the engine that is to repeat the last event, once; nil if there is
-// none.
-func (st *streamState) takeUnconfirmed() *fleet.Server {
+// none. An engine that cannot be asked has failed to continue the stream.
+func (st *streamState) takeUnconfirmed(now time.Time) *fleet.Server {
 	s := st.unconfirmedAt
 	st.unconfirmedAt = nil
-	return s
+	if s == nil || st.g.Fleet.Accepts(s, now) && st.permitted(s, PurposeFits) {
+		return s
+	}
+	st.losses++
+	st.exclude = append(st.exclude, s.ID)
+	return nil
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -55,7 +55,7 @@
 			return r
 		default:
 			st.g.Pool.Close(c)
-			result := st.attemptLost(s, p, c.BodyError(err), watch.eventDelivered)
+			result := st.attemptLost(s, p, c.BodyError(err), watch.eventDelivered || watch.repeated)
 			copyUsed = st.lostCopy != nil
 			return result
 		}
@@ -69,11 +69,15 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// writeHead sends the head of the answer to the client, once per stream.
+// writeHead sends the head of the answer to the client, once per stream. The answer keeps
+// that of the first engine that answered, also if it had no event.
 func (st *streamState) writeHead(h http.Header) {
 	if st.headSent {
 		return
 	}
+	if st.emptyHead != nil {
+		h = st.emptyHead
+	}
 	st.headSent = true
 	passHead(st.w, h)
 	if st.relayed != nil {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -79,6 +79,8 @@
 	refusalLongQueue = "engines cannot begin in time"
 	refusalNoRoom    = "no engine has enough free memory"
 	refusalLimit     = "backend servers limit requests"
+	// refusalEnginesFailed: the stream has used up the engines that may run it.
+	refusalEnginesFailed = "too many engines failed"
 )
 
 // refusal is the reason for which a stream is refused, and the time after which its
@@ -91,10 +93,13 @@
 // place chooses the engine for the next attempt and the one that is to hold the copy
 // of its run (nil for none), or returns the reason for which the stream is refused.
 func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, refused *refusal) {
-	if s := st.takeUnconfirmed(); s != nil && st.g.Fleet.Accepts(s, now) && st.permitted(s, PurposeFits) {
+	if s := st.takeUnconfirmed(now); s != nil {
 		st.resumeMode = resumeFromPrompt
 		return s, nil, a, nil
 	}
+	if st.repeatLast && st.attemptsLeft() <= 0 {
+		return nil, nil, a, &refusal{refusalEnginesFailed, retryAfter(noEngineRetryAfter)}
+	}
 	if c := st.lostCopy; c != nil {
 		st.lostCopy = nil
 		if st.g.Fleet.Accepts(c.holder, now) && st.permitted(c.holder, PurposeFits) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -230,7 +230,13 @@
 // that the client has. It returns a refusal if the other host has refused the stream.
 func (st *streamState) runThrough(host RelayHost) (result, *refusal) {
 	defer st.g.Relays.End(host)
-	st.unconfirmedAt = nil // the other host chooses the engine
+	if st.unconfirmedAt != nil { // out of reach; the other host chooses another engine
+		st.unconfirmedAt = nil
+		st.losses++
+		if st.attemptsLeft() <= 0 {
+			return 0, &refusal{refusalEnginesFailed, retryAfter(noEngineRetryAfter)}
+		}
+	}
 	h := st.relayHead(time.Now())
 	h.Call.After, h.Version, h.Losses, h.Begun = st.continueAfter(), st.version, st.losses, st.headSent
 	if c := st.lostCopy; c != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -60,16 +60,18 @@
 	losses      int // engines that failed after they had received the request
 	// repeatLast makes the next attempt ask for the last event that the client has, which
 	// is not passed on again, and unconfirmedAt is the engine that is to be asked; nil for
-	// any. emptyHead is the head of the answer without an event that made this necessary.
-	// endConfirmed reports that the stream has ended and that its last event was confirmed.
-	// See answerEnd.
-	repeatLast      bool
-	emptyHead       http.Header
-	unconfirmedAt   *fleet.Server
-	endConfirmed    bool
-	sound           bool // a run of the stream has delivered events for soundAfter
-	lossReported    bool // the current run is given up because another request found its engine lost
-	responseControl *http.ResponseController
+	// any. emptyHead is the head of the answer without an event that made this necessary:
+	// it began the answer to the client if none had. namedUnconfirmed is the number of engines
+	// that have not repeated an event that only the client has named. endConfirmed reports that
+	// the stream has ended and that its last event was confirmed. See answerEnd.
+	repeatLast       bool
+	emptyHead        http.Header
+	namedUnconfirmed int
+	unconfirmedAt    *fleet.Server
+	endConfirmed     bool
+	sound            bool // a run of the stream has delivered events for soundAfter
+	lossReported     bool // the current run is given up because another request found its engine lost
+	responseControl  *http.ResponseController
 }
 
 // bufferedAnswer is a backend server's answer with its body in memory.
@@ -151,7 +153,7 @@
 		case resultFailed:
 			st.losses++
 			if st.attemptsLeft() <= 0 {
-				st.failStream("too many engines failed")
+				st.failStream(refusalEnginesFailed)
 				return
 			}
 		}
@@ -328,7 +330,8 @@
 
 // answeredWithFailure handles an answer with a status other than 200, or one that
 // may not be passed on. It stores a complete answer with a failure status that may be
-// passed on in lastFailure. After a status of 300 to 499 it sends lastFailure to the
+// passed on in lastFailure, unless the engine was asked for more than the client had asked
+// for. After a status of 300 to 499 it sends lastFailure to the
 // client at once, unless the head of an answer has already been sent.
 func (st *streamState) answeredWithFailure(s *fleet.Server, c *backendconn.Conn, response *http.Response, answer Answer) result {
 	st.sentCount++
@@ -337,14 +340,14 @@
 		st.g.Pool.Close(c)
 	} else {
 		st.g.Pool.Put(addressOf(s), c, response)
-		if answer.Forwardable && response.StatusCode >= 300 && !(st.onlyOnce() && statesNotRun(response.StatusCode)) {
+		if answer.Forwardable && response.StatusCode >= 300 && !st.repeatLast && !(st.onlyOnce() && statesNotRun(response.StatusCode)) {
 			st.lastFailure = &bufferedAnswer{response.StatusCode, response.Header, body}
 		}
 	}
 	st.addStep("%s answered status %d", s.ID, response.StatusCode)
 	st.g.Fleet.RecordResult(s, false)
 	st.exclude = append(st.exclude, s.ID)
-	if response.StatusCode < http.StatusInternalServerError && response.StatusCode >= 300 && st.lastFailure != nil && !st.headSent {
+	if response.StatusCode < http.StatusInternalServerError && response.StatusCode >= 300 && st.lastFailure != nil && !st.headSent && !st.repeatLast {
 		st.writeAnswer(st.lastFailure)
 		st.headSent = true
 		return resultEnded
