gateway: a second host that is asked for the first event sends it

What clients could see: a client that resumed a stream after its first event got 502 if its host lost the path to the engines while it asked for that event. Cause: the second host passed on the client's own Last-Event-Id, which a request for all events must not have. TestRepeatOfFirstEventThroughSecondHost failed (status 502, five sends after event 1) and passes.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -197,7 +197,7 @@
 	e, g := st.exchange, st.g
 	defer g.release(s)
 	a.Server, a.Team, a.Timeout, a.After = s.ID, e.team, e.timeLeft(now), st.continueAfter()
-	a.FromStart = a.After == 0 && st.lastEventID > 0
+	a.FromStart = a.After == 0 && (st.lastEventID > 0 || st.relayed != nil)
 	a.Urgent = st.headSent || e.sentCount > 0 || e.call.After > 0
 	prompt := e.call.Prompt
 	if a.CopyName != "" {
