backendconn, gateway: a connection in its pool is not aborted for an earlier request

What clients could see: a call whose connection to its server ended in the middle, with 502 if it must run once, because the client of another request had left.

Cause, found by the review in reading: the abort of a connection at the end of a request's context was called off after the connection had been returned to the pool. A client that left in between, or the end of a call whose hedge had been answered first, aborted a connection that might carry the next request.

Change: the pool calls the abort off before it keeps a connection, and closes one whose abort has begun. Conn.AbortOn replaces the function that each caller had to call.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -30,7 +30,7 @@
 	defer g.Fleet.EndRequest(s)
 	r := &reply{server: s}
 	send := e.beginSend(string(s.ID))
-	c, stop, err := e.connect(ctx, s, maxIdle)
+	c, err := e.connect(ctx, s, maxIdle)
 	if err != nil {
 		e.endSend(send, sendNotSent, 0, nil)
 		r.notRun, r.connectFailed = true, true
@@ -39,11 +39,6 @@
 		}
 		return r
 	}
-	defer func() {
-		if r.rest == nil {
-			stop()
-		}
-	}()
 	now := time.Now()
 	started := now
 	goneCount := s.GoneCount()
@@ -66,7 +61,7 @@
 		},
 	})
 	if err == nil {
-		replaced, err = e.readReply(r, c, response, stop)
+		replaced, err = e.readReply(r, c, response)
 	}
 	e.endSend(send, r.sendOutcome(err), r.status, c)
 	if r.rest != nil {
@@ -97,15 +92,15 @@
 
 // readReply reads an answer into r, and reports whether it comes from another server. It
 // returns an error if the answer may not be passed on. Of a large body it leaves the rest to
-// be read through r.rest, which then calls stop.
-func (e *exchange) readReply(r *reply, c *backendconn.Conn, response *http.Response, stop func() bool) (replaced bool, err error) {
+// be read through r.rest.
+func (e *exchange) readReply(r *reply, c *backendconn.Conn, response *http.Response) (replaced bool, err error) {
 	g, s := e.g, r.server
 	r.status, r.header = response.StatusCode, response.Header
 	answer := g.readAnswer(s, response)
 	r.notRun = answer.NotExecuted
 	r.body, err = readAnswerBody(response.Body)
 	if errors.Is(err, errAnswerTooLarge) && answer.Forwardable && !answer.NotExecuted {
-		r.rest = &answerRest{conn: c, response: response, stop: stop}
+		r.rest = &answerRest{conn: c, response: response}
 		return answer.Replaced, nil
 	}
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -345,17 +345,18 @@
 
 // connect returns a connection to a server, reused only if it has been idle for
 // at most maxIdle and has not carried the request before. The connection is aborted when
-// ctx ends, unless the returned function has been called.
-func (e *exchange) connect(ctx context.Context, s *fleet.Server, maxIdle time.Duration) (*backendconn.Conn, func() bool, error) {
+// ctx ends.
+func (e *exchange) connect(ctx context.Context, s *fleet.Server, maxIdle time.Duration) (*backendconn.Conn, error) {
 	return connect(ctx, e.g.Pool, addressOf(s), e.call.ID, maxIdle)
 }
 
-func connect(ctx context.Context, pool *backendconn.Pool, server backendconn.Server, id ident.RequestID, maxIdle time.Duration) (*backendconn.Conn, func() bool, error) {
+func connect(ctx context.Context, pool *backendconn.Pool, server backendconn.Server, id ident.RequestID, maxIdle time.Duration) (*backendconn.Conn, error) {
 	c, err := pool.Get(ctx, server, id, maxIdle)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	return c, context.AfterFunc(ctx, c.Abort), nil
+	c.AbortOn(ctx)
+	return c, nil
 }
 
 // nextRunNumber returns a run number that this node has not used before.
--- a/internal/gateway/largeanswer.go
+++ b/internal/gateway/largeanswer.go
@@ -57,18 +57,15 @@
 	return read, err
 }
 
-// answerRest is the unread part of a large answer. stop ends the abort of conn at the end
-// of the attempt's context.
+// answerRest is the unread part of a large answer.
 type answerRest struct {
 	conn     *backendconn.Conn
 	response *http.Response
-	stop     func() bool
 }
 
 // streamReply passes a large answer on to the client as it arrives. An answer that ends
 // early aborts the client's connection, so that it does not look complete.
 func (e *exchange) streamReply(r *reply) {
-	defer r.rest.stop()
 	g, c, response := e.g, r.rest.conn, r.rest.response
 	passHead(e.w, r.header)
 	if response.ContentLength >= 0 {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -334,7 +334,6 @@
 func (e *exchange) sendReply(r *reply) {
 	if e.onlyOnce() && statesNotRun(r.status) {
 		if r.rest != nil {
-			r.rest.stop()
 			e.g.Pool.Close(r.rest.conn)
 		}
 		e.addStep("%s answered status %d", r.server.ID, r.status)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -79,19 +79,18 @@
 	return h
 }
 
-// sendThrough sends the request through a host and returns the head of the answer. stop
-// ends the abort of the connection when the client leaves. An error with CodeConnect means
-// that nothing was sent.
-func (e *exchange) sendThrough(host RelayHost, h *relayHead) (c *backendconn.Conn, response *http.Response, stop func() bool, err error) {
+// sendThrough sends the request through a host and returns the head of the answer. An error
+// with CodeConnect means that nothing was sent.
+func (e *exchange) sendThrough(host RelayHost, h *relayHead) (c *backendconn.Conn, response *http.Response, err error) {
 	body, headLength, err := h.encode(e.call.Body)
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, nil, err
 	}
 	send := e.beginSend("host " + string(host.Host))
-	c, stop, err = connect(e.ctx, e.g.RelayPool, host.server(), e.call.ID, relayMaxIdle)
+	c, err = connect(e.ctx, e.g.RelayPool, host.server(), e.call.ID, relayMaxIdle)
 	if err != nil {
 		e.endSend(send, sendNotSent, 0, nil)
-		return nil, nil, nil, err
+		return nil, nil, err
 	}
 	response, err = c.Exchange(e.ctx, &backendconn.Request{
 		ID: e.call.ID, Method: http.MethodPost, Target: RelayPath, Host: host.Address, Body: body,
@@ -109,12 +108,11 @@
 	})
 	if err != nil {
 		e.endSend(send, sendUnknown, 0, c)
-		stop()
 		e.g.RelayPool.Close(c)
-		return nil, nil, nil, err
+		return nil, nil, err
 	}
 	e.endSend(send, relayAnswerOf(response).sendOutcome(), response.StatusCode, c)
-	return c, response, stop, nil
+	return c, response, nil
 }
 
 // relayGrace is the time after the deadline for which the answer of the second host is
@@ -145,11 +143,10 @@
 // callThrough makes one attempt to serve a call through a host. It returns false if the
 // host did not accept the call.
 func (e *exchange) callThrough(host RelayHost) bool {
-	c, response, stop, err := e.sendThrough(host, e.relayHead(time.Now()))
+	c, response, err := e.sendThrough(host, e.relayHead(time.Now()))
 	if err != nil {
 		return e.relayCallFailed(host, err)
 	}
-	defer stop()
 	switch relayAnswerOf(response) {
 	case relayNotAccepted:
 		e.endRelayRefusal(host, c, response)
@@ -242,11 +239,10 @@
 	if c := st.lostCopy; c != nil {
 		h.Copy = &relayedCopy{Holder: c.holder.ID, Source: c.source, Name: c.name}
 	}
-	c, response, stop, err := st.sendThrough(host, h)
+	c, response, err := st.sendThrough(host, h)
 	if err != nil {
 		return st.relayLost(host, err, false), nil
 	}
-	defer stop()
 	answer := relayAnswerOf(response)
 	switch answer {
 	case relayNotAccepted:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -214,12 +214,11 @@
 		return resultNotRun
 	}
 	send := e.beginSend(string(s.ID))
-	c, stop, err := e.connect(e.ctx, s, streamMaxIdle)
+	c, err := e.connect(e.ctx, s, streamMaxIdle)
 	if err != nil {
 		e.endSend(send, sendNotSent, 0, nil)
 		return st.connectionFailed(s, err)
 	}
-	defer stop()
 	wait := g.Fleet.FirstToken(s, now, prompt)
 	g.Fleet.AddRun(now, g.Self, placed)
 	g.Announce.RunPlaced(placed)
--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -79,6 +79,8 @@
 	raw     net.Conn
 	reader  *bufio.Reader
 	aborted atomic.Bool
+	// stopAbort ends AbortOn; nil if it is not in effect.
+	stopAbort func() bool
 
 	// opened is Pool.Dialed for this connection until its outcome is known; nil then.
 	opened func(error)
@@ -124,6 +126,17 @@
 	return 0
 }
 
+// AbortOn aborts the connection when ctx ends, unless it has been returned to its pool or
+// closed before.
+func (c *Conn) AbortOn(ctx context.Context) { c.stopAbort = context.AfterFunc(ctx, c.Abort) }
+
+// endAbort ends AbortOn and reports whether the connection will not be aborted any more.
+func (c *Conn) endAbort() bool {
+	stop := c.stopAbort
+	c.stopAbort = nil
+	return stop == nil || stop()
+}
+
 // Abort closes the connection. A blocked read fails with CodeCancelled.
 func (c *Conn) Abort() {
 	c.aborted.Store(true)
--- a/internal/peer/backendconn/pool.go
+++ b/internal/peer/backendconn/pool.go
@@ -133,7 +133,8 @@
 // it cannot carry another request.
 func (p *Pool) Put(server Server, c *Conn, response *http.Response) {
 	now := time.Now()
-	reusable := !response.Close && c.reader.Buffered() == 0 && !c.aborted.Load() && !c.carried.full()
+	// An abort that has begun could hit the next request.
+	reusable := c.endAbort() && !response.Close && c.reader.Buffered() == 0 && !c.aborted.Load() && !c.carried.full()
 	if c.bodyWritten != nil {
 		select {
 		case err := <-c.bodyWritten:
@@ -193,7 +194,10 @@
 }
 
 // Close closes a connection that must not be reused.
-func (p *Pool) Close(c *Conn) { c.raw.Close() }
+func (p *Pool) Close(c *Conn) {
+	c.endAbort()
+	c.raw.Close()
+}
 
 // Retain closes the idle connections that have expired and those to servers for
 // which keep returns false.
