gateway: the state of a check for the end of a stream is one type

Five fields of streamState that belong together, under one comment that a reader could not assign, become endCheck.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -13,9 +13,26 @@
 // continue. The server is then asked to continue after the event before: one that knows the
 // stream repeats the last event, which is not passed on again.
 
-// maxNamedUnconfirmed is the number of servers that are asked to repeat an event that only the
+// endCheck is the state of a stream for which an answer without an event has come, from
+// attempt to attempt.
+type endCheck struct {
+	// asking makes the next attempt ask for the last event that the client has, which is not
+	// passed on again.
+	asking bool
+	engine *fleet.Server // which is to be asked; nil for any
+	// emptyHead is the head of the answer without an event. It begins the answer to the client
+	// if none has begun it.
+	emptyHead http.Header
+	// notRepeated is the number of engines that have not repeated an event that only the
+	// client has named.
+	notRepeated int
+	// confirmed reports that the stream has ended after an event that a server has sent.
+	confirmed bool
+}
+
+// maxNotRepeated is the number of servers that are asked to repeat an event that only the
 // client has named. The event may not exist, which says nothing about the servers.
-const maxNamedUnconfirmed = 3
+const maxNotRepeated = 3
 
 // answerEnd describes an answer to an attempt of a stream that ended without an error.
 type answerEnd struct {
@@ -45,19 +62,19 @@
 func (st *streamState) endOfAnswer(from ident.BackendID, head http.Header, watch *streamWatch, confirmed bool) result {
 	end := answerEnd{
 		resumable: st.route.Resumable, begun: st.lastEventID > 0, delivered: watch.eventDelivered,
-		asked: st.repeatLast, confirmed: watch.repeated || confirmed && !st.repeatLast,
+		asked: st.check.asking, confirmed: watch.repeated || confirmed && !st.check.asking,
 	}
 	r := end.result()
 	switch {
 	case r == resultUnconfirmed:
 		st.addStep("%s ended after=%d without an event: asked to repeat event %d", from, st.lastEventID, st.lastEventID)
-		st.repeatLast, st.emptyHead = true, head
+		st.check.asking, st.check.emptyHead = true, head
 	case r == resultFailed:
 		st.addStep("%s ended after=%d without repeating event %d: not the end of the stream", from, st.lastEventID-1, st.lastEventID)
 	case watch.repeated && !watch.eventDelivered:
 		st.addStep("%s repeated event %d and ended: the stream is complete", from, st.lastEventID)
 	}
-	st.endConfirmed = r == resultEnded && end.resumable && end.begun
+	st.check.confirmed = r == resultEnded && end.resumable && end.begun
 	if r == resultEnded {
 		st.writeHead(head)
 	}
@@ -66,7 +83,7 @@
 
 // continueAfter returns the id of the event after which the next attempt is to continue.
 func (st *streamState) continueAfter() int64 {
-	if st.repeatLast {
+	if st.check.asking {
 		return st.lastEventID - 1
 	}
 	return st.lastEventID
@@ -75,7 +92,7 @@
 // recordUnconfirmed records the result of an answer of an engine that had no event.
 func (st *streamState) recordUnconfirmed(s *fleet.Server, r result) {
 	if r == resultUnconfirmed {
-		st.unconfirmedAt = s
+		st.check.engine = s
 		return
 	}
 	st.exclude = append(st.exclude, s.ID)
@@ -83,7 +100,7 @@
 		st.g.Fleet.RecordResult(s, false)
 		return
 	}
-	if st.namedUnconfirmed++; st.namedUnconfirmed >= maxNamedUnconfirmed {
+	if st.check.notRepeated++; st.check.notRepeated >= maxNotRepeated {
 		st.losses = maxLosses
 	}
 }
@@ -97,8 +114,8 @@
 // takeUnconfirmed returns the engine that is to repeat the last event, once; nil if there is
 // none. An engine that cannot be asked has failed to continue the stream.
 func (st *streamState) takeUnconfirmed(now time.Time) *fleet.Server {
-	s := st.unconfirmedAt
-	st.unconfirmedAt = nil
+	s := st.check.engine
+	st.check.engine = nil
 	if s == nil || st.g.Fleet.Accepts(s, now) && st.permitted(s, PurposeFits) {
 		return s
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -75,14 +75,14 @@
 	if st.headSent {
 		return
 	}
-	if st.emptyHead != nil {
-		h = st.emptyHead
+	if st.check.emptyHead != nil {
+		h = st.check.emptyHead
 	}
 	st.headSent = true
 	passHead(st.w, h)
 	if st.relayed != nil {
 		accepted := relayAccepted
-		if st.endConfirmed {
+		if st.check.confirmed {
 			accepted = relayConfirmed
 		}
 		st.w.Header().Set(headerRelayed, accepted)
@@ -102,11 +102,11 @@
 		if !ok {
 			break
 		}
-		if st.repeatLast && !watch.repeated && ev.id == st.lastEventID {
+		if st.check.asking && !watch.repeated && ev.id == st.lastEventID {
 			watch.repeated = true
 			continue
 		}
-		if ev.id != st.lastEventID+1 || st.repeatLast && !watch.repeated {
+		if ev.id != st.lastEventID+1 || st.check.asking && !watch.repeated {
 			st.addStep("event out of order: %d after %d from %s", ev.id, st.lastEventID, from)
 			return resultFailed, false
 		}
@@ -120,7 +120,7 @@
 			return resultAborted, false
 		}
 		st.lastEventID = ev.id
-		st.repeatLast = false
+		st.check.asking = false
 		wrote = true
 	}
 	if events.tooLarge() {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -97,7 +97,7 @@
 		st.resumeMode = resumeFromPrompt
 		return s, nil, a, nil
 	}
-	if st.repeatLast && st.attemptsLeft() <= 0 {
+	if st.check.asking && st.attemptsLeft() <= 0 {
 		return nil, nil, a, &refusal{refusalEnginesFailed, retryAfter(noEngineRetryAfter)}
 	}
 	if c := st.lostCopy; c != nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -227,8 +227,8 @@
 // that the client has. It returns a refusal if the other host has refused the stream.
 func (st *streamState) runThrough(host RelayHost) (result, *refusal) {
 	defer st.g.Relays.End(host)
-	if st.unconfirmedAt != nil { // out of reach; the other host chooses another engine
-		st.unconfirmedAt = nil
+	if st.check.engine != nil { // out of reach; the other host chooses another engine
+		st.check.engine = nil
 		st.losses++
 		if st.attemptsLeft() <= 0 {
 			return 0, &refusal{refusalEnginesFailed, retryAfter(noEngineRetryAfter)}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,22 +56,12 @@
 	resumeMode string // resumeFromCopy or resumeFromPrompt, for the current attempt
 	// lastFailure is the latest complete answer with a failure status. It is
 	// passed on if no later attempt succeeds.
-	lastFailure *bufferedAnswer
-	losses      int // engines that failed after they had received the request
-	// repeatLast makes the next attempt ask for the last event that the client has, which
-	// is not passed on again, and unconfirmedAt is the engine that is to be asked; nil for
-	// any. emptyHead is the head of the answer without an event that made this necessary:
-	// it began the answer to the client if none had. namedUnconfirmed is the number of engines
-	// that have not repeated an event that only the client has named. endConfirmed reports that
-	// the stream has ended and that its last event was confirmed. See answerEnd.
-	repeatLast       bool
-	emptyHead        http.Header
-	namedUnconfirmed int
-	unconfirmedAt    *fleet.Server
-	endConfirmed     bool
-	sound            bool // a run of the stream has delivered events for soundAfter
-	lossReported     bool // the current run is given up because another request found its engine lost
-	responseControl  *http.ResponseController
+	lastFailure     *bufferedAnswer
+	losses          int // engines that failed after they had received the request
+	check           endCheck
+	sound           bool // a run of the stream has delivered events for soundAfter
+	lossReported    bool // the current run is given up because another request found its engine lost
+	responseControl *http.ResponseController
 }
 
 // bufferedAnswer is a backend server's answer with its body in memory.
@@ -339,14 +329,14 @@
 		st.g.Pool.Close(c)
 	} else {
 		st.g.Pool.Put(addressOf(s), c, response)
-		if answer.Forwardable && response.StatusCode >= 300 && !st.repeatLast && !(st.onlyOnce() && statesNotRun(response.StatusCode)) {
+		if answer.Forwardable && response.StatusCode >= 300 && !st.check.asking && !(st.onlyOnce() && statesNotRun(response.StatusCode)) {
 			st.lastFailure = &bufferedAnswer{response.StatusCode, response.Header, body}
 		}
 	}
 	st.addStep("%s answered status %d", s.ID, response.StatusCode)
 	st.g.Fleet.RecordResult(s, false)
 	st.exclude = append(st.exclude, s.ID)
-	if response.StatusCode < http.StatusInternalServerError && response.StatusCode >= 300 && st.lastFailure != nil && !st.headSent && !st.repeatLast {
+	if response.StatusCode < http.StatusInternalServerError && response.StatusCode >= 300 && st.lastFailure != nil && !st.headSent && !st.check.asking {
 		st.writeAnswer(st.lastFailure)
 		st.headSent = true
 		return resultEnded
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -25,7 +25,7 @@
 	eventDelivered   bool
 	firstEventAt     time.Time // delivery of the first event
 	lastEventAt      time.Time // delivery of the latest event
-	repeated         bool      // the server has repeated the last event; see repeatLast
+	repeated         bool      // the server has repeated the last event; see endCheck
 	// idleAtProbe is how long the engine had sent nothing to the stream when it was
 	// last probed; 0 if it has sent bytes since.
 	idleAtProbe time.Duration
--- a/internal/peer/backendconn/requestset.go
+++ b/internal/peer/backendconn/requestset.go
@@ -13,7 +13,8 @@
 const maxCarried = 256
 
 // requestSet is the set of the requests that a connection has carried, as the hashes of
-// their ids. All requests without an id count as the same one. Two requests with the same hash only cost a connection.
+// their ids. All requests without an id count as the same one. Two requests with the same
+// hash only cost a connection.
 type requestSet []uint64
 
 func (s *requestSet) add(id ident.RequestID) { *s = append(*s, xxh3.HashString(string(id))) }
