gateway: a connection with an unfinished refusal is not used again

What clients could see: a stream, also one that must run once, that failed with 502 because an engine had sent a long refusal on the connection before (found by reading, while the soak was widened).

Cause: of the body of a refusal 4 KiB were skipped, and the connection went back to the pool if nothing more had arrived by then. The rest came in front of the next answer.

Evidence: TestConnectionOfUnfinishedRefusalIsNotUsedAgain failed with status 502 ("too many engines failed") and passes.

Change: the connection of a refusal is kept only if the body of the refusal has ended, for engines and other hosts.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -350,6 +351,20 @@
 	return connect(ctx, e.g.Pool, addressOf(s), e.call.ID, maxIdle)
 }
 
+// maxRefusalBody is the size in bytes from which on the body of a refusal, a short text, is
+// not read to its end.
+const maxRefusalBody = 4 << 10
+
+// putAfterRefusal returns the connection of a refusal to its pool, or closes it if the body
+// of the refusal has not ended: the next request would find the rest in front of its answer.
+func putAfterRefusal(pool *backendconn.Pool, server backendconn.Server, c *backendconn.Conn, response *http.Response) {
+	if _, err := io.CopyN(io.Discard, response.Body, maxRefusalBody); !errors.Is(err, io.EOF) {
+		pool.Close(c)
+		return
+	}
+	pool.Put(server, c, response)
+}
+
 func connect(ctx context.Context, pool *backendconn.Pool, server backendconn.Server, id ident.RequestID, maxIdle time.Duration) (*backendconn.Conn, error) {
 	c, err := pool.Get(ctx, server, id, maxIdle)
 	if err != nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -195,8 +195,7 @@
 func (e *exchange) endRelayRefusal(host RelayHost, c *backendconn.Conn, response *http.Response) {
 	e.addStep("refused by %s", host.Host)
 	e.g.Metrics.relayed("sent", "refused")
-	_, _ = io.CopyN(io.Discard, response.Body, 4<<10) // a short text; if it is longer, the connection is not reused
-	e.g.RelayPool.Put(host.server(), c, response)
+	putAfterRefusal(e.g.RelayPool, host.server(), c, response)
 }
 
 // passRelayedAnswer passes an answer on to the client as it arrives. An answer that ends
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -235,8 +234,7 @@
 	answer := g.readAnswer(s, response)
 	if answer.NotExecuted {
 		e.endSend(send, sendRefused, response.StatusCode, c)
-		_, _ = io.CopyN(io.Discard, response.Body, 4<<10) // a short text; if it is longer, the connection is not reused
-		g.Pool.Put(addressOf(s), c, response)
+		putAfterRefusal(g.Pool, addressOf(s), c, response)
 		e.addStep("not run, status %d", response.StatusCode)
 		switch {
 		case answer.Replaced:
