node: a blocked handler of a test does not answer when its context ends

The context of the handler ends at the same virtual time as the call, and the handler then answered: whichever came first decided.

--- a/internal/peer/node/node_test.go
+++ b/internal/peer/node/node_test.go
@@ -19,19 +19,17 @@
 var sender = &nodepb.Sender{HostId: "n1", Incarnation: 1, DataCentre: "a"}
 
 // echoHandler is a Handler that returns the sequence of a heartbeat. If unblock is
-// set, a heartbeat waits until it is closed. Methods that no test reaches are not
+// set, a heartbeat waits until it is closed, also if its context has ended: that is at the
+// same virtual time as the end of the call, and an answer could come first. Methods that no test reaches are not
 // implemented.
 type echoHandler struct {
 	Handler
 	unblock chan struct{}
 }
 
-func (e *echoHandler) Heartbeat(ctx context.Context, r *nodepb.HeartbeatRequest) (*nodepb.HeartbeatResponse, error) {
+func (e *echoHandler) Heartbeat(_ context.Context, r *nodepb.HeartbeatRequest) (*nodepb.HeartbeatResponse, error) {
 	if e.unblock != nil {
-		select {
-		case <-e.unblock:
-		case <-ctx.Done():
-		}
+		<-e.unblock
 	}
 	return &nodepb.HeartbeatResponse{Sequence: r.Sequence}, nil
 }
