gateway: a stream that may be complete waits for an engine that can say so

What clients could see: a whole stream that was broken off, or 502 at the client's own try, because the engine that was to repeat its last event had no room, its limit allowed nothing, or the retry budget was used up.

Cause: refusals of that request counted like those of a stream that has not begun, and the wait for a retry ended after 2 s. An engine that had failed to repeat the event was asked again when no other was usable.

Change: such a stream waits up to 4 s and asks again after refusals; an engine that has not repeated the event is not asked again, and the stream ends at once when none is left.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/fleet"
@@ -23,9 +24,10 @@
 	// emptyHead is the head of the answer without an event. It begins the answer to the client
 	// if none has begun it.
 	emptyHead http.Header
-	// notRepeated is the number of engines that have not repeated an event that only the
-	// client has named.
-	notRepeated int
+	// failed lists the engines that have not repeated the event. They are not asked again.
+	failed fleet.Exclude
+	// until is the time until which the stream waits for an engine that can be asked.
+	until time.Time
 	// confirmed reports that the stream has ended after an event that a server has sent.
 	confirmed bool
 }
@@ -34,6 +36,15 @@
 // client has named. The event may not exist, which says nothing about the servers.
 const maxNotRepeated = 3
 
+const (
+	// endCheckWait is how long a stream waits for an engine that has room, or for a part of the
+	// retry budget, to ask for its last event. The client may have all events already, so that
+	// only the end of its answer is late.
+	endCheckWait = 4 * time.Second
+	// endCheckPause is the time between two tries.
+	endCheckPause = 200 * time.Millisecond
+)
+
 // answerEnd describes an answer to an attempt of a stream that ended without an error.
 type answerEnd struct {
 	resumable bool // the stream may run again
@@ -68,7 +79,7 @@
 	switch {
 	case r == resultUnconfirmed:
 		st.addStep("%s ended after=%d without an event: asked to repeat event %d", from, st.lastEventID, st.lastEventID)
-		st.check.asking, st.check.emptyHead = true, head
+		st.check.asking, st.check.emptyHead, st.check.until = true, head, time.Now().Add(endCheckWait)
 	case r == resultFailed:
 		st.addStep("%s ended after=%d without repeating event %d: not the end of the stream", from, st.lastEventID-1, st.lastEventID)
 	case watch.repeated && !watch.eventDelivered:
@@ -96,15 +107,39 @@
 		return
 	}
 	st.exclude = append(st.exclude, s.ID)
+	st.check.failed = append(st.check.failed, s.ID)
 	if st.knowsLastEvent() {
 		st.g.Fleet.RecordResult(s, false)
 		return
 	}
-	if st.check.notRepeated++; st.check.notRepeated >= maxNotRepeated {
+	if len(st.check.failed) >= maxNotRepeated {
 		st.losses = maxLosses
 	}
 }
 
+// endUnknown reports whether no server is left that could repeat the last event.
+func (st *streamState) endUnknown() bool {
+	if !st.check.asking {
+		return false
+	}
+	isLeft := func(s *fleet.Server) bool { return !slices.Contains(st.check.failed, s.ID) }
+	return st.attemptsLeft() <= 0 || !slices.ContainsFunc(st.g.Fleet.OfService(st.service.Name), isLeft)
+}
+
+// awaitEndCheck waits for endCheckPause if the stream is to ask for its last event once more
+// although that was refused, and reports whether it is.
+func (st *streamState) awaitEndCheck(now time.Time) bool {
+	if !st.check.asking || !now.Before(st.check.until) || st.endUnknown() {
+		return false
+	}
+	select {
+	case <-time.After(endCheckPause):
+		return true
+	case <-st.ctx.Done():
+		return false
+	}
+}
+
 // knowsLastEvent reports whether a server has sent the last event to this host or the one
 // that sends the stream through it. Otherwise only the client has named it.
 func (st *streamState) knowsLastEvent() bool {
@@ -112,14 +147,21 @@
 }
 
 // takeUnconfirmed returns the engine that is to repeat the last event, once; nil if there is
-// none. An engine that cannot be asked has failed to continue the stream.
-func (st *streamState) takeUnconfirmed(now time.Time) *fleet.Server {
-	s := st.check.engine
-	st.check.engine = nil
-	if s == nil || st.g.Fleet.Accepts(s, now) && st.permitted(s, PurposeFits) {
-		return s
+// none. An engine that no longer accepts requests has failed to continue the stream. One whose
+// limit allows no request now stays the one to be asked, and denied is true.
+func (st *streamState) takeUnconfirmed(now time.Time) (s *fleet.Server, denied bool) {
+	s = st.check.engine
+	switch {
+	case s == nil:
+		return nil, false
+	case !st.g.Fleet.Accepts(s, now):
+		st.check.engine = nil
+		st.losses++
+		st.exclude = append(st.exclude, s.ID)
+		return nil, false
+	case !st.permitted(s, PurposeFits):
+		return nil, true
 	}
-	st.losses++
-	st.exclude = append(st.exclude, s.ID)
-	return nil
+	st.check.engine = nil
+	return s, false
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -44,9 +44,13 @@
 // awaitRetry reports whether a further attempt may be sent, like mayRetry. If this host
 // has used up its share of the retry budget, it borrows from others, and otherwise waits
 // until a part of its share is free again: a stream that pauses is worth more than one
-// that breaks.
+// that breaks. One that may be complete waits longer.
 func (st *streamState) awaitRetry(now time.Time) bool {
-	until := now.Add(min(retryWait-st.retryWaited, st.timeLeft(now)))
+	wait := retryWait - st.retryWaited
+	if st.check.asking {
+		wait = st.check.until.Sub(now)
+	}
+	until := now.Add(min(wait, st.timeLeft(now)))
 	st.retryWaited = 0
 	for {
 		if st.mayRetry(now) || st.g.Borrow(st.ctx, st.service.Name) && st.mayRetry(time.Now()) {
@@ -93,11 +97,14 @@
 // place chooses the engine for the next attempt and the one that is to hold the copy
 // of its run (nil for none), or returns the reason for which the stream is refused.
 func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, refused *refusal) {
-	if s := st.takeUnconfirmed(now); s != nil {
+	switch s, denied := st.takeUnconfirmed(now); {
+	case denied:
+		return nil, nil, a, &refusal{refusalLimit, st.waitForTurn(now)}
+	case s != nil:
 		st.resumeMode = resumeFromPrompt
 		return s, nil, a, nil
 	}
-	if st.check.asking && st.attemptsLeft() <= 0 {
+	if st.endUnknown() {
 		return nil, nil, a, &refusal{refusalEnginesFailed, retryAfter(noEngineRetryAfter)}
 	}
 	if c := st.lostCopy; c != nil {
@@ -169,7 +176,7 @@
 	}
 	choice, found := choose(slices.Concat(st.exclude, st.denied))
 	if !found && len(st.exclude) > 0 {
-		return choose(st.denied)
+		return choose(slices.Concat(st.check.failed, st.denied))
 	}
 	return choice, found
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -114,6 +114,9 @@
 			return
 		}
 		r, refused := st.runNext(now)
+		if refused != nil && st.awaitEndCheck(now) {
+			continue
+		}
 		if refused != nil {
 			st.refuseStream(refused)
 			return
@@ -135,7 +138,8 @@
 		case resultNotRelayed, resultUnconfirmed:
 		case resultNotRun:
 			e.refusedCount++
-			if e.refusedCount-e.unavailableCount >= maxRefusals+st.losses || e.unavailableCount >= maxUnavailable {
+			tooMany := e.refusedCount-e.unavailableCount >= maxRefusals+st.losses || e.unavailableCount >= maxUnavailable
+			if tooMany && !st.awaitEndCheck(now) {
 				st.failStream("engines refuse the request as full")
 				return
 			}
