gateway: the request for the last event stays at its engine and within the route's attempts

Cause: refusals of that request were handled like those of a new stream, an engine that accepts nothing now was taken for one that has ended, and the state of one check was kept for the next.

Change: an engine that refuses the request, or accepts none now, stays the one to be asked while it is usable; the pauses double from 200 ms; new events end the check.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -26,8 +26,10 @@
 	emptyHead http.Header
 	// failed lists the engines that have not repeated the event. They are not asked again.
 	failed fleet.Exclude
-	// until is the time until which the stream waits for an engine that can be asked.
+	// until is the time until which the stream waits for an engine that can be asked, and pause
+	// is the time until the next try.
 	until time.Time
+	pause time.Duration
 	// confirmed reports that the stream has ended after an event that a server has sent.
 	confirmed bool
 }
@@ -41,7 +43,8 @@
 	// retry budget, to ask for its last event. The client may have all events already, so that
 	// only the end of its answer is late.
 	endCheckWait = 4 * time.Second
-	// endCheckPause is the time between two tries.
+	// endCheckPause is the time before the second try. It doubles with each further one: a try
+	// takes a retry and a connection.
 	endCheckPause = 200 * time.Millisecond
 )
 
@@ -79,7 +82,7 @@
 	switch {
 	case r == resultUnconfirmed:
 		st.addStep("%s ended after=%d without an event: asked to repeat event %d", from, st.lastEventID, st.lastEventID)
-		st.check.asking, st.check.emptyHead, st.check.until = true, head, time.Now().Add(endCheckWait)
+		st.check = endCheck{asking: true, emptyHead: head, until: time.Now().Add(endCheckWait), pause: endCheckPause}
 	case r == resultFailed:
 		st.addStep("%s ended after=%d without repeating event %d: not the end of the stream", from, st.lastEventID-1, st.lastEventID)
 	case watch.repeated && !watch.eventDelivered:
@@ -126,14 +129,16 @@
 	return st.attemptsLeft() <= 0 || !slices.ContainsFunc(st.g.Fleet.OfService(st.service.Name), isLeft)
 }
 
-// awaitEndCheck waits for endCheckPause if the stream is to ask for its last event once more
-// although that was refused, and reports whether it is.
+// awaitEndCheck pauses if the stream is to ask for its last event once more although that was
+// refused, and reports whether it is.
 func (st *streamState) awaitEndCheck(now time.Time) bool {
 	if !st.check.asking || !now.Before(st.check.until) || st.endUnknown() {
 		return false
 	}
+	pause := min(st.check.pause, st.check.until.Sub(now))
+	st.check.pause *= 2
 	select {
-	case <-time.After(endCheckPause):
+	case <-time.After(pause):
 		return true
 	case <-st.ctx.Done():
 		return false
@@ -147,21 +152,29 @@
 }
 
 // takeUnconfirmed returns the engine that is to repeat the last event, once; nil if there is
-// none. An engine that no longer accepts requests has failed to continue the stream. One whose
-// limit allows no request now stays the one to be asked, and denied is true.
-func (st *streamState) takeUnconfirmed(now time.Time) (s *fleet.Server, denied bool) {
+// none. One that is no longer usable has failed to continue the stream. One that accepts no
+// request now stays the one to be asked, and busy is true.
+func (st *streamState) takeUnconfirmed(now time.Time) (s *fleet.Server, busy bool) {
 	s = st.check.engine
 	switch {
 	case s == nil:
 		return nil, false
-	case !st.g.Fleet.Accepts(s, now):
+	case !st.g.Fleet.IsUsable(s, now):
 		st.check.engine = nil
 		st.losses++
 		st.exclude = append(st.exclude, s.ID)
 		return nil, false
-	case !st.permitted(s, PurposeFits):
+	case !st.g.Fleet.Accepts(s, now) || !st.permitted(s, PurposeFits):
 		return nil, true
 	}
 	st.check.engine = nil
 	return s, false
 }
+
+// keepUnconfirmed makes an engine that was to repeat the last event, and did not run the
+// request, the one to be asked again: another would be a further engine that runs the stream.
+func (st *streamState) keepUnconfirmed(s *fleet.Server) {
+	if st.check.asking {
+		st.check.engine = s
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -120,7 +120,7 @@
 			return resultAborted, false
 		}
 		st.lastEventID = ev.id
-		st.check.asking = false
+		st.check = endCheck{}
 		wrote = true
 	}
 	if events.tooLarge() {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -83,6 +83,8 @@
 	refusalLongQueue = "engines cannot begin in time"
 	refusalNoRoom    = "no engine has enough free memory"
 	refusalLimit     = "backend servers limit requests"
+	// refusalBusy: the engine that is to say whether the stream is complete accepts no request.
+	refusalBusy = "the engine of the stream accepts no request"
 	// refusalEnginesFailed: the stream has used up the engines that may run it.
 	refusalEnginesFailed = "too many engines failed"
 )
@@ -97,9 +99,9 @@
 // place chooses the engine for the next attempt and the one that is to hold the copy
 // of its run (nil for none), or returns the reason for which the stream is refused.
 func (st *streamState) place(now time.Time) (server, backup *fleet.Server, a Attempt, refused *refusal) {
-	switch s, denied := st.takeUnconfirmed(now); {
-	case denied:
-		return nil, nil, a, &refusal{refusalLimit, st.waitForTurn(now)}
+	switch s, busy := st.takeUnconfirmed(now); {
+	case busy:
+		return nil, nil, a, &refusal{refusalBusy, retryAfter(noEngineRetryAfter)}
 	case s != nil:
 		st.resumeMode = resumeFromPrompt
 		return s, nil, a, nil
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -356,6 +356,7 @@
 		return 0, refused
 	}
 	if !st.awaitRetry(now) {
+		st.keepUnconfirmed(server)
 		return 0, &refusal{"the retry budget is used up", retryAfter(noEngineRetryAfter)}
 	}
 	return st.run(server, backup, attempt), nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -138,8 +138,10 @@
 		case resultNotRelayed, resultUnconfirmed:
 		case resultNotRun:
 			e.refusedCount++
-			tooMany := e.refusedCount-e.unavailableCount >= maxRefusals+st.losses || e.unavailableCount >= maxUnavailable
-			if tooMany && !st.awaitEndCheck(now) {
+			if st.awaitEndCheck(now) {
+				continue
+			}
+			if st.check.asking || e.refusedCount-e.unavailableCount >= maxRefusals+st.losses || e.unavailableCount >= maxUnavailable {
 				st.failStream("engines refuse the request as full")
 				return
 			}
@@ -246,6 +248,7 @@
 			g.recordLoss(s, fleet.LossReplaced, errReplaced)
 		case a.CopyName == "":
 			g.Fleet.RecordFull(s, time.Now())
+			st.keepUnconfirmed(s)
 		default:
 			return resultNotRun // the engine is running, but no longer has the copy
 		}
