gateway: a full engine does not keep a stream from another that has room

Cause: only the engine of the empty answer was asked until the wait ended. A failed connection did not count as an engine that had failed.

Evidence: TestOtherEngineIsAskedForLastEvent and the case "no connection" of TestRefusedRepeatUsesNoFurtherEngine (2 engines, 1 allowed) failed and pass.

Change: while the route allows a further engine and one accepts requests, that one is asked and the first counts as failed. The wait for a retry no longer holds the permission for a server, which may end before; an unused one is released.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -152,8 +152,8 @@
 }
 
 // takeUnconfirmed returns the engine that is to repeat the last event, once; nil if there is
-// none. One that is no longer usable has failed to continue the stream. One that accepts no
-// request now stays the one to be asked, and busy is true.
+// none. One that is no longer usable has failed to continue the stream. While one accepts no
+// request and no other may be asked, busy is true.
 func (st *streamState) takeUnconfirmed(now time.Time) (s *fleet.Server, busy bool) {
 	s = st.check.engine
 	switch {
@@ -165,16 +165,26 @@
 		st.exclude = append(st.exclude, s.ID)
 		return nil, false
 	case !st.g.Fleet.Accepts(s, now) || !st.permitted(s, PurposeFits):
-		return nil, true
+		st.exclude = append(st.exclude, s.ID)
+		st.keepUnconfirmed(s)
+		return nil, st.check.engine != nil
 	}
 	st.check.engine = nil
 	return s, false
 }
 
-// keepUnconfirmed makes an engine that was to repeat the last event, and did not run the
-// request, the one to be asked again: another would be a further engine that runs the stream.
+// keepUnconfirmed is called for an engine that was to repeat the last event and has not run
+// the request. If the route allows a further engine and one has not been asked yet, that one is
+// next; otherwise the same engine is asked again.
 func (st *streamState) keepUnconfirmed(s *fleet.Server) {
-	if st.check.asking {
-		st.check.engine = s
+	if !st.check.asking {
+		return
+	}
+	isOther := func(other *fleet.Server) bool { return !slices.Contains(st.exclude, other.ID) }
+	if st.attemptsLeft() > 1 && slices.ContainsFunc(st.g.Fleet.Accepting(time.Now(), st.service.Name, st.version), isOther) {
+		st.check.engine = nil
+		st.losses++
+		return
 	}
+	st.check.engine = s
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -44,11 +44,11 @@
 // awaitRetry reports whether a further attempt may be sent, like mayRetry. If this host
 // has used up its share of the retry budget, it borrows from others, and otherwise waits
 // until a part of its share is free again: a stream that pauses is worth more than one
-// that breaks. One that may be complete waits longer.
+// that breaks.
 func (st *streamState) awaitRetry(now time.Time) bool {
 	wait := retryWait - st.retryWaited
 	if st.check.asking {
-		wait = st.check.until.Sub(now)
+		wait = 0 // awaitEndCheck waits, without the permission for a server
 	}
 	until := now.Add(min(wait, st.timeLeft(now)))
 	st.retryWaited = 0
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -61,7 +61,7 @@
 	case err != nil:
 		return sendUnknown
 	}
-	return sanswerPaniced
+	return sendAnswered
 }
 
 // answered reports whether the server ran the call and the answer may be passed
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -356,7 +356,10 @@
 		return 0, refused
 	}
 	if !st.awaitRetry(now) {
-		st.keepUnconfirmed(server)
+		st.g.release(server)
+		if st.check.asking {
+			st.check.engine = server
+		}
 		return 0, &refusal{"the retry budget is used up", retryAfter(noEngineRetryAfter)}
 	}
 	return st.run(server, backup, attempt), nil
--- a/internal/gateway/relayanswer.go
+++ b/internal/gateway/relayanswer.go
@@ -42,7 +42,7 @@
 	case relayUnknown:
 		return sendUnknown
 	}
-	return sanswerPaniced
+	return sendAnswered
 }
 
 // relayRefusalOf returns the refusal in an answer of the second host.
--- a/internal/gateway/sends.go
+++ b/internal/gateway/sends.go
@@ -16,11 +16,11 @@
 type sendOutcome string
 
 const (
-	sendPending    sendOutcome = "pending"  // no answer yet
-	sendNotSent    sendOutcome = "not_sent" // no connection could be opened
-	sendRefused    sendOutcome = "refused"  // the receiver stated that the request did not run
-	sanswerPaniced sendOutcome = "answered" // the request ran, or may have
-	sendUnknown    sendOutcome = "unknown"  // no answer that can be used: the request may have run
+	sendPending  sendOutcome = "pending"  // no answer yet
+	sendNotSent  sendOutcome = "not_sent" // no connection could be opened
+	sendRefused  sendOutcome = "refused"  // the receiver stated that the request did not run
+	sendAnswered sendOutcome = "answered" // the request ran, or may have
+	sendUnknown  sendOutcome = "unknown"  // no answer that can be used: the request may have run
 )
 
 // sendRecord describes one send of a request, for the request's log line. The line of a
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -248,14 +248,14 @@
 			g.recordLoss(s, fleet.LossReplaced, errReplaced)
 		case a.CopyName == "":
 			g.Fleet.RecordFull(s, time.Now())
-			st.keepUnconfirmed(s)
 		default:
 			return resultNotRun // the engine is running, but no longer has the copy
 		}
 		e.exclude = append(e.exclude, s.ID)
+		st.keepUnconfirmed(s)
 		return resultNotRun
 	}
-	e.endSend(send, sanswerPaniced, response.StatusCode, c)
+	e.endSend(send, sendAnswered, response.StatusCode, c)
 	if response.StatusCode != http.StatusOK || !answer.Forwardable {
 		return st.answeredWithFailure(s, c, response, answer)
 	}
@@ -273,6 +273,7 @@
 	st.addStep("connect %s: %v", s.ID, err)
 	st.g.recordFailure(s, err)
 	st.exclude = append(st.exclude, s.ID)
+	st.keepUnconfirmed(s)
 	return resultNotRun
 }
 
@@ -325,8 +326,8 @@
 // answeredWithFailure handles an answer with a status other than 200, or one that
 // may not be passed on. It stores a complete answer with a failure status that may be
 // passed on in lastFailure, unless the engine was asked for more than the client had asked
-// for. After a status of 300 to 499 it sends lastFailure to the
-// client at once, unless the head of an answer has already been sent.
+// for. After a status of 300 to 499 it sends lastFailure to the client at once, unless the
+// head of an answer has already been sent.
 func (st *streamState) answeredWithFailure(s *fleet.Server, c *backendconn.Conn, response *http.Response, answer Answer) result {
 	st.sentCount++
 	body, err := readAnswerBody(response.Body)
