--- a/review/ground/ground.go
+++ b/review/ground/ground.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -105,7 +106,9 @@
 // StartNodes starts nodes, each on a loopback address of its own, and waits until all are
 // ready.
 func (w *World) StartNodes(count int) error {
-	port, err := standin.FreePorts(8)
+	network := os.Getpid()%200 + 20 // so that cases at the same time have addresses of their own
+	ip := func(i int) string { return fmt.Sprintf("127.0.%d.%d", network, i+1) }
+	port, err := freePorts(8, count, ip)
 	if err != nil {
 		return err
 	}
@@ -113,8 +116,6 @@
 	if err != nil {
 		return err
 	}
-	network := os.Getpid()%200 + 20 // so that cases at the same time have addresses of their own
-	ip := func(i int) string { return fmt.Sprintf("127.0.%d.%d", network, i+1) }
 	var seeds []string
 	for i := range min(3, count) {
 		seeds = append(seeds, fmt.Sprintf("%q", ip(i)+":"+strconv.Itoa(port+2)))
@@ -136,6 +137,36 @@
 	return w.AwaitReady(10 * time.Second)
 }
 
+// freePorts returns the first of some consecutive ports that are free on all addresses.
+func freePorts(ports, addresses int, ip func(int) string) (int, error) {
+	for range 20 {
+		first, err := standin.FreePorts(ports)
+		if err != nil {
+			return 0, err
+		}
+		free := true
+		for i := range ports * addresses {
+			address := fmt.Sprintf("%s:%d", ip(i/ports), first+i%ports)
+			stream, err := net.Listen("tcp", address)
+			if err != nil {
+				free = false
+				continue
+			}
+			stream.Close()
+			packets, err := net.ListenPacket("udp", address)
+			if err != nil {
+				free = false
+				continue
+			}
+			packets.Close()
+		}
+		if free {
+			return first, nil
+		}
+	}
+	return 0, fmt.Errorf("no %d consecutive free ports", ports)
+}
+
 // Zone returns the zone with a number.
 func Zone(i int) string { return "zone-" + string(rune('a'+i%3)) }
 
