gateway, crashcause: the log shows the evidence for which a request is refused

Cause: a request that was refused because its content crashes servers left only the reason in the log: neither which content it was, nor how many crashes counted, nor whether the content was known to be answered. Change: a step with content, crashes, limit, ages and the last answer; a line for each evidence that arrives from the store or a peer, with the number of crashes and answers.

--- a/internal/crashcause/crash.go
+++ b/internal/crashcause/crash.go
@@ -48,6 +48,16 @@
 	HeardSince(id ident.BackendID, incarnation int64, at time.Time) bool
 }
 
+// Cause is content for which requests are refused, with the evidence that decided it.
+type Cause struct {
+	Content // a whole request or a single part
+	Crashes int
+	Limit   int // number of crashes from which on the content is refused
+	// Answered is when the content was last known to be answered; zero if it never was.
+	Answered       time.Time
+	Oldest, Newest time.Time // of the crashes
+}
+
 // key is one possible cause: a whole request or one part of a prompt. The other field
 // is zero.
 type key struct {
--- a/internal/crashcause/tracker.go
+++ b/internal/crashcause/tracker.go
@@ -181,22 +181,38 @@
 func (t *Tracker) Verdict(now time.Time, c Content, s Servers) (refused bool, wait time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	cause, wait := t.judge(now, c, s)
+	return cause != nil, wait
+}
+
+// Cause returns the content for which a request must not run again; nil if it may run.
+func (t *Tracker) Cause(now time.Time, c Content, s Servers) *Cause {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cause, _ := t.judge(now, c, s)
+	return cause
+}
+
+// judge returns the cause for which a request must not run again, and otherwise the time
+// until the causes of the latest crashes are known. The lock is held.
+func (t *Tracker) judge(now time.Time, c Content, s Servers) (*Cause, time.Duration) {
 	if len(t.deaths) == 0 {
-		return false, 0
+		return nil, 0
 	}
+	var wait time.Duration
 	for _, k := range c.keys() {
 		limit := t.limit(k)
 		deaths := t.unexplained(now, k, s)
 		if len(deaths) < limit-1 || t.betterCause(now, c, deaths, s) {
 			continue
 		}
-		if countKnown(now, k, deaths) >= limit {
-			return true, 0
-		}
 		newest := deaths[len(deaths)-1]
+		if known := countKnown(now, k, deaths); known >= limit {
+			return &Cause{k.content(), known, limit, t.answeredAt(k), deaths[0].at, newest.at}, 0
+		}
 		wait = max(wait, newest.at.Add(causeDelay).Sub(now))
 	}
-	return false, wait
+	return nil, wait
 }
 
 // limit returns the number of crashes from which on content is refused. The lock is
--- a/internal/front/crashes.go
+++ b/internal/front/crashes.go
@@ -83,7 +83,7 @@
 			continue
 		}
 		now := time.Now()
-		n.crashes.Merge(now, row.Evidence.Older(now.Sub(time.UnixMilli(row.WrittenMs))))
+		n.mergeCrashes(now, row.Evidence.Older(now.Sub(time.UnixMilli(row.WrittenMs))), "store")
 		n.crashesStored.Store(&row.Evidence)
 	}
 	return nil
@@ -112,5 +112,14 @@
 		n.log.LogError(logrus.WarnLevel, telemetry.EventPeerCallFailed, err, logrus.Fields{telemetry.FieldPeer: m.Host}, "cannot fetch the crashes that a peer keeps")
 		return
 	}
-	n.crashes.Merge(time.Now(), doc.Crashes)
+	n.mergeCrashes(time.Now(), doc.Crashes, string(m.Host))
+}
+
+// mergeCrashes adds evidence from the store or a peer to that of this node.
+func (n *Node) mergeCrashes(now time.Time, e crashcause.Evidence, from string) {
+	before := n.crashes.Len(now)
+	n.crashes.Merge(now, e)
+	n.log.Log(logrus.InfoLevel, telemetry.EventCrashEvidence, logrus.Fields{
+		"from": from, "crashes": len(e.Crashes), "answered": len(e.Answered), "new": n.crashes.Len(now) - before,
+	}, "evidence on crashes of backend servers received")
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -44,6 +45,19 @@
 	return refused
 }
 
+// addCrashCause adds a step with the evidence for which the request is refused.
+func (e *exchange) addCrashCause(now time.Time) {
+	c := e.g.Crashes.Cause(now, e.content(), e.g.Fleet)
+	if c == nil {
+		return // a peer has just reported an answer
+	}
+	answered := "never"
+	if !c.Answered.IsZero() {
+		answered = fmt.Sprintf("%dms ago", now.Sub(c.Answered).Milliseconds())
+	}
+	e.addStep("content=%s parts=%v crashes=%d limit=%d oldest=%dms newest=%dms ago answered=%s", c.Request, formatParts(c.Parts), c.Crashes, c.Limit, now.Sub(c.Oldest).Milliseconds(), now.Sub(c.Newest).Milliseconds(), answered)
+}
+
 // waitForCrashCause waits until it is known whether this request is the cause
 // of earlier crashes, but at most until the request's deadline.
 func (e *exchange) waitForCrashCause(now time.Time) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,6 +229,7 @@
 	e.deadline = now.Add(timeout)
 	e.waitForCrashCause(now)
 	if now = time.Now(); e.crashesServers(now) {
+		e.addCrashCause(now)
 		writeRefusal(w, http.StatusServiceUnavailable, crashRetryAfter, reasonCrashes)
 		e.recordOutcome("refused", http.StatusServiceUnavailable, reasonCrashes)
 		return
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -63,6 +63,7 @@
 	e := h.exchange(g, w, r, now)
 	e.waitForCrashCause(now)
 	if h.Sent == 0 && e.crashesServers(time.Now()) {
+		e.addCrashCause(time.Now())
 		e.fail(reasonCrashes, crashRetryAfter)
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -110,6 +110,7 @@
 			now = time.Now()
 		}
 		if st.losses > 0 && !st.sound && e.crashesServers(now) {
+			st.addCrashCause(now)
 			st.failStream(reasonCrashes)
 			return
 		}
