crashcause: a node that starts later does not count crashes of a lost data centre

Callers would see: sound requests refused by a host that started after data centres had been lost three times within ten minutes. Cause: evidence was passed on without what explains it. Whether a data centre was lost at that time cannot be seen by a node that has just started. Change: the evidence says which crashes are explained; a node believes it for crashes that it did not know, and judges others by what it has seen. Test: TestCrashesOfLostDataCentreStayExplained failed before.

--- a/internal/crashcause/answers_test.go
+++ b/internal/crashcause/answers_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
 const soundShared = 4 // a part that all requests share
@@ -133,3 +135,26 @@
 		}
 	}
 }
+
+// Guards against a node that starts after data centres were lost and counts the crashes
+// there: it cannot see any more that the servers were lost together.
+func TestCrashesOfLostDataCentreStayExplained(t *testing.T) {
+	var a, b Tracker
+	lost := servers{lost: map[ident.DataCentre]bool{"b": true}}
+	for i := range crashLimit {
+		a.Add(at(500*i), crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), soundShared)))
+	}
+	if refused(&a, 5000, request("new", soundShared), lost) {
+		t.Error("a request is refused because a data centre was lost")
+	}
+	b.Merge(at(6000), a.Evidence(at(6000)))
+	if refused(&b, 6000, request("new", soundShared), servers{}) {
+		t.Error("a node that knows the crashes from a peer refuses the request")
+	}
+	for i := range crashLimit {
+		b.Add(at(7000+500*i), crash(fmt.Sprintf("c%d", i), request(fmt.Sprint("x", i), deadlyPart)))
+	}
+	if !refused(&b, 10_000, request("new", deadlyPart), servers{}) {
+		t.Error("later crashes do not count")
+	}
+}
--- a/internal/crashcause/consistent_test.go
+++ b/internal/crashcause/consistent_test.go
@@ -20,7 +20,7 @@
 			x := crash(fmt.Sprintf("b%d", r.IntN(900)), request(fmt.Sprint("r", r.IntN(40)), uint64(1+r.IntN(5)), uint64(10+r.IntN(2000))))
 			x.Incarnation = now.Unix() / 120
 			if r.IntN(3) == 0 {
-				c.Merge(now, Evidence{Crashes: []AgedCrash{{x, r.Int64N(2 * retention.Milliseconds())}}})
+				c.Merge(now, Evidence{Crashes: []AgedCrash{{Crash: x, AgeMs: r.Int64N(2 * retention.Milliseconds())}}})
 			} else {
 				c.Add(now, x)
 			}
--- a/internal/crashcause/crash.go
+++ b/internal/crashcause/crash.go
@@ -82,6 +82,8 @@
 	incarnation int64
 }
 
+func (x Crash) instance() instance { return instance{x.Server, x.Incarnation} }
+
 // death is the crash of one instance with the content of all requests that were lost
 // with it before they were answered.
 type death struct {
--- a/internal/crashcause/evidence.go
+++ b/internal/crashcause/evidence.go
@@ -27,6 +27,9 @@
 type AgedCrash struct {
 	Crash
 	AgeMs int64 `json:"age_ms"`
+	// Explained reports that the server was lost together with its data centre, which a node
+	// that starts later cannot see.
+	Explained bool `json:"explained,omitempty"`
 }
 
 // AgedContent is content that was answered AgeMs milliseconds before the evidence was
@@ -106,7 +109,7 @@
 	list := make([]AgedCrash, 0, len(d.contents))
 	for _, c := range d.contents {
 		x := Crash{Content: c, Server: d.server, Incarnation: d.incarnation, Service: d.service, DataCentre: d.dataCentre}
-		list = append(list, AgedCrash{x, ceilMilliseconds(now.Sub(d.at))})
+		list = append(list, AgedCrash{x, ceilMilliseconds(now.Sub(d.at)), d.dismissed})
 	}
 	return list
 }
@@ -148,7 +151,10 @@
 	t.mu.Lock()
 	for _, x := range e.Crashes {
 		if at := before(now, x.AgeMs); now.Sub(at) <= retention {
-			t.add(now, at, x.Crash)
+			known := t.deaths[x.instance()] != nil // then this node judges by what it has seen itself
+			if t.add(now, at, x.Crash) && !known {
+				t.deaths[x.instance()].dismissed = x.Explained
+			}
 		}
 	}
 	t.mu.Unlock()
--- a/internal/crashcause/tracker.go
+++ b/internal/crashcause/tracker.go
@@ -79,7 +79,7 @@
 	if t.deaths == nil {
 		t.deaths, t.byKey, t.answered = map[instance]*death{}, map[key][]*death{}, map[key]time.Time{}
 	}
-	i := instance{x.Server, x.Incarnation}
+	i := x.instance()
 	d := t.deaths[i]
 	if d != nil {
 		t.recordedAt(d, at)
