gateway: a stream that has begun waits for an engine instead of being cut off

Callers saw: a stream that had begun ended without its end, milliseconds after its engine was lost, because the other engines were full for a moment. Cause: the limits on refusals and waits of one stream, which let a new stream be refused early, also ended streams that had begun. These cannot be refused, only cut off. Same class in four more exits: no engine of the version, limits and pauses, retry budget, attempts used up by engines that had ended. Ruled out: longer limits for all streams (a new stream would be refused later).

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -14,7 +14,7 @@
 	if !st.route.Resumable {
 		return 0
 	}
-	return min(maxLosses, max(1, st.route.Attempts)) - st.losses
+	return min(maxLosses, max(1, st.route.Attempts)+st.ended) - st.losses
 }
 
 // mayMove reports whether a stream whose engine is running but makes no progress can
@@ -80,6 +80,7 @@
 // Reasons for which no engine is chosen for a stream.
 const (
 	refusalNoEngine  = "no engine is available"
+	refusalFull      = "engines refuse the request as full"
 	refusalLongQueue = "engines cannot begin in time"
 	refusalNoRoom    = "no engine has enough free memory"
 	refusalLimit     = "backend servers limit requests"
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,8 +26,8 @@
 	// the engine is unreachable or was replaced.
 	maxUnavailable = 8
 	// maxLosses bounds the engines that a stream may lose. Engines that died do
-	// not count as attempts of the route, but a stream that loses so many is
-	// likely to be the cause.
+	// not count as attempts of the route once the stream has begun, but a stream that
+	// loses so many is likely to be the cause.
 	maxLosses = 6
 	// retryWait is the maximum time that a stream waits for the retry budget, and
 	// retryPollInterval is how often it looks.
@@ -55,9 +55,14 @@
 	resumeMode string // resumeFromCopy or resumeFromPrompt, for the current attempt
 	// lastFailure is the latest complete answer with a failure status. It is
 	// passed on if no later attempt succeeds.
-	lastFailure     *bufferedAnswer
-	losses          int // engines that failed after they had received the request
+	lastFailure *bufferedAnswer
+	losses      int // engines that failed after they had received the request
+	// lostTo lists the engines that failed the stream and may still be running. ended is the
+	// number of those that have ended, which do not count as attempts of the route.
+	lostTo          []*fleet.Server
+	ended           int
 	check           endCheck
+	waiting         engineWaiting
 	sound           bool // a run of the stream has delivered events for soundAfter
 	lossReported    bool // the current run is given up because another request found its engine lost
 	responseControl *http.ResponseController
@@ -99,6 +104,10 @@
 	}
 	for {
 		now := time.Now()
+		if e.clientGone() {
+			e.recordOutcome(outcomeClientGone, 0, "")
+			return
+		}
 		if e.timeLeft(now) <= 0 {
 			st.failStream("out of time")
 			return
@@ -115,7 +124,7 @@
 			return
 		}
 		r, refused := st.runNext(now)
-		if refused != nil && st.awaitEndCheck(now) {
+		if refused != nil && (st.awaitEndCheck(now) || st.awaitEngine(time.Now(), refused.reason)) {
 			continue
 		}
 		if refused != nil {
@@ -142,13 +151,13 @@
 			if st.awaitEndCheck(now) {
 				continue
 			}
-			if st.check.asking || e.refusedCount-e.unavailableCount >= maxRefusals+st.losses || e.unavailableCount >= maxUnavailable {
-				st.failStream("engines refuse the request as full")
+			if st.check.asking || st.refusedTooOften() && !st.awaitEngine(time.Now(), refusalFull) {
+				st.failStream(refusalFull)
 				return
 			}
 		case resultFailed:
 			st.losses++
-			if st.attemptsLeft() <= 0 {
+			if st.attemptsLeft() <= 0 && !st.excuseEnded() {
 				st.failStream(refusalEnginesFailed)
 				return
 			}
@@ -289,6 +298,7 @@
 	if errors.Is(err, errCrashesServers) {
 		return resultFailed
 	}
+	st.lostTo = append(st.lostTo, s)
 	st.addStep("lost %s: %v", s.ID, err)
 	st.g.Log.LogError(logrus.WarnLevel, telemetry.EventAttemptLost, err, logrus.Fields{
 		telemetry.FieldRequest: st.call.ID, telemetry.FieldBackend: s.ID, "after": st.lastEventID, "flowing": eventDelivered, "attempts": st.sentCount,
