gateway, fleet: a run stays at an engine that accepts connections and is silent for a second

Cause: a probe that was not answered ended the run whatever the reason. A host that is gone accepts no connection; an engine that is only silent does. Change: a probe whose connection was accepted and which was not answered keeps the run for 1.5 s of silence and marks the engine as unanswered, which is no loss to other runs and hosts. Everything else moves the stream as before. A silent run is no stalled one.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,10 @@
 	// connections was reset. It is short because an answer that is lost on the network
 	// also causes a reset.
 	resetBackoff = 300 * time.Millisecond
+	// unansweredBackoff is how long no work is sent to a server that accepted a connection
+	// and did not answer, unless it sends something before. It is above the silence of a
+	// sound server and below the time after which the list shows that a server has ended.
+	unansweredBackoff = 1500 * time.Millisecond
 	// A data centre counts as lost when dataCentreLossServers servers of one service
 	// in it were found unreachable within dataCentreLossWindow.
 	dataCentreLossWindow  = 500 * time.Millisecond
--- a/internal/fleet/losses.go
+++ b/internal/fleet/losses.go
@@ -19,9 +19,26 @@
 	LossSilent
 	// LossReplaced means that another server answers at the address.
 	LossReplaced
+	// LossUnanswered means that the server accepted a connection and did not answer. Its
+	// host runs, and most likely the server is only silent for a second or so.
+	LossUnanswered
 )
 
-var lossNames = [...]string{"reset", "refused", "silent", "replaced"}
+var lossNames = [...]string{"reset", "refused", "silent", "replaced", "unanswered"}
+
+// unreachable reports whether the evidence shows that the server cannot be reached at all.
+func (l Loss) unreachable() bool { return l != LossReset && l != LossUnanswered }
+
+// backoff returns how long no work is sent to a server after such evidence.
+func (l Loss) backoff() time.Duration {
+	switch l {
+	case LossReset:
+		return resetBackoff
+	case LossUnanswered:
+		return unansweredBackoff
+	}
+	return unreachableBackoff
+}
 
 func (l Loss) String() string {
 	if l < 0 || int(l) >= len(lossNames) {
@@ -45,28 +62,24 @@
 		return false
 	}
 	gone := how == LossRefused || how == LossReplaced
-	first := !now.Before(s.lostUntil) || how != LossReset && !s.unreachable || gone && !s.gone
+	first := !now.Before(s.lostUntil) || how.unreachable() && !s.unreachable || gone && !s.gone
 	if gone && (!s.gone || !now.Before(s.lostUntil)) {
 		s.goneCount.Add(1)
 	}
 	s.gone = gone || s.gone && now.Before(s.lostUntil)
-	s.silent.Store(how == LossSilent && !s.gone)
-	backoff := resetBackoff
-	if how != LossReset {
-		backoff = unreachableBackoff
-		if !s.unreachable || !now.Before(s.lostUntil) {
-			s.lossCount.Add(1)
-		}
+	s.silent.Store((how == LossSilent || how == LossUnanswered) && !s.gone)
+	if how.unreachable() && (!s.unreachable || !now.Before(s.lostUntil)) {
+		s.lossCount.Add(1)
 	}
 	if gone {
 		s.cachedPrompts = map[uint64]cachedPrompt{}
 	}
-	s.unreachable = how != LossReset || s.unreachable && now.Before(s.lostUntil)
-	if until := now.Add(backoff); until.After(s.lostUntil) {
+	s.unreachable = how.unreachable() || s.unreachable && now.Before(s.lostUntil)
+	if until := now.Add(how.backoff()); until.After(s.lostUntil) {
 		s.lostUntil = until
 	}
 	s.lostAt = now
-	if how != LossReset {
+	if how.unreachable() {
 		s.unreachableAt = now
 		f.recordDataCentreLoss(now, s)
 	}
@@ -88,18 +101,14 @@
 		return false
 	}
 	first := !f.suspected(s, now)
-	backoff := unreachableBackoff
-	if how == LossReset {
-		backoff = resetBackoff
-	}
 	s.reportedAt = now
-	if how != LossReset {
+	if how.unreachable() {
 		s.unreachableReportedAt = now
 	}
-	if until := now.Add(backoff); until.After(s.suspectUntil) {
+	if until := now.Add(how.backoff()); until.After(s.suspectUntil) {
 		s.suspectUntil = until
 	}
-	if how != LossReset {
+	if how.unreachable() {
 		f.recordDataCentreLoss(now, s)
 	}
 	return first && now.Before(s.suspectUntil)
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"syscall"
 	"time"
@@ -41,12 +42,20 @@
 		return nil, nil, err
 	}
 	defer g.Pool.Close(c)
-	return g.exchangeSmall(ctx, s, c, &backendconn.Request{
+	response, body, err := g.exchangeSmall(ctx, s, c, &backendconn.Request{
 		Method: method, Target: target, Host: s.Address, Header: http.Header{},
 		Matches: g.Codec.IsOwnAnswer,
 	})
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", errUnanswered, err)
+	}
+	return response, body, err
 }
 
+// errUnanswered is the error of a call for which the server has accepted a connection and
+// has not answered in time. A host that is gone accepts none.
+var errUnanswered = errors.New("the server accepted the connection and did not answer")
+
 // maxStateBytes is the maximum size in bytes of an answer to a call of the node's own,
 // such as the list of the prompts that an engine has cached.
 const maxStateBytes = 256 << 10
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -30,8 +30,12 @@
 	// last probed; 0 if it has sent bytes since.
 	idleAtProbe time.Duration
 	// heldSince is the time since which the run is kept although its engine is silent
-	// or found lost, because no other engine may continue it; zero if it is not.
+	// or found lost, because no other engine may continue it or because the engine accepts
+	// connections; zero if it is not.
 	heldSince time.Time
+	// soundUntil is the time until which the engine may be sound and silent: it has accepted
+	// the connection of the last probe. It is zero if it has not.
+	soundUntil time.Time
 }
 
 const (
@@ -59,6 +63,11 @@
 	// continue it. A sound engine may be silent for a second or so; after a longer
 	// silence the client is told, while it has time to send the request again.
 	maxHold = retryWait
+	// soundSilence is how long a run is kept on a silent engine that accepts connections,
+	// although another engine may continue it: a sound engine may be silent for a second or
+	// so, and a run that is moved from it runs twice and reads its prompt again. An engine
+	// whose host is gone accepts no connection.
+	soundSilence = 1500 * time.Millisecond
 )
 
 // check implements backendconn.Watch.
@@ -75,7 +84,7 @@
 	if w.held() && idle < now.Sub(w.heldSince) {
 		w.release()
 	}
-	if w.held() && w.mayGiveUp(now) {
+	if w.held() && !now.Before(w.soundUntil) && w.mayGiveUp(now) {
 		return w.silentError(idle, "still no answer")
 	}
 	if w.eventDelivered && idle < suspectProbeDelay && !w.held() {
@@ -92,7 +101,7 @@
 	if w.g.Fleet.Suspected(w.server, now) {
 		limit = min(limit, suspectProbeDelay)
 	}
-	if w.stalled(now) && w.st.mayMove(now) {
+	if !w.held() && w.stalled(now) && w.st.mayMove(now) {
 		return backendconn.NewStalledError(idle, "the run makes no progress")
 	}
 	if idle-w.idleAtProbe < limit {
@@ -108,14 +117,33 @@
 		w.release()
 		w.g.Fleet.RecordData(w.server, time.Now())
 		return nil
+	case errors.Is(err, errUnanswered) && w.maySound(now, idle):
+		w.hold(now)
+		w.g.recordLoss(w.server, fleet.LossUnanswered, w.silentError(idle, "accepts connections and does not answer"))
+		return nil
 	case errors.Is(err, errGone), w.mayGiveUp(now):
 		return w.silentError(idle, "does not answer")
 	}
+	w.soundUntil = time.Time{}
 	w.hold(now)
 	w.g.recordFailure(w.server, w.silentError(idle, "does not answer"))
 	return nil
 }
 
+// maySound reports whether an engine that has accepted a connection and has not answered may
+// be sound and silent for a while. The silence of an engine that has sent events began with the
+// last of them; any other began when a probe showed it.
+func (w *streamWatch) maySound(now time.Time, idle time.Duration) bool {
+	if w.soundUntil.IsZero() {
+		silentFor := probeTimeout
+		if w.eventDelivered {
+			silentFor = idle
+		}
+		w.soundUntil = now.Add(soundSilence - silentFor)
+	}
+	return now.Before(w.soundUntil)
+}
+
 // mayGiveUp reports whether the wait for an engine that is silent or was found lost may
 // end: another engine may continue the stream, or the silence has lasted too long.
 func (w *streamWatch) mayGiveUp(now time.Time) bool {
@@ -143,7 +171,7 @@
 // until now no longer count.
 func (w *streamWatch) release() {
 	if w.held() {
-		w.heldSince = time.Time{}
+		w.heldSince, w.soundUntil = time.Time{}, time.Time{}
 		w.lossCountAtStart = w.server.LossCount()
 	}
 }
