gateway: a begun stream tries hosts with a path again that have refused it

Callers would see: a stream that had begun at a host without a path was cut off at its deadline, although engines and other hosts were free after two seconds. Cause: each host is tried once for a request. That bound is for requests that can be refused.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -45,7 +45,8 @@
 	}
 	w.pause = min(maxEnginePause, max(minEnginePause, 2*w.pause))
 	w.refused, w.unavailable = st.refusedCount, st.unavailableCount
-	st.exclude = nil // engines that were full may have room, and silent ones may answer again
+	// Engines and hosts that had no room may have some, and silent engines may answer again.
+	st.exclude, st.relayTries = nil, nil
 	pause := w.pause/2 + rand.N(w.pause)
 	select {
 	case <-time.After(min(pause, st.timeLeft(now))):
