gateway, crashcause: requests with a part that may crash servers run one at a time

Cause: crashes of all engines at one moment look like the loss of the path, of data centres and like one burst, so all evidence was dropped and each batch began anew. Ruled out: counting the crashes of a moment one by one (sound new parts would be refused). Change: such crashes are kept as doubtful or explained, and the part is tried by one request at a time on all hosts together, through one owner host, until it is answered or two further crashes refuse it.

--- a/internal/crashcause/answers_test.go
+++ b/internal/crashcause/answers_test.go
@@ -158,3 +158,68 @@
 		t.Error("later crashes do not count")
 	}
 }
+
+// Guards against requests with a part that crash all servers of a moment, again and again,
+// because servers that are lost together count as no crash.
+func TestPartOfServersLostTogetherIsTried(t *testing.T) {
+	lost := servers{lost: map[ident.DataCentre]bool{"b": true}}
+	for name, add := range map[string]func(*Tracker, time.Time, Crash){
+		"lost data centre": func(c *Tracker, at time.Time, x Crash) { c.Add(at, x) },
+		"path in doubt":    func(c *Tracker, at time.Time, x Crash) { c.AddDoubtful(at, x) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var c Tracker
+			c.Answered(start, request("sound", soundShared))
+			for i := range trialDeaths {
+				add(&c, at(1000+i), crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), soundShared, deadlyPart)))
+			}
+			deadly := request("next", soundShared, deadlyPart)
+			if part, wait, ok := c.Trial(at(1500), deadly, lost); !ok || part != deadlyPart || wait <= 0 {
+				t.Errorf("part %d, wait %v, trial %t, want a trial of the part after a wait", part, wait, ok)
+			}
+			if _, _, ok := c.Trial(at(3000), request("s", soundShared), lost); ok {
+				t.Error("a request without the part is tried")
+			}
+			if refused(&c, 3000, deadly, lost) {
+				t.Error("refused although the servers were lost together")
+			}
+			for i := range crashLimit - 1 {
+				c.Add(at(3000+2000*i), crash(fmt.Sprintf("c%d", i), deadly))
+			}
+			if !refused(&c, 8000, request("other", soundShared, deadlyPart), lost) {
+				t.Error("not refused after two more crashes, by the same request")
+			}
+			c.Answered(at(9000), deadly)
+			if _, _, ok := c.Trial(at(9500), deadly, lost); ok || refused(&c, 9500, deadly, lost) {
+				t.Error("tried or refused after it was answered")
+			}
+		})
+	}
+}
+
+// Guards against a crash that stays in doubt although a host that reaches the servers has
+// seen it, and against a trial for servers that are heard again.
+func TestDoubtfulCrashes(t *testing.T) {
+	var c Tracker
+	for i := range crashLimit {
+		x := crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), deadlyPart))
+		c.AddDoubtful(at(1000*i), x)
+		c.Add(at(1000*i+5), x)
+	}
+	if !refused(&c, 5000, request("new", deadlyPart), servers{}) {
+		t.Error("certain crashes do not count")
+	}
+	var d Tracker
+	heard := map[ident.BackendID]bool{}
+	for i := range crashLimit {
+		x := crash(fmt.Sprintf("b%d", i), request(fmt.Sprint("r", i), deadlyPart))
+		d.AddDoubtful(at(1000*i), x)
+		heard[x.Server] = true
+	}
+	if refused(&d, 5000, request("new", deadlyPart), servers{}) {
+		t.Error("crashes in doubt count")
+	}
+	if _, _, ok := d.Trial(at(5000), request("new", deadlyPart), servers{heard: heard}); ok {
+		t.Error("a trial although all servers are heard again")
+	}
+}
--- a/internal/crashcause/crash.go
+++ b/internal/crashcause/crash.go
@@ -96,6 +96,9 @@
 	// independent is set once it is known that the server was not lost together with its
 	// data centre, and dismissed once it is known that it was.
 	independent, dismissed bool
+	// doubtful is set while only hosts that may have lost their paths to the server have found
+	// it lost.
+	doubtful bool
 	// lost is whether the data centre seemed lost at checkedAt, until that is known.
 	lost      bool
 	checkedAt time.Time
@@ -114,7 +117,7 @@
 		}
 		d.independent, d.dismissed = !d.lost, d.lost
 	}
-	return d.dismissed || s.HeardSince(d.server, d.incarnation, d.at)
+	return d.dismissed || d.doubtful || s.HeardSince(d.server, d.incarnation, d.at)
 }
 
 func (d *death) expired(now time.Time) bool { return now.Sub(d.at) > retention }
--- a/internal/crashcause/evidence.go
+++ b/internal/crashcause/evidence.go
@@ -27,8 +27,8 @@
 type AgedCrash struct {
 	Crash
 	AgeMs int64 `json:"age_ms"`
-	// Explained reports that the server was lost together with its data centre, which a node
-	// that starts later cannot see.
+	// Explained reports that the server was lost together with its data centre, or that the
+	// host that found it lost may not have been able to reach it. Others cannot see that.
 	Explained bool `json:"explained,omitempty"`
 }
 
@@ -68,8 +68,8 @@
 	var e Evidence
 	keys := map[key]bool{}
 	for _, d := range slices.Backward(t.byAge) {
-		if d.dismissed {
-			continue
+		if d.dismissed || d.doubtful {
+			continue // a node of an earlier build that reads the row would count it
 		}
 		for _, x := range d.aged(now) {
 			if len(e.Crashes) == maxSuspicious || !slices.ContainsFunc(x.keys(), suspicious) {
@@ -109,7 +109,7 @@
 	list := make([]AgedCrash, 0, len(d.contents))
 	for _, c := range d.contents {
 		x := Crash{Content: c, Server: d.server, Incarnation: d.incarnation, Service: d.service, DataCentre: d.dataCentre}
-		list = append(list, AgedCrash{x, ceilMilliseconds(now.Sub(d.at)), d.dismissed})
+		list = append(list, AgedCrash{x, ceilMilliseconds(now.Sub(d.at)), d.dismissed || d.doubtful})
 	}
 	return list
 }
@@ -152,8 +152,12 @@
 	for _, x := range e.Crashes {
 		if at := before(now, x.AgeMs); now.Sub(at) <= retention {
 			known := t.deaths[x.instance()] != nil // then this node judges by what it has seen itself
-			if t.add(now, at, x.Crash) && !known {
-				t.deaths[x.instance()].dismissed = x.Explained
+			added := t.add(now, at, x.Crash)
+			switch d := t.deaths[x.instance()]; {
+			case added && !known:
+				d.dismissed = x.Explained
+			case known && !x.Explained:
+				d.doubtful = false
 			}
 		}
 	}
--- a/internal/crashcause/tracker.go
+++ b/internal/crashcause/tracker.go
@@ -12,6 +12,9 @@
 	// soundCrashLimit replaces crashLimit for content that has been answered before. Only
 	// the crashes since then count.
 	soundCrashLimit = 2 * crashLimit
+	// trialDeaths is the number of servers that crashed, at whatever moments, from which on
+	// requests with a part that was never answered run one at a time.
+	trialDeaths = crashLimit
 	// causeDelay is the time after a crash from which on it is known whether the server was
 	// lost together with its whole data centre.
 	causeDelay = time.Second
@@ -70,7 +73,22 @@
 func (t *Tracker) Add(now time.Time, x Crash) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.add(now, now, x)
+	added := t.add(now, now, x)
+	if d := t.deaths[x.instance()]; d != nil {
+		d.doubtful = false
+	}
+	return added
+}
+
+// AddDoubtful records a crash of a server that this host may not be able to reach. It counts
+// against no content by itself; see Trial.
+func (t *Tracker) AddDoubtful(now time.Time, x Crash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.deaths[x.instance()] != nil
+	if t.add(now, now, x) && !known {
+		t.deaths[x.instance()].doubtful = true
+	}
 }
 
 // add records a crash of the time at. The lock is held.
@@ -252,9 +270,14 @@
 	}
 	var wait time.Duration
 	for _, k := range c.keys() {
-		limit := t.limit(k)
 		deaths := t.unexplained(now, k, s)
-		if len(deaths) < limit-1 || t.betterCause(now, c, deaths, s) {
+		limit := t.limit(k)
+		better := func() bool { return t.betterCause(now, c, deaths, s) }
+		if all := t.lostTogether(now, k, s, deaths); len(all) > 0 {
+			limit--
+			better = func() bool { return t.otherCause(now, c, all, s, t.deathsOf) }
+		}
+		if len(deaths) < limit-1 || len(deaths) == 0 || better() {
 			continue
 		}
 		newest := deaths[len(deaths)-1]
@@ -266,6 +289,20 @@
 	return nil, wait
 }
 
+// lostTogether returns all deaths of a part that was never answered if enough of them are
+// explained: servers that were lost together then count as one crash against the part. It
+// returns none otherwise. The lock is held.
+func (t *Tracker) lostTogether(now time.Time, k key, s Servers, unexplained []*death) []*death {
+	if k.part == 0 || len(t.byKey[k])-len(unexplained) < trialDeaths || !t.answeredAt(k).IsZero() {
+		return nil
+	}
+	all := t.deathsOf(now, k, s)
+	if len(all)-len(unexplained) < trialDeaths {
+		return nil
+	}
+	return all
+}
+
 // limit returns the number of crashes from which on content is refused. The lock is
 // held.
 func (t *Tracker) limit(k key) int {
@@ -288,18 +325,62 @@
 	return out
 }
 
+// deathsOf returns the deaths since a part was last answered, whether their data centre seemed
+// lost or not. The lock is held.
+func (t *Tracker) deathsOf(now time.Time, k key, s Servers) []*death {
+	var out []*death
+	answered := t.answeredAt(k)
+	for _, d := range t.byKey[k] {
+		if !d.expired(now) && !d.at.Before(answered) && !s.HeardSince(d.server, d.incarnation, d.at) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// Trial returns the part for which a request is to run alone: one that was on several servers
+// which crashed, and was never answered. If the servers crashed at the same moment, or all
+// servers of a data centre did, that counts as little evidence or as none, and many requests
+// with such a part would crash all servers again and again. Run one at a time on all hosts
+// together, they are soon answered or refused. wait is the time until the causes of the latest
+// crashes are known; one more crash before would not count by itself. ok is false if there is
+// no such part.
+func (t *Tracker) Trial(now time.Time, c Content, s Servers) (part uint64, wait time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	most := trialDeaths - 1
+	for _, p := range c.Parts {
+		k := key{part: p}
+		if len(t.byKey[k]) <= most || !t.answeredAt(k).IsZero() {
+			continue
+		}
+		deaths := t.deathsOf(now, k, s)
+		if len(deaths) <= most || t.otherCause(now, c, deaths, s, t.deathsOf) {
+			continue
+		}
+		part, most = p, len(deaths)
+		wait = deaths[most-1].at.Add(causeDelay).Sub(now)
+	}
+	return part, wait, most >= trialDeaths
+}
+
 // betterCause reports whether all of the deaths may have been caused by content that the
 // request c lacks. Such a request runs: if it crashes a server, too, that other content
 // is no longer a cause of all deaths, and if it is answered, its own content is none. A
 // sound request with which a crashing one shares some content is therefore not refused,
 // even if it is the first of its kind.
 func (t *Tracker) betterCause(now time.Time, c Content, deaths []*death, s Servers) bool {
+	return t.otherCause(now, c, deaths, s, t.unexplained)
+}
+
+// otherCause is betterCause with the given selection of deaths.
+func (t *Tracker) otherCause(now time.Time, c Content, deaths []*death, s Servers, deathsOf func(time.Time, key, Servers) []*death) bool {
 	own := c.keys()
 	for k := range deaths[0].present {
 		if slices.Contains(own, k) || slices.ContainsFunc(deaths, func(d *death) bool { return !d.present[k] }) {
 			continue
 		}
-		if len(t.unexplained(now, k, s)) >= len(deaths) {
+		if len(deathsOf(now, k, s)) >= len(deaths) {
 			return true
 		}
 	}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -59,6 +59,30 @@
 	return gateway.RelayHost{Host: members[i].Host, Address: members[i].Mesh}, true
 }
 
+// Owner implements gateway.Relays. Hosts that know the same hosts agree on the owner.
+func (r *relays) Owner(service, key string) (host gateway.RelayHost, self, ok bool) {
+	members := r.candidates(service)
+	var ids []ident.HostID
+	for _, m := range members {
+		ids = append(ids, m.Host)
+	}
+	if n := r.node; n.Ready() && !n.paths.Lost(service) {
+		ids = append(ids, n.settings.Host)
+	}
+	if len(ids) == 0 {
+		return gateway.RelayHost{}, false, false
+	}
+	owner := rendezvousHost(ids, key, 0)
+	i := slices.IndexFunc(members, func(m mesh.Member) bool { return m.Host == owner })
+	if i < 0 {
+		return gateway.RelayHost{}, true, true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent[owner]++
+	return gateway.RelayHost{Host: owner, Address: members[i].Mesh}, false, true
+}
+
 // End implements gateway.Relays.
 func (r *relays) End(h gateway.RelayHost) {
 	r.mu.Lock()
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -110,11 +110,12 @@
 		e.logNoCrash(s, "the server is brittle and had to reject requests")
 		return
 	}
+	x := crashcause.Crash{Content: e.content(), Server: s.ID, Incarnation: s.Incarnation, Service: s.Service, DataCentre: s.DataCentre}
 	if !e.g.pathConfirmed(s) {
 		e.logNoCrash(s, "the host may have lost its path to the servers")
+		e.g.Crashes.AddDoubtful(time.Now(), x)
 		return
 	}
-	x := crashcause.Crash{Content: e.content(), Server: s.ID, Incarnation: s.Incarnation, Service: s.Service, DataCentre: s.DataCentre}
 	if !e.g.Crashes.Add(time.Now(), x) {
 		return
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -136,6 +136,7 @@
 	watch.lastEventAt = time.Now()
 	if !st.sound && watch.lastEventAt.Sub(watch.firstEventAt) >= soundAfter {
 		st.sound = true
+		st.endTrial()
 		st.recordAnswered(watch.lastEventAt)
 	}
 	return 0, true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,7 @@
 	Bodies BodyBudget
 
 	locating        locator
+	trials          trials
 	invalid         invalidHeaders
 	relayedInFlight relayedCount
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,6 +40,10 @@
 	End(RelayHost)
 	// Alive reports whether a host has sent heartbeats lately.
 	Alive(ident.HostID) bool
+	// Owner returns the host through which all requests with a key go that must not run at the
+	// same time, and counts the request until End. self reports that it is this host. ok is
+	// false if no host has a path to the servers of the service.
+	Owner(service, key string) (host RelayHost, self, ok bool)
 	// Available reports whether there is a host that Choose could return.
 	Available(service string) bool
 }
@@ -344,6 +348,23 @@
 	st.g.Versions.Began(time.Now(), streamversion.Record{Key: st.streamKey(), Version: version})
 }
 
+// runTried makes the next attempt of a stream, within the trial of its content if there is one.
+func (st *streamState) runTried(now time.Time) (result, *refusal) {
+	if st.sound || st.g.Crashes.Len(now) == 0 {
+		return st.runNext(now)
+	}
+	through, refused := st.awaitTrial(now)
+	switch {
+	case refused != nil:
+		return 0, refused
+	case through != nil:
+		return st.runThrough(*through)
+	case st.trialOf != 0 && st.crashesServers(time.Now()):
+		return 0, &refusal{reasonCrashes, crashRetryAfter}
+	}
+	return st.runNext(time.Now())
+}
+
 // runNext makes the next attempt, through another host if this one has no path to the
 // servers, or returns the reason for which the stream is refused.
 func (st *streamState) runNext(now time.Time) (result, *refusal) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -63,8 +63,9 @@
 	ended           int
 	check           endCheck
 	waiting         engineWaiting
-	sound           bool // a run of the stream has delivered events for soundAfter
-	lossReported    bool // the current run is given up because another request found its engine lost
+	sound           bool   // a run of the stream has delivered events for soundAfter
+	trialOf         uint64 // part for which the stream runs alone; 0 if there is none
+	lossReported    bool   // the current run is given up because another request found its engine lost
 	responseControl *http.ResponseController
 }
 
@@ -102,6 +103,7 @@
 			e.g.locatePrompt(e.ctx, e.service.Name, st.version, e.call.Prompt.SuffixHash)
 		}
 	}
+	defer st.endTrial()
 	for {
 		now := time.Now()
 		if e.clientGone() {
@@ -123,7 +125,7 @@
 			st.failStream(reasonCrashes)
 			return
 		}
-		r, refused := st.runNext(now)
+		r, refused := st.runTried(now)
 		if refused != nil && (st.awaitEndCheck(now) || st.awaitEngine(time.Now(), refused.reason)) {
 			continue
 		}
