reach, gateway: a path that accepts connections and passes nothing is noticed

Cause: only opening a connection was evidence about the path. A device on the path that accepts connections makes each opening a success. Change: requests that bring nothing for 400 ms, while nothing comes from any server of the service, raise a doubt, which the existing check settles.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,7 @@
 	now := time.Now()
 	started := now
 	goneCount := s.GoneCount()
-	replaced := false
+	replaced, noted := false, false
 	e.countSend()
 	response, err := c.Exchange(ctx, &backendconn.Request{
 		ID: e.call.ID, Method: e.call.Method, Target: e.call.Target, Host: e.call.Host,
@@ -54,6 +54,10 @@
 			if e.timeLeft(now) <= 0 {
 				return errDeadline
 			}
+			if idle > pathSilence && !noted {
+				noted = true
+				g.noteSilence(s, started)
+			}
 			if s.GoneSince(goneCount) && idle > callSilenceLimit {
 				return backendconn.NewSilentError(idle, "found gone by another request")
 			}
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// pathSilence is the silence of a server to a request after which the path to it is in doubt.
+const pathSilence = 400 * time.Millisecond
+
+// noteSilence is called when a server has sent nothing to a request since a time. If no server
+// of the service has sent anything since then, the host may have lost its path to them.
+func (g *Gateway) noteSilence(s *fleet.Server, since time.Time) {
+	if g.Fleet.ServiceDataSince(s.Service, since) {
+		return
+	}
+	if g.Paths.Silent(time.Now(), s.Service, s.ID) {
+		go g.checkPath(s.Service, g.controls(s.Service))
+	}
+}
+
 // controls returns the servers to which control connections are opened.
 func (g *Gateway) controls(service string) []*fleet.Server {
 	return g.Fleet.ControlTargets(time.Now(), service, g.Paths.Unreached(service), controlTargets)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -112,6 +112,9 @@
 		return w.silentError(idle, "the host has no path to the servers")
 	}
 	err := w.g.probe(w.server)
+	if errors.Is(err, errUnanswered) {
+		w.g.noteSilence(w.server, now.Add(-idle))
+	}
 	switch {
 	case err == nil:
 		w.release()
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -7,9 +7,11 @@
 // servers look lost. What it then believes must not take servers out at other hosts, and
 // its requests have to go through hosts that still have a path.
 //
-// Only attempts to open a connection count: data may still arrive on connections that were
-// opened before the path was lost. Failures at several servers, with no success in between,
-// raise a doubt. It is settled by a check: control connections to a few servers chosen at
+// Attempts to open a connection count: data may still arrive on connections that were
+// opened before the path was lost. So does silence, since a device on the path may accept
+// connections and pass nothing on: requests that bring nothing for some time, while nothing
+// arrives from any server of the service. Failures at several servers, with no success in
+// between, raise a doubt. It is settled by a check: control connections to a few servers chosen at
 // random. The path is lost if most of them fail, and back if most succeed in a check that
 // follows the first success. A host that reaches one server of many has lost its path: that
 // server could not serve all its requests.
@@ -34,6 +36,9 @@
 	doubtRepeats = 3
 	// failureTTL is how long a failure counts.
 	failureTTL = 5 * time.Second
+	// silenceInterval is the minimum time between two checks because of silence: servers
+	// that are all slow are silent too.
+	silenceInterval = time.Second
 )
 
 // Tracker knows the paths of one host to the servers of each service. The zero value is
@@ -46,17 +51,21 @@
 // path is the path to the servers of one service.
 type path struct {
 	// failed holds the time of the latest failure of each server since the last success.
-	failed   map[ident.BackendID]time.Time
-	repeats  int // failures since the last success or check
-	lost     bool
-	lostAt   time.Time
-	checking bool // a check has begun and not ended
+	failed  map[ident.BackendID]time.Time
+	repeats int // failures since the last success or check
+	// silent is like failed for requests that brought nothing, and silences like repeats.
+	silent    map[ident.BackendID]time.Time
+	silences  int
+	checkedAt time.Time // end of the last check
+	lost      bool
+	lostAt    time.Time
+	checking  bool // a check has begun and not ended
 }
 
 func (t *Tracker) path(service string) *path {
 	p := t.paths[service]
 	if p == nil {
-		p = &path{failed: map[ident.BackendID]time.Time{}}
+		p = &path{failed: map[ident.BackendID]time.Time{}, silent: map[ident.BackendID]time.Time{}}
 		if t.paths == nil {
 			t.paths = map[string]*path{}
 		}
@@ -86,7 +95,19 @@
 	p := t.path(service)
 	p.failed[server] = now
 	p.repeats++
-	return !p.lost && p.doubtful(now) && p.beginCheck()
+	return !p.lost && doubtful(now, p.failed, p.repeats) && p.beginCheck()
+}
+
+// Silent records that a request to a server of a service has brought nothing for some time,
+// and that nothing has arrived from any other server of the service meanwhile. It reports
+// whether a check is to be made now; the caller then calls Checked.
+func (t *Tracker) Silent(now time.Time, service string, server ident.BackendID) (check bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.path(service)
+	p.silent[server] = now
+	p.silences++
+	return !p.lost && now.Sub(p.checkedAt) >= silenceInterval && doubtful(now, p.silent, p.silences) && p.beginCheck()
 }
 
 func (p *path) beginCheck() bool {
@@ -97,15 +118,16 @@
 	return true
 }
 
-// doubtful reports whether the path may be lost.
-func (p *path) doubtful(now time.Time) bool {
+// doubtful reports whether the path may be lost, by the times of the latest failures at each
+// server and the number of failures.
+func doubtful(now time.Time, failed map[ident.BackendID]time.Time, failures int) bool {
 	recent := 0
-	for _, at := range p.failed {
+	for _, at := range failed {
 		if now.Sub(at) < failureTTL {
 			recent++
 		}
 	}
-	return recent >= doubtFailures || recent > 0 && p.repeats >= doubtRepeats
+	return recent >= doubtFailures || recent > 0 && failures >= doubtRepeats
 }
 
 // clear removes the recorded failures.
@@ -137,7 +159,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.path(service)
-	p.checking = false
+	p.checking, p.checkedAt = false, now
+	first := p.firstFailure(now)
+	clear(p.silent)
+	p.silences = 0
 	switch {
 	case p.lost && (s.Sound() || s.Tried == 0):
 		p.lost = false
@@ -147,7 +172,7 @@
 	case s.Sound():
 		p.clear()
 	default:
-		p.lost, p.lostAt = true, p.firstFailure(now)
+		p.lost, p.lostAt = true, first
 		return PathLost, p.lostAt
 	}
 	return Unchanged, time.Time{}
@@ -156,9 +181,11 @@
 // firstFailure returns the time of the earliest failure that still counts.
 func (p *path) firstFailure(now time.Time) time.Time {
 	first := now
-	for _, at := range p.failed {
-		if at.Before(first) && now.Sub(at) < failureTTL {
-			first = at
+	for _, failures := range []map[ident.BackendID]time.Time{p.failed, p.silent} {
+		for _, at := range failures {
+			if at.Before(first) && now.Sub(at) < failureTTL {
+				first = at
+			}
 		}
 	}
 	return first
@@ -198,7 +225,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.paths[service]
-	return p == nil || !p.lost && !p.doubtful(now)
+	return p == nil || !p.lost && !doubtful(now, p.failed, p.repeats)
 }
 
 // LostServices returns the services to whose servers the path is lost, sorted by name.
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
 // Guards against a path that is not checked because the only server in use fails again and
@@ -38,3 +40,29 @@
 		t.Errorf("change %v, lost at %v, after a check that finds a path", change, lostAt)
 	}
 }
+
+// Guards against a path that is not checked because a device on it accepts connections and
+// passes nothing on, and against a check for each request while all servers are slow.
+func TestSilenceRaisesDoubt(t *testing.T) {
+	var tracker Tracker
+	second := func(s int) time.Time { return at(time.Duration(s) * time.Second) }
+	if tracker.Silent(second(5), service, "a") {
+		t.Error("the silence of one server leads to a check")
+	}
+	tracker.Opened(service) // a device on the path accepts connections
+	if !tracker.Silent(second(6), service, "b") {
+		t.Error("the silence of two servers leads to no check")
+	}
+	tracker.Checked(second(6), service, Sample{Opened: 3, Tried: 3})
+	for _, server := range []ident.BackendID{"a", "b", "c"} {
+		if tracker.Silent(second(6), service, server) {
+			t.Error("a second check within silenceInterval")
+		}
+	}
+	if !tracker.Silent(second(8), service, "a") {
+		t.Error("no check although the silence lasts")
+	}
+	if change, since := tracker.Checked(second(9), service, Sample{Tried: 3}); change != PathLost || !since.Equal(second(6)) {
+		t.Errorf("change %v since %v after a check that finds no path", change, since)
+	}
+}
