gateway: a stream that begins asks an engine that was found lost since its last report

Cause: only streams that continue asked an engine for its start time; one that begins there was recorded with the version of the list. Change: a stream that begins asks too if the engine was found lost since its last report.

--- a/internal/fleet/losses.go
+++ b/internal/fleet/losses.go
@@ -128,6 +128,19 @@
 	return f.suspected(s, now) || f.inLostDataCentre(s, now)
 }
 
+// MayHaveRestarted reports whether a server was found lost, by this node or a peer, later than
+// it last reported itself in the list that this node has read: what runs at its address now may
+// be another incarnation under the same id.
+func (f *Fleet) MayHaveRestarted(s *Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lostAt := s.unreachableAt
+	if s.unreachableReportedAt.After(lostAt) {
+		lostAt = s.unreachableReportedAt
+	}
+	return !lostAt.IsZero() && s.entryReportedAt.Sub(lostAt) <= maxReportAge
+}
+
 // ForgetLosses clears the losses of the servers of a service that this node found since a
 // time, because it had no path to them. Servers that are lost are found so again.
 func (f *Fleet) ForgetLosses(service string, since time.Time) {
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -65,11 +65,13 @@
 	}
 }
 
-// confirmVersion reports whether a stream that has begun may continue at a server. The
-// server may have started again, perhaps with another version, since the list was read. A
-// copy of a run does not outlast its engine, so an attempt from a copy needs no check.
+// confirmVersion reports whether a stream may begin or continue at a server. The server may
+// have started again, perhaps with another version, since the list was read. A stream that
+// begins there would be recorded with the old version, so a server that was found lost since
+// its last report is asked. A copy of a run does not outlast its engine, so an attempt from a
+// copy needs no check.
 func (st *streamState) confirmVersion(s *fleet.Server, a Attempt) bool {
-	if st.lastEventID == 0 || a.CopyName != "" {
+	if a.CopyName != "" || !st.route.Resumable || st.lastEventID == 0 && !st.g.Fleet.MayHaveRestarted(s) {
 		return true
 	}
 	if _, ok := st.g.Versions.Sole(time.Now(), st.service.Name); ok {
