--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -11,13 +11,13 @@
 // part. A request that is refused meanwhile has not run, and its client may come back.
 
 const (
-	// trialWait is how long a request waits for the end of another one's trial. An answer
-	// begins within a second or two, and the cause of a crash is known after one.
+	// trialWait is the maximum time that a request waits for the end of the trial of another
+	// one. An answer begins within a second or two, and the cause of a crash is known after one.
 	trialWait = 1500 * time.Millisecond
 	// trialPoll is how often it looks.
 	trialPoll = 20 * time.Millisecond
-	// trialRetryAfter is the value from which the Retry-After of an answer is derived when a
-	// trial goes on.
+	// trialRetryAfter is the value from which the Retry-After of an answer is derived while a
+	// trial is in progress.
 	trialRetryAfter = time.Second
 )
 
