gateway, reach: an engine that is silent for good does not keep a client until its deadline

A begun stream waited for an engine although its only one had just been given up as silent, and asked it again each 3 s; and three silences of one server made the path count as lost, and back by the next connection, which cleared the loss. Change: a stream that leaves a silent engine without an alternative ends, as before; only the silence of two servers raises a doubt about the path.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -34,11 +34,15 @@
 
 // awaitEngine pauses a stream that has begun and that no engine takes now, and reports
 // whether it is to try again. Streams that have not begun are refused instead: their clients
-// may go to another host.
+// may go to another host. A stream whose only engine stays silent ends too: its client is told
+// while it has time to come back.
 func (st *streamState) awaitEngine(now time.Time, reason string) bool {
 	if !st.headSent || !st.route.Resumable || st.check.asking || st.attemptsLeft() <= 0 || st.timeLeft(now) <= 0 {
 		return false
 	}
+	if st.leftSilent && reason == refusalNoEngine {
+		return false
+	}
 	w := &st.waiting
 	if w.pause == 0 {
 		st.addStep("waits for an engine: %s", reason)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -155,6 +155,7 @@
 // attempt resumes a stream after a loss. from is the engine or the host that sent it.
 func (st *streamState) recordFirstDelivery(now time.Time, from ident.BackendID, watch *streamWatch) {
 	watch.eventDelivered, watch.firstEventAt = true, now
+	st.leftSilent = false
 	if st.lostAt.IsZero() {
 		st.g.Metrics.firstEventTime.RecordDuration(now.Sub(st.started))
 		st.addStep("first event")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,10 +59,13 @@
 	losses      int // engines that failed after they had received the request
 	// lostTo lists the engines that failed the stream and may still be running. ended is the
 	// number of those that have ended, which do not count as attempts of the route.
-	lostTo          []*fleet.Server
-	ended           int
-	check           endCheck
-	waiting         engineWaiting
+	lostTo  []*fleet.Server
+	ended   int
+	check   endCheck
+	waiting engineWaiting
+	// leftSilent is set if the current or the last run was given up because its engine was
+	// silent for maxHold, although no other one could continue the stream.
+	leftSilent      bool
 	sound           bool   // a run of the stream has delivered events for soundAfter
 	trialOf         uint64 // part for which the stream runs alone; 0 if there is none
 	lossReported    bool   // the current run is given up because another request found its engine lost
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -157,6 +157,7 @@
 		return false
 	}
 	w.st.retryWaited = now.Sub(w.heldSince)
+	w.st.leftSilent = true
 	return true
 }
 
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -53,9 +53,9 @@
 	// failed holds the time of the latest failure of each server since the last success.
 	failed  map[ident.BackendID]time.Time
 	repeats int // failures since the last success or check
-	// silent is like failed for requests that brought nothing, and silences like repeats.
+	// silent holds the time of the latest request to each server that brought nothing, since
+	// the last check.
 	silent    map[ident.BackendID]time.Time
-	silences  int
 	checkedAt time.Time // end of the last check
 	lost      bool
 	lostAt    time.Time
@@ -100,14 +100,14 @@
 
 // Silent records that a request to a server of a service has brought nothing for some time,
 // and that nothing has arrived from any other server of the service meanwhile. It reports
-// whether a check is to be made now; the caller then calls Checked.
+// whether a check is to be made now; the caller then calls Checked. The silence of a single
+// server raises no doubt: it may be sound, and its runs would be moved from it.
 func (t *Tracker) Silent(now time.Time, service string, server ident.BackendID) (check bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.path(service)
 	p.silent[server] = now
-	p.silences++
-	return !p.lost && now.Sub(p.checkedAt) >= silenceInterval && doubtful(now, p.silent, p.silences) && p.beginCheck()
+	return !p.lost && now.Sub(p.checkedAt) >= silenceInterval && recent(now, p.silent) >= doubtFailures && p.beginCheck()
 }
 
 func (p *path) beginCheck() bool {
@@ -121,13 +121,19 @@
 // doubtful reports whether the path may be lost, by the times of the latest failures at each
 // server and the number of failures.
 func doubtful(now time.Time, failed map[ident.BackendID]time.Time, failures int) bool {
-	recent := 0
+	n := recent(now, failed)
+	return n >= doubtFailures || n > 0 && failures >= doubtRepeats
+}
+
+// recent returns the number of servers whose failure still counts.
+func recent(now time.Time, failed map[ident.BackendID]time.Time) int {
+	n := 0
 	for _, at := range failed {
 		if now.Sub(at) < failureTTL {
-			recent++
+			n++
 		}
 	}
-	return recent >= doubtFailures || recent > 0 && failures >= doubtRepeats
+	return n
 }
 
 // clear removes the recorded failures.
@@ -162,7 +168,6 @@
 	p.checking, p.checkedAt = false, now
 	first := p.firstFailure(now)
 	clear(p.silent)
-	p.silences = 0
 	switch {
 	case p.lost && (s.Sound() || s.Tried == 0):
 		p.lost = false
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -46,8 +46,10 @@
 func TestSilenceRaisesDoubt(t *testing.T) {
 	var tracker Tracker
 	second := func(s int) time.Time { return at(time.Duration(s) * time.Second) }
-	if tracker.Silent(second(5), service, "a") {
-		t.Error("the silence of one server leads to a check")
+	for range 2 * doubtRepeats {
+		if tracker.Silent(second(5), service, "a") {
+			t.Error("the silence of one server leads to a check")
+		}
 	}
 	tracker.Opened(service) // a device on the path accepts connections
 	if !tracker.Silent(second(6), service, "b") {
