gateway: begun streams wait on when their engines are silent and the service has others

Cause: ended a stream whose engine had been silent for good whenever no other engine was available. With a path that accepts connections and passes nothing all engines are silent, and the streams ended before the loss of the path was noticed. Change: only a service with a single engine ends the stream early.

--- a/internal/gateway/begun.go
+++ b/internal/gateway/begun.go
@@ -34,13 +34,13 @@
 
 // awaitEngine pauses a stream that has begun and that no engine takes now, and reports
 // whether it is to try again. Streams that have not begun are refused instead: their clients
-// may go to another host. A stream whose only engine stays silent ends too: its client is told
-// while it has time to come back.
+// may go to another host. A stream of a service with a single engine, which stays silent, ends
+// too: its client is told while it has time to come back.
 func (st *streamState) awaitEngine(now time.Time, reason string) bool {
 	if !st.headSent || !st.route.Resumable || st.check.asking || st.attemptsLeft() <= 0 || st.timeLeft(now) <= 0 {
 		return false
 	}
-	if st.leftSilent && reason == refusalNoEngine {
+	if st.leftSilent && reason == refusalNoEngine && len(st.g.Fleet.OfService(st.service.Name)) <= 1 {
 		return false
 	}
 	w := &st.waiting
