fleet: what a server has said outlasts its entry, and a brittle service stays brittle for a server that starts

Cause: statements of servers were kept with their entries. A new entry began without any, so all hosts sent what waited for room without permission. The same loss befell a pause, a limit and a leave when an entry lapsed in an outage of the store and came back.

A server that starts in a service of which a server was brittle lately is taken to be brittle until its own first answer.

Ruled out: passing on a limit of requests per second to the next start, which is that of one server.

--- a/internal/fleet/departed.go
+++ b/internal/fleet/departed.go
@@ -29,6 +29,7 @@
 }
 
 func (f *Fleet) remove(now time.Time, s *Server) {
+	f.rememberStatements(now, s)
 	delete(f.servers, s.ID)
 	f.invalidateDigest(true)
 	f.departed[s.ID] = departure{Departed{s.ID, s.Incarnation, s.Sequence}, now}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,9 +65,10 @@
 
 	mu               sync.Mutex
 	servers          map[ident.BackendID]*Server
-	departed         map[ident.BackendID]departure // servers that were removed less than departedTTL ago
-	dataCentreLostAt map[dataCentreKey]time.Time   // time of the latest loss of each data centre, per service
-	digest           uint64                        // see ListDigest; 0 if it must be computed
+	departed         map[ident.BackendID]departure        // servers that were removed less than departedTTL ago
+	dataCentreLostAt map[dataCentreKey]time.Time          // time of the latest loss of each data centre, per service
+	remembered       map[incarnationKey]removedStatements // of incarnations that were removed less than statementTTL ago
+	digest           uint64                               // see ListDigest; 0 if it must be computed
 }
 
 // New returns an empty fleet for the host self.
@@ -78,6 +79,7 @@
 		servers:          map[ident.BackendID]*Server{},
 		departed:         map[ident.BackendID]departure{},
 		dataCentreLostAt: map[dataCentreKey]time.Time{},
+		remembered:       map[incarnationKey]removedStatements{},
 	}
 }
 
@@ -148,10 +150,17 @@
 	}
 	delete(f.departed, e.ID)
 	f.invalidateDigest(true)
+	if s != nil {
+		f.rememberStatements(now, s)
+	}
+	said := f.initialStatements(now, e)
+	listedDraining := e.Draining
+	e.Draining = e.Draining || said.leaving
 	f.servers[e.ID] = &Server{
 		Entry:          e,
+		statements:     said,
 		firstSeen:      now,
-		listedDraining: e.Draining,
+		listedDraining: listedDraining,
 		slowdown:       f.meanSlowdown(e.Service),
 		runs:           map[runKey]*run{},
 		copies:         map[runKey]int{},
@@ -202,11 +211,12 @@
 
 // DropUnlisted removes servers that were added by AddDiscovered and have not appeared
 // in the list since. It is called some time after the list has become readable again.
-func (f *Fleet) DropUnlisted() {
+func (f *Fleet) DropUnlisted(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, s := range f.servers {
 		if s.unlisted {
+			f.rememberStatements(now, s)
 			delete(f.servers, id)
 		}
 	}
@@ -262,6 +272,7 @@
 			delete(f.departed, id)
 		}
 	}
+	f.expireStatements(now)
 	for _, s := range f.servers {
 		if !s.removedAt.IsZero() && now.Sub(s.removedAt) > lapsedEntryGrace {
 			f.remove(now, s)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -363,7 +363,7 @@
 	if got := f.Missing(at(40), service); len(got) != 0 {
 		t.Errorf("missing servers: %v, want none", got)
 	}
-	f.DropUnlisted()
+	f.DropUnlisted(at(50))
 	if f.Server("a9") != nil {
 		t.Error("a server that is not in the list is kept")
 	}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -107,18 +107,7 @@
 	fullUntil time.Time
 	// listedDraining is the value of Draining in the list.
 	listedDraining bool
-	// leaving is set if the server said in an answer that it is leaving. Draining is
-	// then set too, whatever the list says.
-	leaving bool
-	// backoffUntil is the end of the time for which the server accepts no request from this
-	// node.
-	backoffUntil time.Time
-	// limit is the number of requests per second that the server accepts from all hosts
-	// together.
-	limit requestLimit
-	// rejectedAt is the time at which the server, while brittle, last rejected a request of
-	// any host.
-	rejectedAt time.Time
+	statements
 	// deniedUntil is the end of the time in which the limit allows no further request of
 	// this host.
 	deniedUntil time.Time
--- a/internal/front/rediscover.go
+++ b/internal/front/rediscover.go
@@ -30,7 +30,7 @@
 		round++
 		if n.serversAge(now) < storeStaleAfter {
 			if !n.storeRecoveredAt.Load().IsZero() && n.storeRecoveredAt.since(now) > 2*lapseWindow {
-				n.fleet.DropUnlisted()
+				n.fleet.DropUnlisted(now)
 			}
 			return
 		}
