gateway: the budget of bodies counts their buffers, and nothing that a client only declares

Cause: the length was counted, while the buffer grew to twice that because it was full before the end of the body was read. Relayed requests were copied twice more, uncounted. A declared length counted before its bytes had come.

Change: the buffer grows with the bytes that arrive, up to one more than the declared length, and the budget counts buffers. What cannot fit is refused at once and takes nothing. A relayed request is read the same way and sent as two parts.

--- a/internal/gateway/bodybudget.go
+++ b/internal/gateway/bodybudget.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -20,8 +19,14 @@
 	// so that a few large requests do not keep many small ones out.
 	largeBody      = 64 << 10
 	largeBodyShare = 0.85
-	// bodyStep is the number of bytes by which the share of a body without a length grows.
-	bodyStep = 64 << 10
+	// firstBodyBuffer is the size in bytes of the first buffer of a body, if the client
+	// declares no smaller one. What a client only declares takes no memory.
+	firstBodyBuffer = 64 << 10
+	// bodyGrowth is the factor by which a full buffer grows, up to the declared size.
+	bodyGrowth = 4
+	// undeclaredBodyGrowth is bodyGrowth for a body of unknown size, of whose last buffer
+	// a part may stay empty.
+	undeclaredBodyGrowth = 2
 )
 
 // BodyBudget bounds the memory that the bodies of requests hold. Without a limit it refuses
@@ -51,24 +56,37 @@
 func (b *BodyBudget) grow(n, already int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	limit := b.limit
-	if already+n > largeBody {
-		limit = int64(largeBodyShare * float64(limit))
-	}
-	if b.limit > 0 && b.held+n > limit {
+	if !b.fits(n, already) {
 		return false
 	}
 	b.held += n
 	return true
 }
 
+// hasRoom reports whether a body of n bytes would fit now. It takes nothing.
+func (b *BodyBudget) hasRoom(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fits(n, 0)
+}
+
+// fits reports whether there is room for n more bytes of a body that holds some already. The
+// lock is held.
+func (b *BodyBudget) fits(n, already int64) bool {
+	limit := b.limit
+	if already+n > largeBody {
+		limit = int64(largeBodyShare * float64(limit))
+	}
+	return b.limit == 0 || b.held+n <= limit
+}
+
 func (b *BodyBudget) release(n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.held -= n
 }
 
-// heldBody is the body of a request and the bytes that it has taken from a budget.
+// heldBody is the body of a request and the bytes that its buffers have taken from a budget.
 type heldBody struct {
 	budget *BodyBudget
 	bytes  []byte
@@ -81,12 +99,17 @@
 	h.taken = 0
 }
 
-// take takes n more bytes from the budget.
-func (h *heldBody) take(n int64) bool {
-	if !h.budget.grow(n, h.taken) {
+// resize moves the body into a buffer of the given size in bytes. It reports whether the
+// budget had room for it beside the one before.
+func (h *heldBody) resize(size int64) bool {
+	if !h.budget.grow(size, h.taken) {
 		return false
 	}
-	h.taken += n
+	buf := make([]byte, len(h.bytes), size)
+	copy(buf, h.bytes)
+	h.bytes = buf
+	h.budget.release(h.taken)
+	h.taken = size
 	return true
 }
 
@@ -96,27 +119,29 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	if r.ContentLength > limit {
-		return http.StatusRequestEntityTooLarge
+	longest, growth := limit, int64(undeclaredBodyGrowth)
+	if r.ContentLength >= 0 {
+		longest, growth = r.ContentLength, bodyGrowth
 	}
-	var buf bytes.Buffer
-	if r.ContentLength > 0 {
-		if !h.take(r.ContentLength) {
-			return http.StatusServiceUnavailable
-		}
-		buf.Grow(int(r.ContentLength))
+	switch {
+	case longest > limit:
+		return http.StatusRequestEntityTooLarge
+	case r.ContentLength > 0 && !h.budget.hasRoom(r.ContentLength):
+		return http.StatusServiceUnavailable
 	}
-	body := io.LimitReader(r.Body, limit+1)
 	for {
-		if r.ContentLength < 0 && !h.take(bodyStep) {
-			return http.StatusServiceUnavailable
+		if held := int64(cap(h.bytes)); int64(len(h.bytes)) == held {
+			// The byte after the longest body shows its end.
+			if !h.resize(min(longest+1, max(firstBodyBuffer, growth*held))) {
+				return http.StatusServiceUnavailable
+			}
 		}
-		_, err := io.CopyN(&buf, body, bodyStep)
+		n, err := r.Body.Read(h.bytes[len(h.bytes):cap(h.bytes)])
+		h.bytes = h.bytes[:len(h.bytes)+n]
 		switch {
-		case int64(buf.Len()) > limit:
+		case int64(len(h.bytes)) > longest:
 			return http.StatusRequestEntityTooLarge
 		case errors.Is(err, io.EOF):
-			h.bytes = buf.Bytes()
 			return 0
 		case err != nil:
 			return http.StatusBadRequest
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -86,7 +87,7 @@
 // sendThrough sends the request through a host and returns the head of the answer. An error
 // with CodeConnect means that nothing was sent.
 func (e *exchange) sendThrough(host RelayHost, h *relayHead) (c *backendconn.Conn, response *http.Response, err error) {
-	body, headLength, err := h.encode(e.call.Body)
+	head, err := json.Marshal(h)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -97,8 +98,8 @@
 		return nil, nil, err
 	}
 	response, err = c.Exchange(e.ctx, &backendconn.Request{
-		ID: e.call.ID, Method: http.MethodPost, Target: RelayPath, Host: host.Address, Body: body,
-		Header:  http.Header{headerHeadLength: {strconv.Itoa(headLength)}},
+		ID: e.call.ID, Method: http.MethodPost, Target: RelayPath, Host: host.Address, BodyHead: head, Body: e.call.Body,
+		Header:  http.Header{headerHeadLength: {strconv.Itoa(len(head))}},
 		Matches: func(http.Header) bool { return true },
 		Watch: func(now time.Time, idle time.Duration) error {
 			switch {
--- a/internal/gateway/relayed.go
+++ b/internal/gateway/relayed.go
@@ -41,17 +41,18 @@
 	defer g.relayedInFlight.end()
 	body := heldBody{budget: &g.Bodies}
 	defer body.release()
-	if !body.take(max(0, r.ContentLength)) {
+	control := http.NewResponseController(w)
+	setWriteDeadline(control, now.Add(defaultTimeout))
+	h, status := decodeRelayed(r, &body, maxRelayedBody(table))
+	switch status {
+	case 0:
+	case http.StatusServiceUnavailable:
 		// A host that still writes when the connection ends may not see the refusal.
 		_, _ = io.CopyN(io.Discard, r.Body, maxRelayHead+maxRelayedBody(table)) // ends with the body
 		refuseRelayed(w, retryAfter(bodyRetryAfter), "the bodies of other requests fill the memory")
 		return
-	}
-	control := http.NewResponseController(w)
-	setWriteDeadline(control, now.Add(defaultTimeout))
-	h, err := decodeRelayed(r, maxRelayedBody(table))
-	if err != nil {
-		refuseRelayed(w, time.Second, err.Error())
+	default:
+		refuseRelayed(w, time.Second, "the relayed request could not be read")
 		return
 	}
 	if g.Paths.Lost(h.Service.Name) {
--- a/internal/gateway/relaymessage.go
+++ b/internal/gateway/relaymessage.go
@@ -1,10 +1,7 @@
 package gateway
 
 import (
-	"bytes"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -86,34 +83,20 @@
 	Name   string          `json:"name"`
 }
 
-// encode returns the body of the request that relays a request with the given body, and the
-// length of the head in it.
-func (h *relayHead) encode(body []byte) (p []byte, headLength int, err error) {
-	head, err := json.Marshal(h)
-	if err != nil {
-		return nil, 0, err
-	}
-	return append(head, body...), len(head), nil
-}
-
-// errRelayHead is the error of a relayed request whose head cannot be read.
-var errRelayHead = errors.New("invalid head of a relayed request")
-
-// decodeRelayed reads a relayed request with a body of at most maxBody bytes.
-func decodeRelayed(r *http.Request, maxBody int64) (*relayHead, error) {
+// decodeRelayed reads a relayed request with a body of at most maxBody bytes into body. It
+// returns a status other than 0 if the request must be refused.
+func decodeRelayed(r *http.Request, body *heldBody, maxBody int64) (h *relayHead, status int) {
 	length, err := strconv.Atoi(r.Header.Get(headerHeadLength))
 	if err != nil || length <= 0 || length > maxRelayHead || r.ContentLength < int64(length) || r.ContentLength > int64(length)+maxBody {
-		return nil, errRelayHead
+		return nil, http.StatusBadRequest
 	}
-	var all bytes.Buffer
-	all.Grow(int(r.ContentLength))
-	if n, err := io.Copy(&all, io.LimitReader(r.Body, r.ContentLength)); err != nil || n != r.ContentLength {
-		return nil, errRelayHead
+	if status := body.read(r, r.ContentLength); status != 0 {
+		return nil, status
 	}
-	h := &relayHead{}
-	if err := json.Unmarshal(all.Bytes()[:length], h); err != nil {
-		return nil, errRelayHead
+	h = &relayHead{}
+	if err := json.Unmarshal(body.bytes[:length], h); err != nil {
+		return nil, http.StatusBadRequest
 	}
-	h.Call.Body = all.Bytes()[length:]
-	return h, nil
+	h.Call.Body = body.bytes[length:]
+	return h, 0
 }
--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -62,7 +62,8 @@
 	Target string // path and query as sent by the client
 	Host   string
 	Header http.Header
-	Body   []byte
+	// BodyHead and Body are the parts of the body, in this order.
+	BodyHead, Body []byte
 	// ID is the id by which a response names this request; empty if responses name none. The
 	// connection must come from Pool.Get with the same id.
 	ID ident.RequestID
@@ -320,11 +321,13 @@
 	if err := r.Header.Write(&head); err != nil {
 		return err
 	}
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete) {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	length := len(r.BodyHead) + len(r.Body)
+	if length > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete) {
+		head.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(r.Body) <= maxSyncBody {
+	if length <= maxSyncBody {
+		head.Write(r.BodyHead)
 		head.Write(r.Body)
 		_, err := c.raw.Write(head.Bytes())
 		return err
@@ -334,7 +337,8 @@
 	}
 	c.bodyWritten = make(chan error, 1)
 	go func(done chan<- error) {
-		_, err := c.raw.Write(r.Body)
+		body := net.Buffers{r.BodyHead, r.Body}
+		_, err := body.WriteTo(c.raw)
 		done <- err
 	}(c.bodyWritten)
 	return nil
