front: hosts with narrow links read the versions of streams in parts, and new ones are stored sooner

Cause: a host read the whole table in one call of 400 ms, 0.5 MB at 10 Mbit/s, and began anew after each failure; 73 of 79 hosts never ended. The table was that large because a reader wrote the records that it had read again. Streams that began less than half a second before the end were not stored.

Change: pages of 30 rows with a time of their own, what was read is kept; the history comes first; records that were read are not written again; rows cover one minute; new streams are written each 100 ms, to one row for half a second. A host repeats only the call of its registration that failed.

TestUnstoredRecords follows the new signature, with the same checks.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -102,7 +102,6 @@
 
 	leaving       atomic.Bool
 	leavingSince  atomicTime
-	streamsLoaded atomic.Bool // the versions of streams have been read from the store
 	serversLoaded atomic.Bool // the list of servers has been read at least once
 	inFlight      atomic.Int64
 	// storeRecoveredAt is the time at which the latest outage of the store, as
@@ -136,6 +135,7 @@
 	crashes       crashcause.Tracker
 	streams       streamversion.Registry
 	versions      streamversion.History
+	streamReading streamReading
 	// historyStored is the history of versions that this node wrote to the store or read
 	// last; nil if there was none.
 	historyStored atomic.Pointer[streamversion.Snapshot]
@@ -249,6 +249,7 @@
 	n.config = n.newFollower(TableConfig, configPollWait, n.applyConfig, n.applyConfig)
 	n.config.changePause = min(maxConfigPause, s.ConfigDeadline/configPauseDivisor)
 	n.registerAgain, n.peerHeard = make(chan struct{}, 1), make(chan struct{})
+	n.streamReading.turn = make(chan struct{}, 1)
 	// serversDue determines when the list of servers is read, so the store must
 	// answer at once: the wait is 0.
 	n.servers = n.newFollower(TableServers, 0, n.replaceServers, n.applyServers)
--- a/internal/front/reader_test.go
+++ b/internal/front/reader_test.go
@@ -131,6 +131,10 @@
 }
 
 func (s *fakeStore) List(ctx context.Context, _ Table) (Rows, error) { return s.next(ctx, "list") }
+func (s *fakeStore) ListPage(ctx context.Context, _ Table, _ string, _ int) (Rows, string, error) {
+	r, err := s.next(ctx, "list")
+	return r, "", err
+}
 func (s *fakeStore) Follow(ctx context.Context, _ Table, _ ident.StorePosition, wait time.Duration) (Rows, error) {
 	select {
 	case <-time.After(wait):
--- a/internal/front/register.go
+++ b/internal/front/register.go
@@ -26,35 +26,39 @@
 	}
 }
 
-// writeRow writes this node's row to the store and reads the rows of the other nodes,
-// the crashes and, if they were not read yet, the versions of streams that are kept there. It retries with backoff until all succeed or the
-// context ends.
+// registration is one of the calls by which a node registers.
+type registration struct {
+	table Table
+	call  func(context.Context) error
+}
+
+// writeRow writes this node's row to the store and reads the rows of the other nodes, the
+// crashes and, as far as they were not read yet, the versions of streams that are kept there.
+// It repeats the call that fails, with backoff, until all have succeeded or the context ends.
 func (n *Node) writeRow(ctx context.Context) {
 	raw, err := json.Marshal(n.member(time.Now()))
 	if err != nil {
 		panic(err) // mesh.Member can always be encoded
 	}
-	for backoff := retryInitial; ctx.Err() == nil; backoff = min(2*backoff, retryMax) {
-		err := n.store.Put(ctx, TableNodes, string(n.settings.Host), raw)
-		if err == nil {
-			err = n.loadNodes(ctx)
-		}
-		if err == nil {
-			err = n.loadCrashes(ctx)
-		}
-		if err == nil && n.streamsLoaded.CompareAndSwap(false, true) {
-			if err = n.loadStreams(ctx); err != nil {
-				n.streamsLoaded.Store(false)
-			}
-		}
+	left := []registration{
+		{TableNodes, func(ctx context.Context) error { return n.store.Put(ctx, TableNodes, string(n.settings.Host), raw) }},
+		{TableNodes, n.loadNodes},
+		{TableCrashes, n.loadCrashes},
+		{TableStreams, n.loadStreams},
+	}
+	backoff := retryInitial
+	for len(left) > 0 && ctx.Err() == nil {
+		err := left[0].call(ctx)
 		if err == nil {
-			return
+			left = left[1:]
+			continue
 		}
-		n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableNodes}, "cannot write this node's row to the store or read the rows of other nodes, the crashes or the versions of streams, retrying")
+		n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": left[0].table}, "cannot register in the store, or read what it keeps for nodes that start, retrying")
 		select {
 		case <-time.After(backoff):
 		case <-ctx.Done():
 		}
+		backoff = min(2*backoff, retryMax)
 	}
 }
 
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -60,6 +60,9 @@
 type Store interface {
 	// List returns all rows of a table.
 	List(ctx context.Context, table Table) (Rows, error)
+	// ListPage returns up to limit rows of a table, in the order of their keys from a key on,
+	// and the key from which the next page begins; empty after the last page.
+	ListPage(ctx context.Context, table Table, from string, limit int) (page Rows, next string, err error)
 	// Follow returns the rows that changed after a position. If there are
 	// none, it blocks until a row changes, and returns no rows if none has changed
 	// within wait.
--- a/internal/front/versions.go
+++ b/internal/front/versions.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,15 +28,25 @@
 	originPeers   = 3
 	originTimeout = 60 * time.Millisecond
 	// streamWriteInterval is the minimum time between two writes of versions to the store,
-	// and streamWriteTimeout bounds one. streamReadTimeout bounds the read at the start.
-	streamWriteInterval = 500 * time.Millisecond
+	// and streamWriteTimeout bounds one. Streams that begin within it before all hosts end
+	// cannot be taken up.
+	streamWriteInterval = 100 * time.Millisecond
 	streamWriteTimeout  = 2 * time.Second
-	streamReadTimeout   = 400 * time.Millisecond
+	// streamRowSpan is the time whose new streams one row holds. It is written again with
+	// each write in this time, so that the number of rows that a node reads stays small.
+	streamRowSpan = 500 * time.Millisecond
+	// streamsAtStart bounds the time for which a node that starts waits for the versions of
+	// streams. It reads the rest while it serves.
+	streamsAtStart = 400 * time.Millisecond
+	// streamPageRows is the number of rows that are read at once, and streamPageTimeout the
+	// time for that: full rows are 0.9 MB, which a link of 10 Mbit/s carries in 0.7 s.
+	streamPageRows    = 30
+	streamPageTimeout = 2 * time.Second
 	// maxStreamsPerRow keeps a row below the size that the store accepts.
 	maxStreamsPerRow = 300
 	// streamRows is the number of rows with streams, which are written in turn: those of
-	// the last two minutes.
-	streamRows = 240
+	// the last minute. Clients return sooner.
+	streamRows = 120
 	// historyKey is the key of the row that holds the versions that services had lately.
 	historyKey = "history"
 )
@@ -123,25 +134,58 @@
 	return version
 }
 
+// openRow is the row to which the versions of new streams are added during streamRowSpan.
+type openRow struct {
+	number  int64 // of the row; rows are written in turn
+	streams []streamversion.Record
+	written time.Time // the ages of streams count from here
+}
+
+// at returns the row that is open at a time: another one, still empty, once the span of the
+// one before has passed.
+func (o openRow) at(now time.Time) openRow {
+	if number := now.UnixMilli() / streamRowSpan.Milliseconds() % streamRows; number != o.number {
+		o = openRow{number: number}
+	}
+	older := now.Sub(o.written).Milliseconds()
+	streams := slices.Clone(o.streams)
+	for i := range streams {
+		streams[i].AgeMs += older
+	}
+	return openRow{o.number, streams, now}
+}
+
+// room returns the number of streams that may be added.
+func (o openRow) room() int { return maxStreamsPerRow - len(o.streams) }
+
 // storeStreams writes the versions of streams to the store while a service has several, if
 // this node is the reader.
 func (n *Node) storeStreams(ctx context.Context) {
+	var open openRow
+	var fast bool // streams are written at each interval
+	var updated time.Time
 	every(ctx, streamWriteInterval, func(now time.Time) {
+		// The versions of servers change with the list, every second or so.
+		if !fast && now.Sub(updated) < streamRowSpan {
+			return
+		}
+		updated = now
 		n.versions.Update(now, n.fleet.Versions())
 		n.streams.Resolve(n.fleet.KnownVersion)
-		if !n.isReader(now) {
+		if fast = n.isReader(now); !fast {
 			return
 		}
-		if err := n.writeStreams(ctx, now); err != nil {
+		history := n.versions.SnapshotOf(now, n.fleet.Versions())
+		fast = history.Mixed()
+		if err := n.writeStreams(ctx, now, history, &open); err != nil {
 			n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableStreams}, "cannot write the versions of streams to the store, retrying")
 		}
 	})
 }
 
-// writeStreams writes the history if it has changed, and one row of streams if a service
+// writeStreams writes the history if it has changed, and the row of new streams if a service
 // has several versions.
-func (n *Node) writeStreams(ctx context.Context, now time.Time) error {
-	history := n.versions.SnapshotOf(now, n.fleet.Versions())
+func (n *Node) writeStreams(ctx context.Context, now time.Time, history streamversion.Snapshot, open *openRow) error {
 	// A node that does not know what was before its start would make the others forget it.
 	if stored := n.historyStored.Load(); n.versions.Complete() && (stored == nil || !history.SameVersions(*stored)) {
 		if err := n.writeStreamRow(ctx, historyKey, streamRow{WrittenMs: now.UnixMilli(), History: history}); err != nil {
@@ -152,14 +196,17 @@
 	if !history.Mixed() {
 		return nil
 	}
-	records, count := n.streams.Unstored(now, maxStreamsPerRow)
-	if len(records) > 0 {
-		slot := now.UnixMilli() / streamWriteInterval.Milliseconds() % streamRows
-		if err := n.writeStreamRow(ctx, strconv.FormatInt(slot, 10), streamRow{WrittenMs: now.UnixMilli(), Streams: records}); err != nil {
-			return err
-		}
+	row := open.at(now)
+	records := n.streams.Unstored(now, row.room())
+	if len(records) == 0 {
+		return nil
+	}
+	row.streams = append(row.streams, records...)
+	if err := n.writeStreamRow(ctx, strconv.FormatInt(row.number, 10), streamRow{WrittenMs: now.UnixMilli(), Streams: row.streams}); err != nil {
+		return err // the records that are not stored yet come again
 	}
-	n.streams.MarkStored(count)
+	*open = row
+	n.streams.MarkStored(records)
 	return nil
 }
 
@@ -173,44 +220,96 @@
 	return n.store.Put(ctx, TableStreams, key, raw)
 }
 
+// streamReading is how far a node has read the versions of streams in the store. What was
+// read is kept when a call fails: nodes with narrow links need several calls, beside all the
+// others that start at the same moment.
+type streamReading struct {
+	turn    chan struct{} // held by the goroutine that reads; guards the fields below
+	history bool          // the history was read
+	next    string        // key from which the next page begins
+	done    bool
+}
+
 // loadStreamsAtStart reads the versions of streams before the node serves clients, which may
 // return with streams that other nodes began.
 func (n *Node) loadStreamsAtStart() {
-	if err := n.loadStreams(context.Background()); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), streamsAtStart)
+	defer cancel()
+	if err := n.loadStreams(ctx); err != nil {
 		n.log.LogError(logrus.WarnLevel, telemetry.EventStoreLost, err, logrus.Fields{"table": TableStreams}, "cannot read the versions of streams from the store, retrying")
-		return
 	}
-	n.streamsLoaded.Store(true)
 }
 
-// loadStreams reads the versions of streams that the store holds. Without an answer the
-// versions of streams that began before the start of this node are not known, unless a
-// peer knows them.
+// loadStreams reads what was not read yet of the versions of streams that the store holds.
+// Without them the versions of streams that began before the start of this node are not
+// known, unless a peer knows them.
 func (n *Node) loadStreams(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, streamReadTimeout)
+	r := &n.streamReading
+	select {
+	case r.turn <- struct{}{}:
+		defer func() { <-r.turn }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if !r.history {
+		if err := n.loadHistory(ctx); err != nil {
+			return err
+		}
+		r.history = true
+	}
+	for !r.done {
+		rows, next, err := n.listStreams(ctx, r.next, streamPageRows)
+		if err != nil {
+			return err
+		}
+		n.addStreams(rows)
+		r.next, r.done = next, next == ""
+	}
+	return nil
+}
+
+func (n *Node) listStreams(ctx context.Context, from string, limit int) (rows []Row, next string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, streamPageTimeout)
 	defer cancel()
-	rows, err := n.store.List(ctx, TableStreams)
+	page, next, err := n.store.ListPage(ctx, TableStreams, from, limit)
+	return page.Rows, next, err
+}
+
+// loadHistory reads the versions that services had lately.
+func (n *Node) loadHistory(ctx context.Context) error {
+	rows, _, err := n.listStreams(ctx, historyKey, 1)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
-	history, age := streamversion.Snapshot(nil), time.Duration(0)
-	for _, r := range rows.Rows {
-		var row streamRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			n.log.LogError(logrus.WarnLevel, telemetry.EventPeerState, err, logrus.Fields{"table": TableStreams}, "cannot decode the versions of streams in the store")
-			continue
-		}
-		written := max(0, now.Sub(time.UnixMilli(row.WrittenMs)))
-		if r.Key == historyKey {
-			history, age = row.History, written
-			n.historyStored.Store(&history)
-		}
+	if len(rows) == 0 || rows[0].Key != historyKey {
+		n.versions.Load(now, nil, 0)
+		return nil
+	}
+	row, age := n.decodeStreamRow(now, rows[0])
+	n.historyStored.Store(&row.History)
+	n.versions.Load(now, row.History, age)
+	return nil
+}
+
+// addStreams adds the versions of streams in rows of the store.
+func (n *Node) addStreams(rows []Row) {
+	now := time.Now()
+	for _, r := range rows {
+		row, age := n.decodeStreamRow(now, r)
 		for _, x := range row.Streams {
-			x.AgeMs += written.Milliseconds()
-			n.streams.Add(now, x)
+			x.AgeMs += age.Milliseconds()
+			n.streams.AddStored(now, x)
 		}
 	}
-	n.versions.Load(now, history, age)
-	return nil
+}
+
+// decodeStreamRow decodes a row and returns the time since it was written. A row that cannot
+// be decoded is empty.
+func (n *Node) decodeStreamRow(now time.Time, r Row) (row streamRow, age time.Duration) {
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		n.log.LogError(logrus.WarnLevel, telemetry.EventPeerState, err, logrus.Fields{"table": TableStreams, "key": r.Key}, "cannot decode the versions of streams in the store")
+		return streamRow{}, 0
+	}
+	return row, max(0, now.Sub(time.UnixMilli(row.WrittenMs)))
 }
--- a/internal/streamversion/model_test.go
+++ b/internal/streamversion/model_test.go
@@ -122,7 +122,7 @@
 	for _, r := range m.rows {
 		for _, x := range r.records {
 			x.AgeMs += (m.now - r.at).Milliseconds()
-			h.streams.Add(at(m.now), x)
+			h.streams.AddStored(at(m.now), x)
 		}
 	}
 	h.history.Load(at(m.now), m.history, m.now-m.writtenAt)
@@ -147,8 +147,8 @@
 		m.history, m.writtenAt = s, m.now
 	}
 	if s.Mixed() {
-		records, count := reader.streams.Unstored(at(m.now), 300)
-		reader.streams.MarkStored(count)
+		records := reader.streams.Unstored(at(m.now), 300)
+		reader.streams.MarkStored(records)
 		m.rows = append(m.rows, storedRow{records, m.now})
 	}
 }
--- a/internal/streamversion/registry.go
+++ b/internal/streamversion/registry.go
@@ -85,21 +85,25 @@
 	mu        sync.Mutex
 	byID      map[uint64]entry // guarded by mu
 	byContent map[uint64]entry // guarded by mu
-	// records holds all records by time, oldest first; the first stored of them have been
-	// written to the store. Guarded by mu.
+	// records holds all records in the order in which they were added. Guarded by mu.
 	records []timedRecord
-	stored  int
 	// unresolved is the number of records whose version is Unknown. Guarded by mu.
 	unresolved int
 }
 
 type timedRecord struct {
 	Record
-	at time.Time
+	at     time.Time
+	stored bool // the platform's store has it
 }
 
 // Add records the version that began a stream.
-func (r *Registry) Add(now time.Time, x Record) {
+func (r *Registry) Add(now time.Time, x Record) { r.add(now, x, false) }
+
+// AddStored is Add for a record that was read from the platform's store.
+func (r *Registry) AddStored(now time.Time, x Record) { r.add(now, x, true) }
+
+func (r *Registry) add(now time.Time, x Record, stored bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byID == nil {
@@ -111,7 +115,7 @@
 	}
 	add(r.byID, x.ID, entry{x.Version, at})
 	add(r.byContent, x.Content, entry{x.Version, at})
-	r.records = append(r.records, timedRecord{x, at})
+	r.records = append(r.records, timedRecord{x, at, stored})
 	if x.Version == Unknown {
 		r.unresolved++
 	}
@@ -141,7 +145,7 @@
 		if version == "" || version == Unknown {
 			continue
 		}
-		x.Version, x.Server = version, Server{}
+		x.Version, x.Server, x.stored = version, Server{}, false
 		r.unresolved--
 		resolve(r.byID, x.ID, version)
 		resolve(r.byContent, x.Content, version)
@@ -182,7 +186,6 @@
 		}
 	}
 	r.records = r.records[drop:]
-	r.stored = max(0, r.stored-drop)
 }
 
 // remove removes the entry of a record, unless a later record has the same key.
@@ -204,35 +207,45 @@
 	return e.version, e.version != "" && now.Sub(e.at) <= recordTTL
 }
 
-// Unstored returns up to limit records that were not marked as stored yet, without those
-// that are too old to be of use after the end of all hosts, and their number for MarkStored.
-func (r *Registry) Unstored(now time.Time, limit int) (records []Record, count int) {
+// Unstored returns up to limit records that are not in the store yet, without those that are
+// too old to be of use after the end of all hosts.
+func (r *Registry) Unstored(now time.Time, limit int) (records []Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
-	for _, x := range r.records[r.stored:] {
+	for _, x := range r.records {
 		if len(records) == limit {
 			break
 		}
-		count++
-		if age := now.Sub(x.at); age <= storeTTL {
+		if age := now.Sub(x.at); !x.stored && age <= storeTTL {
 			x.AgeMs = age.Milliseconds()
 			records = append(records, x.Record)
 		}
 	}
-	return records, count
+	return records
 }
 
-// MarkStored records that the first count records that Unstored returned are in the store.
-func (r *Registry) MarkStored(count int) {
+// MarkStored records that records that Unstored returned are in the store.
+func (r *Registry) MarkStored(records []Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stored = min(len(r.records), r.stored+count)
+	written := make(map[Key]string, len(records))
+	for _, x := range records {
+		written[x.Key] = x.Version
+	}
+	for i := range r.records {
+		// A record whose version has become known meanwhile is written once more.
+		if version, ok := written[r.records[i].Key]; ok && version == r.records[i].Version {
+			r.records[i].stored = true
+		}
+	}
 }
 
 // MarkUnstored records that the store may have lost what was written to it.
 func (r *Registry) MarkUnstored() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stored = 0
+	for i := range r.records {
+		r.records[i].stored = false
+	}
 }
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -55,14 +55,14 @@
 	}
 	seen := map[uint64]int{}
 	for range 4 {
-		records, count := r.Unstored(at(time.Second), 10)
+		records := r.Unstored(at(time.Second), 10)
 		for _, x := range records {
 			seen[x.ID]++
 			if x.AgeMs != 1000 {
 				t.Errorf("age %d ms", x.AgeMs)
 			}
 		}
-		r.MarkStored(count)
+		r.MarkStored(records)
 	}
 	if len(seen) != 25 {
 		t.Errorf("%d of 25 records were written", len(seen))
@@ -73,7 +73,7 @@
 		}
 	}
 	r.MarkUnstored()
-	if records, _ := r.Unstored(at(time.Second), 100); len(records) != 25 {
+	if records := r.Unstored(at(time.Second), 100); len(records) != 25 {
 		t.Errorf("%d of 25 records are written again after the store has lost them", len(records))
 	}
 	for i := range maxRecords + 100 {
