fleet, gateway: streams that clients resume are spread over engines, and runs are announced before their connection opens

Cause: 160 clients return within 0.2 s after all hosts were lost, and hosts that do not know of each other's choices place them on the same few engines: one got five within 23 ms. A run was announced only after the engine had been asked for its version and the connection was open.

Change: such streams are placed with the margin of streams that have lost their engine, and are announced as soon as the engine is chosen.

--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -18,9 +18,9 @@
 	// treated as equal. The prompt hash breaks ties, which spreads requests that
 	// several hosts place at the same moment.
 	waitTieMargin = 150 * time.Millisecond
-	// waitTieMarginAfterLoss is the margin for a request that has lost an engine.
-	// It is wider because all hosts place such requests at the same time when a
-	// data centre is lost.
+	// waitTieMarginAfterLoss is the margin for a request that has lost an engine or
+	// whose client resumes a stream. It is wider because all hosts place such requests
+	// at the same time when a data centre or many hosts are lost.
 	waitTieMarginAfterLoss = 500 * time.Millisecond
 	// runningPenalty is the cost per request already running on an engine, whose token
 	// generation slows down while the prompt is read.
@@ -121,7 +121,7 @@
 		costs[i] = f.engineCost(s, now, memory, p)
 	}
 	limit := slices.Min(costs) + waitTieMargin
-	if len(exclude) > 0 {
+	if len(exclude) > 0 || p.Resumed {
 		limit += waitTieMarginAfterLoss - waitTieMargin
 	}
 	var best Choice
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -127,16 +127,28 @@
 // delay of one datagram, before they learn of each other's choices. The prompts must
 // be spread although one engine has no other work.
 func TestPlacementSpreadsAfterLoss(t *testing.T) {
+	t.Run("engine lost", func(t *testing.T) { checkPlacementSpreads(t, 1, Prompt{}, Exclude{"a0"}) })
+	t.Run("hosts lost, client resumes", func(t *testing.T) { checkPlacementSpreads(t, 3, Prompt{Resumed: true}, nil) })
+}
+
+// checkPlacementSpreads lets hosts that do not know of one another's choices place prompts
+// that are like p, while one engine has no run and all others have some.
+func checkPlacementSpreads(t *testing.T, runs int, p Prompt, exclude Exclude) {
 	f := testFleet(12)
 	for i, id := range f.IDs() {
-		if id != "b7" {
-			f.AddRun(at(0), "peer", Placement{Run: uint64(i), Server: id, Tokens: 8600, Prefill: time.Millisecond})
-			f.RecordPromptRead(at(1), "peer", Placement{Run: uint64(i), Server: id})
+		if id == "b7" {
+			continue
+		}
+		for r := range runs {
+			placed := Placement{Run: uint64(i*runs + r), Server: id, Tokens: 8600, Prefill: time.Millisecond}
+			f.AddRun(at(0), "peer", placed)
+			f.RecordPromptRead(at(1), "peer", placed)
 		}
 	}
 	counts := map[ident.BackendID]int{}
 	for i := range 24 {
-		c, ok := f.ChooseEngine(at(10), service, memory, Prompt{Tokens: 8000, MaxOutput: 600, SuffixHash: uint64(i + 1)}, Exclude{"a0"})
+		p.Tokens, p.MaxOutput, p.SuffixHash = 8000, 600, uint64(i+1)
+		c, ok := f.ChooseEngine(at(10), service, memory, p, exclude)
 		if !ok {
 			t.Fatal("no engine")
 		}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -19,6 +19,8 @@
 	// Version is the software version of the engines that may run the request; empty for
 	// any.
 	Version string
+	// Resumed is set for a stream of which the client has already received a part.
+	Resumed bool
 	// CopiedTokens is the number of prompt tokens that the engine already holds in a
 	// copy.
 	CopiedTokens int
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -167,7 +167,7 @@
 func (st *streamState) prompt() fleet.Prompt {
 	st.resolveVersion()
 	p := st.call.Prompt
-	p.Version = st.version
+	p.Version, p.Resumed = st.version, st.call.After > 0
 	return p
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -220,6 +220,15 @@
 	if backup != nil {
 		a.Backup, placed.Backup = backup.Address, backup.ID
 	}
+	// Other hosts place streams at the same moment, so they are told before the connection is
+	// opened.
+	wait := g.Fleet.FirstToken(s, now, prompt)
+	g.Fleet.AddRun(now, g.Self, placed)
+	g.Announce.RunPlaced(placed)
+	defer func() {
+		g.Fleet.RemoveRun(g.Self, placed)
+		g.Announce.RunEnded(placed)
+	}()
 	if !st.confirmVersion(s, a) {
 		return resultNotRun
 	}
@@ -229,13 +238,6 @@
 		e.endSend(send, sendNotSent, 0, nil)
 		return st.connectionFailed(s, err)
 	}
-	wait := g.Fleet.FirstToken(s, now, prompt)
-	g.Fleet.AddRun(now, g.Self, placed)
-	g.Announce.RunPlaced(placed)
-	defer func() {
-		g.Fleet.RemoveRun(g.Self, placed)
-		g.Announce.RunEnded(placed)
-	}()
 	e.addStep("to %s version=%s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, g.Fleet.VersionOf(s), a.CopyName != "", placed.Backup, wait.Milliseconds(), a.After, c.Reused())
 
 	watch := &streamWatch{g: g, st: st, server: s, lossCountAtStart: s.LossCount(), started: now, expected: wait}
