overload: a stream whose client will be gone before its prompt is read is refused at once

Cause: clients that resume after 18 s of silence have 0 to 4 s left, and an engine reads a prompt in more than a second. Resumed streams were admitted whatever time was left, so engines read prompts in vain, before those of clients that still had the time.

Change: refused if 0.7 of the expected prefill exceeds the time left.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -33,6 +33,9 @@
 	// for teams that use no more than their share. The further a team exceeds its
 	// share, the less of the reserved memory its streams may use.
 	reservedMemoryFraction = 0.35
+	// leastPrefillFraction is the fraction of the expected prefill time that an engine needs
+	// at least: it may be faster than others, or hold a part of the prompt.
+	leastPrefillFraction = 0.7
 	// minRetryAfter is the shortest time after which a refused client may retry.
 	minRetryAfter = 500 * time.Millisecond
 	// lateMaxWait and lateMinFree are the longest wait and the smallest free fraction
@@ -108,13 +111,19 @@
 	if r.Late && !r.Resumed {
 		limit, minFree = min(limit, lateMaxWait), max(minFree, lateMinFree)
 	}
-	if r.QueueWait > limit || r.FreeMemory < minFree {
-		return Decision{MaxWait: limit, MemoryFull: r.QueueWait <= limit, RetryAfter: c.retryAfter(now, r, r.QueueWait-limit, jitter)}
+	if r.QueueWait > limit || r.FreeMemory < minFree || r.hopeless() {
+		return Decision{MaxWait: limit, MemoryFull: r.QueueWait <= limit && r.FreeMemory < minFree, RetryAfter: c.retryAfter(now, r, r.QueueWait-limit, jitter)}
 	}
 	c.usage.add(now, r.Team, r.Prefill)
 	return Decision{Admit: true, MaxWait: limit}
 }
 
+// hopeless reports whether the client will have given up before any engine has read the
+// prompt. An engine that reads it nevertheless keeps others waiting, who still have the time.
+func (r Request) hopeless() bool {
+	return time.Duration(leastPrefillFraction*float64(r.Prefill)) > r.TimeLeft
+}
+
 // maxWait returns the longest wait in the queue with which a stream of a team that does
 // not exceed its share is admitted. It is never negative, so a stream is never refused
 // for its wait when an engine is free.
