mesh: a node whose clock was set back before it started again is known to its peers again

Change: a peer answers such a heartbeat with the incarnation that it knows, and the node takes the next higher one. Hosts of earlier builds ignore the field.

Not changed: numbers of releases of brittle servers also begin at the time of day; after such a start, permissions end 2 s late until the clock has caught up.

--- a/internal/peer/mesh/fuzz_test.go
+++ b/internal/peer/mesh/fuzz_test.go
@@ -17,6 +17,8 @@
 		{Host: "a", Incarnation: 1, Hello: true, Member: &Member{Mesh: "127.0.0.1:1", State: Ready}},
 		{Host: "a", Incarnation: 1, Events: []Event{{Kind: EventPlaced, Placed: &fleet.Placement{Run: 1, Server: "s"}}, {Kind: EventLost, Server: "s", Loss: 99}, {Kind: EventFound}, {Kind: EventLeaving, Server: "s"}}},
 		{Host: "a", Incarnation: 1, ServerChanges: &ServerChanges{Part: 7, Parts: -1, Rows: []ServerChange{{Removed: "s"}}}},
+		{Host: "a", Incarnation: 0, Member: &Member{Mesh: "127.0.0.1:1"}},
+		{Host: "a", Incarnation: 1, Superseded: 1<<63 - 1},
 		{Host: "b", Incarnation: 1, LoanRequest: &Loan{Service: "s", Retries: 1 << 40}, Loan: &Loan{Number: 1}},
 	} {
 		p, err := encode(msg)
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/crashcause"
@@ -45,12 +46,13 @@
 
 // Mesh exchanges heartbeats and events with the other nodes of a deployment.
 type Mesh struct {
-	fleet       *fleet.Fleet
-	conn        *net.UDPConn
-	self        func(now time.Time) Member
-	events      *ring.Ring[Event]
-	host        ident.HostID
-	incarnation ident.Incarnation
+	fleet  *fleet.Fleet
+	conn   *net.UDPConn
+	self   func(now time.Time) Member
+	events *ring.Ring[Event]
+	host   ident.HostID
+	// incarnation is an ident.Incarnation. It rises if a peer knows a later one.
+	incarnation atomic.Int64
 	pending     chan struct{} // signals queued events that may wait for a batch
 	lazy        chan struct{} // signals queued events that only free resources
 	urgent      chan struct{} // signals queued events that must be sent at once
@@ -116,19 +118,20 @@
 		return nil, newError(CodeListen).Errorf("listening on %s: %v", listen, err)
 	}
 	local := self(time.Now())
-	return &Mesh{
-		host:        local.Host,
-		incarnation: local.Incarnation,
-		lazy:        make(chan struct{}, 1),
-		fleet:       f,
-		conn:        conn,
-		self:        self,
-		events:      ring.New[Event](eventQueueSize),
-		pending:     make(chan struct{}, 1),
-		urgent:      make(chan struct{}, 1),
-		Handlers:    h,
-		members:     newMembers(local.Host),
-	}, nil
+	mesh := &Mesh{
+		host:     local.Host,
+		lazy:     make(chan struct{}, 1),
+		fleet:    f,
+		conn:     conn,
+		self:     self,
+		events:   ring.New[Event](eventQueueSize),
+		pending:  make(chan struct{}, 1),
+		urgent:   make(chan struct{}, 1),
+		Handlers: h,
+		members:  newMembers(local.Host),
+	}
+	mesh.incarnation.Store(int64(local.Incarnation))
+	return mesh, nil
 }
 
 // changesPerDatagram keeps a datagram with server entries below the size of one
@@ -356,7 +359,7 @@
 }
 
 func (m *Mesh) encoded(msg message) []byte {
-	msg.Host, msg.Incarnation = m.host, m.incarnation
+	msg.Host, msg.Incarnation = m.host, ident.Incarnation(m.incarnation.Load())
 	p, err := encode(msg)
 	if err != nil {
 		panic(err) // a message can always be encoded
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -141,8 +141,11 @@
 type message struct {
 	Host        ident.HostID      `json:"h"`
 	Incarnation ident.Incarnation `json:"i"`
-	Member      *Member           `json:"m,omitempty"`
-	Events      []Event           `json:"e,omitempty"`
+	// Superseded is set in the answer to a heartbeat of an earlier incarnation of the receiver
+	// than the sender knows: the one that it knows.
+	Superseded ident.Incarnation `json:"su,omitempty"`
+	Member     *Member           `json:"m,omitempty"`
+	Events     []Event           `json:"e,omitempty"`
 	// Hello requests a heartbeat in reply.
 	Hello bool `json:"q,omitempty"`
 	// ServerChanges are changes of the list of servers that the sender has read.
--- a/internal/peer/mesh/receive.go
+++ b/internal/peer/mesh/receive.go
@@ -41,8 +41,16 @@
 func (m *Mesh) handle(now time.Time, source netip.AddrPort, msg message) {
 	m.mu.Lock()
 	needsHello := m.members.needsHello(msg)
+	superseded := m.members.supersededBy(msg)
 	restarted, ok := m.members.accept(now, msg)
 	m.mu.Unlock()
+	if superseded != 0 {
+		// A late datagram of the earlier process has no effect on the one that runs now.
+		m.sendTo(source.String(), m.encoded(message{Superseded: superseded}))
+	}
+	if msg.Superseded != 0 {
+		m.raiseIncarnation(msg.Superseded)
+	}
 	if needsHello {
 		m.sendTo(source.String(), m.encoded(message{Member: m.localMember(), Hello: true}))
 	}
