daemoncmd: SIGHUP no longer ends a node that still reads its settings

Now it is installed first, and a signal that arrives meanwhile is kept until the node runs. The first milliseconds of the process, before its main function, remain.

--- a/internal/daemoncmd/front.go
+++ b/internal/daemoncmd/front.go
@@ -42,11 +42,17 @@
 	return bytes.Join([][]byte{first, second}, []byte{0})
 }
 
-// reloadOnChange reloads the settings of n on SIGHUP and when the content of a
-// file changes, until ctx ends.
-func reloadOnChange(ctx context.Context, files settingsFiles, n *front.Node) {
+// notifyHangup returns a channel that receives SIGHUP from now on. Without it the signal ends
+// the process.
+func notifyHangup() chan os.Signal {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
+	return hangup
+}
+
+// reloadOnChange reloads the settings of n on SIGHUP and when the content of a
+// file changes, until ctx ends.
+func reloadOnChange(ctx context.Context, files settingsFiles, n *front.Node, hangup chan os.Signal) {
 	defer signal.Stop(hangup)
 	poll := time.NewTicker(settingsPollInterval)
 	defer poll.Stop()
@@ -84,6 +90,7 @@
 		Example: "  " + platform.SettingsEnvVar + "=/etc/yuccahatch/local.yaml yuccahatchd front",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			hangup := notifyHangup() // before the settings are read, which may take some time
 			files := settingsFiles{os.Getenv(platform.SettingsEnvVar), tuning}
 			s, t, err := files.load()
 			if err != nil {
@@ -96,7 +103,7 @@
 			n.Tune(t)
 			ctx, leave, stop := handleSignals(cmd.Context())
 			defer stop()
-			go reloadOnChange(ctx, files, n)
+			go reloadOnChange(ctx, files, n, hangup)
 			return n.Run(ctx, leave, front.Handlers{
 				Readiness: platform.ReadinessHandler(n),
 				Directory: platform.DirectoryHandler(n),
