overload: the queue counts too when a stream cannot begin before its client gives up

Of the streams that got no first event although more than 1.5 s were left, nearly all had been told a wait, queue and prompt together, about as long as what was left. They are refused at once now: 0.85 of queue and prefill against the time left, where 0.7 of the prefill alone was compared.

The new case of TestDecide fails before.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -33,9 +33,9 @@
 	// for teams that use no more than their share. The further a team exceeds its
 	// share, the less of the reserved memory its streams may use.
 	reservedMemoryFraction = 0.35
-	// leastPrefillFraction is the fraction of the expected prefill time that an engine needs
-	// at least: it may be faster than others, or hold a part of the prompt.
-	leastPrefillFraction = 0.7
+	// leastWaitFraction is the fraction of the expected time to the first event that passes at
+	// least: an engine may be faster than others, or hold a part of the prompt.
+	leastWaitFraction = 0.85
 	// minRetryAfter is the shortest time after which a refused client may retry.
 	minRetryAfter = 500 * time.Millisecond
 	// lateMaxWait and lateMinFree are the longest wait and the smallest free fraction
@@ -118,10 +118,10 @@
 	return Decision{Admit: true, MaxWait: limit}
 }
 
-// hopeless reports whether the client will have given up before any engine has read the
-// prompt. An engine that reads it nevertheless keeps others waiting, who still have the time.
+// hopeless reports whether the client will have given up before the engine has read the
+// prompt. If it reads it nevertheless, others wait for it who still have the time.
 func (r Request) hopeless() bool {
-	return time.Duration(leastPrefillFraction*float64(r.Prefill)) > r.TimeLeft
+	return time.Duration(leastWaitFraction*float64(r.QueueWait+r.Prefill)) > r.TimeLeft
 }
 
 // maxWait returns the longest wait in the queue with which a stream of a team that does
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -41,6 +41,7 @@
 		{"less time left than the prompt takes", func(r *Request) { r.TimeLeft = 800 * time.Millisecond }, false},
 		{"resumed stream, less time left than the prompt takes", func(r *Request) { r.Resumed, r.TimeLeft = true, 800*time.Millisecond }, false},
 		{"resumed stream, as much time left as the prompt takes", func(r *Request) { r.Resumed, r.TimeLeft = true, 1200*time.Millisecond }, true},
+		{"resumed stream, less time left than queue and prompt take", func(r *Request) { r.Resumed, r.QueueWait, r.TimeLeft = true, time.Second, 1800*time.Millisecond }, false},
 		{"resumed stream, prompt in the engine's memory", func(r *Request) { r.Resumed, r.Prefill, r.TimeLeft = true, 40*time.Millisecond, 300*time.Millisecond }, true},
 		{"resumed stream, long wait", func(r *Request) { r.Resumed, r.QueueWait = true, 8*time.Second }, true},
 	}
--- a/lab/demo/demo_test.go
+++ b/lab/demo/demo_test.go
@@ -111,6 +111,24 @@
 	return report
 }
 
+// Guards against a report that names another request than the one that waited longest.
+func TestSlowestResume(t *testing.T) {
+	ms := time.Millisecond
+	answers := []caller.Result{
+		{RequestID: "a", Gaps: []time.Duration{120 * ms}},
+		{RequestID: "b", Gaps: []time.Duration{300 * ms, 110 * ms}},
+		{RequestID: "c", Breaks: []caller.Break{{Silence: 200 * ms}}},
+		{RequestID: "d", Gaps: []time.Duration{90 * ms}},
+	}
+	cfg := Config{InterruptionThreshold: 100 * ms}
+	if got := buildReport(cfg, answers, nil, service.Runs{}).SlowestResume; got != "b" {
+		t.Errorf("slowest resume %q, want b", got)
+	}
+	if got := buildReport(cfg, answers[3:], nil, service.Runs{}).SlowestResume; got != "" {
+		t.Errorf("slowest resume %q without an interruption", got)
+	}
+}
+
 // Guards against interruptions that are counted twice or not at all.
 func TestInterruptions(t *testing.T) {
 	got := interruptions(caller.Result{
--- a/lab/demo/report.go
+++ b/lab/demo/report.go
@@ -25,6 +25,8 @@
 	// around broken connections and gaps longer than
 	// Config.InterruptionThreshold, sorted.
 	Interruptions []time.Duration
+	// SlowestResume is the answer with the longest of the Interruptions; empty if there are none.
+	SlowestResume string
 	LongestGap    time.Duration // between tokens
 
 	Bookings ledger.Summary
@@ -74,7 +76,12 @@
 	}
 	r.Reconnects += max(0, a.Attempts-1)
 	r.LongestGap = max(r.LongestGap, a.MaxGap)
-	r.Interruptions = append(r.Interruptions, interruptions(a, r.interruptionThreshold)...)
+	for _, d := range interruptions(a, r.interruptionThreshold) {
+		if r.SlowestResume == "" || d > slices.Max(r.Interruptions) {
+			r.SlowestResume = a.RequestID
+		}
+		r.Interruptions = append(r.Interruptions, d)
+	}
 }
 
 // interruptions returns the times without tokens around broken connections,
@@ -125,6 +132,7 @@
 	if n := len(r.Interruptions); n > 0 {
 		row("resume latency, median", "%s", r.Interruptions[n/2].Round(time.Millisecond))
 		row("resume latency, maximum", "%s", r.Interruptions[n-1].Round(time.Millisecond))
+		row("slowest resume", "%s", r.SlowestResume)
 	}
 	row("longest gap between tokens", "%s", r.LongestGap.Round(time.Millisecond))
 	row("prompt tokens computed again", "%.0f", r.RecomputedPromptTokens)
