streamversion: streams that have just begun are stored before a backlog

Cause: a node that becomes the writer does not know which streams of the last minute the one before has stored, and wrote them all again, oldest first, 300 in half a second. New streams waited behind 2,300 of them.

Change: the newest first, and at most 60 a write, so that each write of a row's half second has room for the streams that begin meanwhile.

TestNewStreamsAreStoredAtOnceAfterChangeOfWriter fails before.

--- a/internal/front/versions.go
+++ b/internal/front/versions.go
@@ -42,8 +42,10 @@
 	// time for that: full rows are 0.9 MB, which a link of 10 Mbit/s carries in 0.7 s.
 	streamPageRows    = 30
 	streamPageTimeout = 2 * time.Second
-	// maxStreamsPerRow keeps a row below the size that the store accepts.
-	maxStreamsPerRow = 300
+	// maxStreamsPerRow keeps a row below the size that the store accepts, and
+	// maxStreamsPerWrite leaves room for the streams that begin later in the span of the row.
+	maxStreamsPerRow   = 300
+	maxStreamsPerWrite = maxStreamsPerRow * int(streamWriteInterval) / int(streamRowSpan)
 	// streamRows is the number of rows with streams, which are written in turn: those of
 	// the last minute. Clients return sooner.
 	streamRows = 120
@@ -155,8 +157,8 @@
 	return openRow{o.number, streams, now}
 }
 
-// room returns the number of streams that may be added.
-func (o openRow) room() int { return maxStreamsPerRow - len(o.streams) }
+// room returns the number of streams that may be added in one write.
+func (o openRow) room() int { return min(maxStreamsPerWrite, maxStreamsPerRow-len(o.streams)) }
 
 // storeStreams writes the versions of streams to the store while a service has several, if
 // this node is the reader.
--- a/internal/front/versions_test.go
+++ b/internal/front/versions_test.go
@@ -189,3 +189,41 @@
 		t.Errorf("%d of %d streams are stored", total, 3*maxStreamsPerRow)
 	}
 }
+
+// Guards against new streams that wait behind those that the writer before has stored: if all
+// nodes end soon after the writer has changed, they cannot be taken up.
+func TestNewStreamsAreStoredAtOnceAfterChangeOfWriter(t *testing.T) {
+	store := newStreamStore(never)
+	n := versionsNode(store)
+	mixed := streamversion.Snapshot{"s": {"v0": 0, "v1": 0}}
+	n.historyStored.Store(&mixed)
+	start := time.UnixMilli(1_700_000_000_000)
+	const backlog = 3000
+	for i := range backlog {
+		n.streams.Add(start.Add(time.Duration(i-backlog)*20*time.Millisecond), streamRecord(i))
+	}
+	var open openRow
+	stored := func(x streamversion.Record) bool {
+		for _, raw := range store.rows {
+			var row streamRow
+			if err := json.Unmarshal(raw, &row); err != nil {
+				t.Fatal(err)
+			}
+			if slices.ContainsFunc(row.Streams, func(y streamversion.Record) bool { return y.Key == x.Key }) {
+				return true
+			}
+		}
+		return false
+	}
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * streamWriteInterval)
+		x := streamRecord(backlog + i)
+		n.streams.Add(now, x)
+		if err := n.writeStreams(context.Background(), now, mixed, &open); err != nil {
+			t.Fatal(err)
+		}
+		if !stored(x) {
+			t.Fatalf("stream %d that has just begun is not stored", i)
+		}
+	}
+}
--- a/internal/streamversion/registry.go
+++ b/internal/streamversion/registry.go
@@ -12,6 +12,7 @@
 package streamversion
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -208,12 +209,13 @@
 }
 
 // Unstored returns up to limit records that are not in the store yet, without those that are
-// too old to be of use after the end of all hosts.
+// too old to be of use after the end of all hosts. The newest come first: a host that has just
+// become the writer does not know which of the older ones the host before has stored.
 func (r *Registry) Unstored(now time.Time, limit int) (records []Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
-	for _, x := range r.records {
+	for _, x := range slices.Backward(r.records) {
 		if len(records) == limit {
 			break
 		}
