--- a/internal/fleet/statements.go
+++ b/internal/fleet/statements.go
@@ -7,9 +7,9 @@
 )
 
 // What servers say about themselves in their answers outlives their entries: an entry that
-// lapses in an outage of the platform's store comes back while the server runs on, and still
-// wants what it has said. What it says of its service also holds for the servers that start
-// in it, until they have answered themselves.
+// lapses in an outage of the platform's store comes back, while the server has run all the time
+// and what it said is still in force. That it is brittle also applies to the servers that start
+// in its service, until they have answered themselves.
 
 // statementTTL is how long the statements of a server that was removed are kept. No
 // statement is in force for longer without being repeated.
