--- a/internal/fleet/statements_test.go
+++ b/internal/fleet/statements_test.go
@@ -16,7 +16,7 @@
 	return f.Server(e.ID)
 }
 
-// Guards against a node that forgets what a server has said in its answers when the entry of
+// Guards against a node that loses what a server has said in its answers when the entry of
 // the server lapses in an outage of the store and comes back: the server would get requests
 // that it does not want.
 func TestStatementsOutlastLapsedEntry(t *testing.T) {
