gateway: only resumed streams count on an engine before their connection is open

Cause: since every run is announced before its connection is opened. A host without a path to the engines made itself and all others count prompts that no engine was reading, and they refused new streams ("engines cannot begin in time") until its dials had failed, 300 ms if they hang. Withdrawals waited with the lazy announcements, 2 ms for each known host.

Change: runs of streams that clients resume still count at once, the others when their connection is open. A run that was not sent is withdrawn with an urgent announcement.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	RunPlaced(p fleet.Placement)
 	FirstEvent(p fleet.Placement)
 	RunEnded(p fleet.Placement)
+	// RunNotSent withdraws a placement of which the server has received nothing.
+	RunNotSent(p fleet.Placement)
 	CopyAdded(p fleet.Placement)
 	CopyRemoved(p fleet.Placement)
 	ServerLost(server ident.BackendID, how fleet.Loss)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -210,6 +210,7 @@
 	a.FromStart = a.After == 0 && (st.lastEventID > 0 || st.relayed != nil)
 	a.Urgent = st.headSent || e.sentCount > 0 || e.call.After > 0
 	prompt := e.call.Prompt
+	prompt.Resumed = e.call.After > 0
 	if a.CopyName != "" {
 		prompt.CopiedTokens = prompt.Tokens
 	}
@@ -220,14 +221,27 @@
 	if backup != nil {
 		a.Backup, placed.Backup = backup.Address, backup.ID
 	}
-	// Other hosts place streams at the same moment, so they are told before the connection is
-	// opened.
 	wait := g.Fleet.FirstToken(s, now, prompt)
-	g.Fleet.AddRun(now, g.Self, placed)
-	g.Announce.RunPlaced(placed)
+	connected := false
+	place := func() {
+		g.Fleet.AddRun(now, g.Self, placed)
+		g.Announce.RunPlaced(placed)
+	}
+	if prompt.Resumed {
+		// When many hosts are lost, the others place the streams of returning clients at the
+		// same moment, so these runs count before the connection is open. Other runs count
+		// when it is: streams are refused for the work that a run is expected to cause, and a
+		// host without a path to the engines causes none.
+		place()
+	}
 	defer func() {
 		g.Fleet.RemoveRun(g.Self, placed)
-		g.Announce.RunEnded(placed)
+		switch {
+		case connected:
+			g.Announce.RunEnded(placed)
+		case prompt.Resumed:
+			g.Announce.RunNotSent(placed)
+		}
 	}()
 	if !st.confirmVersion(s, a) {
 		return resultNotRun
@@ -238,6 +252,9 @@
 		e.endSend(send, sendNotSent, 0, nil)
 		return st.connectionFailed(s, err)
 	}
+	if connected = true; !prompt.Resumed {
+		place()
+	}
 	e.addStep("to %s version=%s copy=%t backup=%s wait=%dms after=%d reused=%t", s.ID, g.Fleet.VersionOf(s), a.CopyName != "", placed.Backup, wait.Milliseconds(), a.After, c.Reused())
 
 	watch := &streamWatch{g: g, st: st, server: s, lossCountAtStart: s.LossCount(), started: now, expected: wait}
--- a/internal/peer/mesh/announce.go
+++ b/internal/peer/mesh/announce.go
@@ -21,8 +21,14 @@
 }
 
 // RunEnded implements gateway.Announcer.
-func (m *Mesh) RunEnded(p fleet.Placement) {
-	m.enqueue(Event{Kind: EventEnded, Placed: &fleet.Placement{Run: p.Run, Server: p.Server, Backup: p.Backup}}, m.lazy)
+func (m *Mesh) RunEnded(p fleet.Placement) { m.enqueue(endOf(p), m.lazy) }
+
+// RunNotSent implements gateway.Announcer. It is sent at once: until it arrives, peers
+// refuse streams because of work that the server does not have.
+func (m *Mesh) RunNotSent(p fleet.Placement) { m.enqueue(endOf(p), m.urgent) }
+
+func endOf(p fleet.Placement) Event {
+	return Event{Kind: EventEnded, Placed: &fleet.Placement{Run: p.Run, Server: p.Server, Backup: p.Backup}}
 }
 
 // CopyAdded implements gateway.Announcer.
