e2e: thaw waits until a process runs, and a process that has exited is reported

Trace of TestNodePartitioned in KNOWN-RED: the two frozen nodes logged nothing after SIGCONT, and a node that runs on logs clock_jump first. So the node that waited for them is not at fault, as far as the logs go; whether they had exited or stayed stopped could not be seen. thaw now fails on both.

--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -59,6 +59,13 @@
 		close(p.exited)
 	}()
 	t.Cleanup(func() {
+		select {
+		case <-p.exited:
+			if t.Failed() {
+				t.Logf("%s had exited before the end of the test: %s", p.name, p.cmd.ProcessState)
+			}
+		default:
+		}
 		// SIGKILL also ends a frozen process. The error for a process that has
 		// already exited is ignored.
 		_ = p.cmd.Process.Kill()
@@ -96,7 +103,13 @@
 }
 
 // stopped reports whether all threads of the process are in the state T (stopped).
-func (p *process) stopped(t *testing.T) bool {
+func (p *process) stopped(t *testing.T) bool { t.Helper(); return p.allThreads(t, true) }
+
+// running reports whether no thread of the process is in the state T.
+func (p *process) running(t *testing.T) bool { t.Helper(); return p.allThreads(t, false) }
+
+// allThreads reports whether every thread of the process is stopped or every one is not.
+func (p *process) allThreads(t *testing.T, stopped bool) bool {
 	t.Helper()
 	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
 	if err != nil {
@@ -108,15 +121,29 @@
 			continue // the thread has ended
 		}
 		// The state follows the command, which is in parentheses.
-		if _, state, _ := strings.Cut(string(stat[bytes.LastIndexByte(stat, ')'):]), " "); !strings.HasPrefix(state, "T") {
+		if _, state, _ := strings.Cut(string(stat[bytes.LastIndexByte(stat, ')'):]), " "); strings.HasPrefix(state, "T") != stopped {
 			return false
 		}
 	}
 	return true
 }
 
-// thaw lets a frozen process continue with SIGCONT.
-func (p *process) thaw(t *testing.T) { t.Helper(); p.signal(t, syscall.SIGCONT) }
+// thaw lets a frozen process continue with SIGCONT and waits until it runs. A process that
+// has exited while it was frozen fails the test: nothing that follows would be meaningful.
+func (p *process) thaw(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGCONT)
+	for end := time.Now().Add(awaitTimeout); !p.running(t); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s is still stopped %s after SIGCONT", p.name, awaitTimeout)
+		}
+	}
+	select {
+	case <-p.exited:
+		t.Fatalf("%s exited while it was frozen: %s", p.name, p.cmd.ProcessState)
+	default:
+	}
+}
 
 // terminate sends SIGTERM, which asks the process to shut down gracefully.
 func (p *process) terminate(t *testing.T) { t.Helper(); p.signal(t, syscall.SIGTERM) }
