gateway: a host opens only its part of the connections that a server accepts

Cause: maxConnections was read and not used.

Change: at most 0.9 of maxConnections divided by the hosts that are alive, at least 1, for requests; idle connections make room; a request that finds none goes to another server, or is refused as not run.

--- a/internal/front/node.go
+++ b/internal/front/node.go
@@ -274,6 +274,10 @@
 	n.log.Log(logrus.ErrorLevel, telemetry.EventPanic, logrus.Fields{"work": "datagram", "error": fmt.Sprint(v), "stack": string(debug.Stack())}, "unexpected error, work given up")
 }
 
+// Connections returns how many connections to servers are open, and how many of these carry
+// no request.
+func (n *Node) Connections() (open, idle int) { return n.pool.Open() }
+
 // Ready reports whether the node can serve clients: it has a configuration and a
 // list of servers, and is not leaving.
 func (n *Node) Ready() bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,8 +33,8 @@
 	c, err := e.connect(ctx, s, maxIdle)
 	if err != nil {
 		e.endSend(send, sendNotSent, 0, nil)
-		r.notRun, r.connectFailed = true, true
-		if ctx.Err() == nil {
+		r.notRun, r.connectFailed = true, backendconn.CodeOf(err) != backendconn.CodeBusy
+		if r.connectFailed && ctx.Err() == nil {
 			g.recordFailure(s, err)
 		}
 		return r
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -92,7 +92,7 @@
 		return nil, nil, err
 	}
 	send := e.beginSend("host " + string(host.Host))
-	c, err = connect(e.ctx, e.g.RelayPool, host.server(), e.call.ID, relayMaxIdle)
+	c, err = connect(e.ctx, e.g.RelayPool, host.server(), e.call.ID, relayMaxIdle, unlimited)
 	if err != nil {
 		e.endSend(send, sendNotSent, 0, nil)
 		return nil, nil, err
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -302,9 +302,14 @@
 	if st.clientGone() {
 		return resultAborted
 	}
+	st.addStep("connect %s: %v", s.ID, err)
+	if backendconn.CodeOf(err) == backendconn.CodeBusy {
+		st.exclude = append(st.exclude, s.ID)
+		st.keepUnconfirmed(s)
+		return resultNotRun
+	}
 	st.unavailableCount++
 	st.connectFailures++
-	st.addStep("connect %s: %v", s.ID, err)
 	st.g.recordFailure(s, err)
 	st.exclude = append(st.exclude, s.ID)
 	st.keepUnconfirmed(s)
--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -80,6 +80,8 @@
 	raw     net.Conn
 	reader  *bufio.Reader
 	aborted atomic.Bool
+	// released ends the pool's count of the connection.
+	released func()
 	// stopAbort ends AbortOn; nil if it is not in effect.
 	stopAbort func() bool
 
@@ -141,7 +143,14 @@
 // Abort closes the connection. A blocked read fails with CodeCancelled.
 func (c *Conn) Abort() {
 	c.aborted.Store(true)
+	c.close()
+}
+
+func (c *Conn) close() {
 	c.raw.Close()
+	if c.released != nil {
+		c.released()
+	}
 }
 
 // Read implements io.Reader for the response parser. It handles read deadlines
--- a/internal/peer/backendconn/errors.go
+++ b/internal/peer/backendconn/errors.go
@@ -14,6 +14,9 @@
 const (
 	// CodeConnect: no connection could be opened, so nothing was sent.
 	CodeConnect Code = "backendconn_connect"
+	// CodeBusy: the host has as many connections to the server as it may open, so nothing
+	// was sent. That says nothing about the server.
+	CodeBusy Code = "backendconn_busy"
 	// CodeSend: the connection failed while the request was being written. The
 	// server may have received all of it.
 	CodeSend Code = "backendconn_send"
--- a/internal/peer/backendconn/pool.go
+++ b/internal/peer/backendconn/pool.go
@@ -46,7 +46,7 @@
 
 	mu   sync.Mutex
 	idle map[Server][]*Conn // guarded by mu; newest last
-
+	open map[Server]int     // guarded by mu; connections that are open or being opened
 	// Dialed, if not nil, is called once for each attempt to open a connection that was not
 	// cancelled: with an error if it could not be opened, or was reset before any byte
 	// arrived on it, and otherwise with nil when the first bytes or an orderly end arrive.
@@ -66,7 +66,20 @@
 		}
 		dial = dialer.DialContext
 	}
-	return &Pool{dial: dial, idle: map[Server][]*Conn{}}
+	return &Pool{dial: dial, idle: map[Server][]*Conn{}, open: map[Server]int{}}
+}
+
+// Open returns how many connections are open or being opened, and how many of them are idle.
+func (p *Pool) Open() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range p.open {
+		open += n
+	}
+	for _, conns := range p.idle {
+		idle += len(conns)
+	}
+	return open, idle
 }
 
 // Get returns an idle or a new connection to a server that has not carried the request id.
@@ -79,17 +92,69 @@
 // Requests whose responses name none have the empty id, so that a connection carries at most
 // one of them.
 func (p *Pool) Get(ctx context.Context, server Server, id ident.RequestID, maxSilence time.Duration) (*Conn, error) {
+	if c := p.getIdle(server, id, maxSilence); c != nil {
+		return c, nil
+	}
+	return p.Dial(ctx, server)
+}
+
+// GetLimited is like Get, but fails with CodeBusy instead of opening a connection if as many
+// as limit returns are open; 0 stands for any number. An idle connection that the request may
+// not use makes room for a new one.
+func (p *Pool) GetLimited(ctx context.Context, server Server, id ident.RequestID, maxSilence time.Duration, limit func() int) (*Conn, error) {
+	if c := p.getIdle(server, id, maxSilence); c != nil {
+		return c, nil
+	}
+	most := limit()
+	if !p.reserve(server, most) {
+		return nil, newError(CodeBusy).Errorf("all %d connections to %s that this host may open are in use", most, server.Address)
+	}
+	return p.dialReserved(ctx, server)
+}
+
+// getIdle returns an idle connection for a request, or nil.
+func (p *Pool) getIdle(server Server, id ident.RequestID, maxSilence time.Duration) *Conn {
 	for {
 		c := p.pop(server, func(c *Conn) bool { return !c.carried.contains(id) })
 		if c == nil {
-			return p.Dial(ctx, server)
+			return nil
 		}
 		now := time.Now()
 		if now.Sub(c.lastRead) <= maxSilence && c.usable(now) {
 			c.reused = true
-			return c, nil
+			return c
 		}
-		c.raw.Close()
+		c.close()
+	}
+}
+
+// reserve counts a connection that is about to be opened, and reports whether limit, if it
+// is not 0, allows it. It closes the oldest idle connection if that makes room.
+func (p *Pool) reserve(server Server, limit int) bool {
+	p.mu.Lock()
+	idle := p.idle[server]
+	full := limit > 0 && p.open[server] >= limit
+	if full && (len(idle) == 0 || p.open[server] > limit) {
+		p.mu.Unlock()
+		return false
+	}
+	p.open[server]++
+	if full {
+		p.idle[server] = slices.Clone(idle[1:])
+	}
+	p.mu.Unlock()
+	if full {
+		idle[0].close()
+	}
+	return true
+}
+
+// release ends the count of a connection.
+func (p *Pool) release(server Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[server]--; p.open[server] <= 0 {
+		delete(p.open, server)
 	}
 }
 
@@ -109,6 +174,12 @@
 
 // Dial opens a new connection to a server, also if there are idle ones.
 func (p *Pool) Dial(ctx context.Context, server Server) (*Conn, error) {
+	p.reserve(server, 0)
+	return p.dialReserved(ctx, server)
+}
+
+// dialReserved opens a connection that has been counted.
+func (p *Pool) dialReserved(ctx context.Context, server Server) (*Conn, error) {
 	within, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := p.dial(within, "tcp", server.Address)
@@ -116,12 +187,13 @@
 		p.Dialed(server, err)
 	}
 	if err != nil {
+		p.release(server)
 		if ctx.Err() != nil {
 			return nil, newError(CodeCancelled).Errorf("cancelled while connecting to %s", server.Address)
 		}
 		return nil, newError(CodeConnect).Wrapf(err, "connecting to %s", server.Address)
 	}
-	c := &Conn{raw: raw, lastRead: time.Now()}
+	c := &Conn{raw: raw, lastRead: time.Now(), released: sync.OnceFunc(func() { p.release(server) })}
 	if p.Dialed != nil {
 		c.opened = func(err error) { p.Dialed(server, err) }
 	}
@@ -147,7 +219,7 @@
 	c.watch, c.onRead = nil, nil
 	c.expires = now.Add(keepAliveFor(response.Header) - idleMargin)
 	if !reusable || !p.push(server, c) {
-		c.raw.Close()
+		c.close()
 	}
 }
 
@@ -169,7 +241,7 @@
 		return nil, err
 	}
 	if err := c.settle(); err != nil {
-		c.raw.Close()
+		c.close()
 		return nil, err
 	}
 	return c, nil
@@ -179,7 +251,7 @@
 func (p *Pool) Keep(server Server, c *Conn) {
 	c.expires = time.Now().Add(defaultIdle - idleMargin)
 	if !p.push(server, c) {
-		c.raw.Close()
+		c.close()
 	}
 }
 
@@ -196,7 +268,7 @@
 // Close closes a connection that must not be reused.
 func (p *Pool) Close(c *Conn) {
 	c.endAbort()
-	c.raw.Close()
+	c.close()
 }
 
 // Retain closes the idle connections that have expired and those to servers for
@@ -222,6 +294,6 @@
 	}
 	p.mu.Unlock()
 	for _, c := range closing {
-		c.raw.Close()
+		c.close()
 	}
 }
