--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-timeout --kill-after=10 115 target/review-3/rig -case retry-after -trouble="$trouble" -record review/13/record.txt
+timeout --kill-after=5 112 target/review-3/rig -case retry-after -trouble="$trouble" -record review/13/record.txt
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
