--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -20,6 +20,13 @@
 	server *http.Server
 	born   int64
 
+	events       int           // of each stream
+	first, pause time.Duration // until the first event, and between others
+	// crashesOn reports whether a request that has arrived crashes the engine when it begins to
+	// answer. ended is called then. Both are nil if no request does.
+	crashesOn func(r *http.Request) bool
+	ended     func()
+
 	mu       sync.Mutex
 	arrivals []arrival         // guarded by mu
 	running  int               // guarded by mu
@@ -35,12 +42,15 @@
 	streamEvents = 75
 )
 
-func (w *world) addEngine(id, zone string) (*engine, error) {
+func (w *world) addEngine(id, zone string, options ...func(*engine)) (*engine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{w: w, id: id, zone: zone, born: time.Now().UnixMilli(), conns: map[net.Conn]bool{}}
+	e := &engine{w: w, id: id, zone: zone, events: streamEvents, first: firstEvent, pause: eventPause, born: time.Now().UnixMilli(), conns: map[net.Conn]bool{}}
+	for _, set := range options {
+		set(e)
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.report)
 	mux.HandleFunc("GET /healthz", func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set(w.names.InstanceAnswer, e.id) })
@@ -98,6 +108,7 @@
 	}
 	id := r.Header.Get(names.Request)
 	h.Set(names.Request, id)
+	crashes := e.crashesOn != nil && e.crashesOn(r)
 	if want := r.Header.Get(names.Instance); want != "" && want != e.id {
 		h.Set(names.NotRun, "1")
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -122,12 +133,17 @@
 	}()
 	after, _ := strconv.Atoi(r.Header.Get(names.LastEvent)) // 0 without the header
 	e.w.log.add("%s runs %s after %d", e.id, id, after)
+	if crashes {
+		time.Sleep(e.first)
+		e.ended()
+		return
+	}
 	h.Set("Content-Type", "text/event-stream")
 	h.Set(names.Proof, e.id+"."+id)
-	for number := after + 1; number <= streamEvents; number++ {
-		pause := eventPause
+	for number := after + 1; number <= e.events; number++ {
+		pause := e.pause
 		if number == after+1 {
-			pause = firstEvent
+			pause = e.first
 		}
 		select {
 		case <-r.Context().Done():
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,10 +17,11 @@
 // cases are the cases by the name of the flag -case. Each one returns the violations that it
 // has found.
 var cases = map[string]func(context.Context, *world) ([]string, error){
-	"retry-after": retryAfter,
-	"drain-wait":  drainWait,
-	"rejoin":      rejoin,
-	"upload":      upload,
+	"retry-after":  retryAfter,
+	"drain-wait":   drainWait,
+	"rejoin":       rejoin,
+	"upload":       upload,
+	"deadly-again": deadlyAgain,
 }
 
 func main() {
