--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,11 +17,12 @@
 // cases are the cases by the name of the flag -case. Each one returns the violations that it
 // has found.
 var cases = map[string]func(context.Context, *world) ([]string, error){
-	"retry-after":  retryAfter,
-	"drain-wait":   drainWait,
-	"rejoin":       rejoin,
-	"upload":       upload,
-	"deadly-again": deadlyAgain,
+	"retry-after":   retryAfter,
+	"drain-wait":    drainWait,
+	"rejoin":        rejoin,
+	"upload":        upload,
+	"deadly-again":  deadlyAgain,
+	"upload-stream": uploadStream,
 }
 
 func main() {
