--- a/review/rig/plain.go
+++ b/review/rig/plain.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,7 +22,7 @@
 	slots chan struct{}
 	mu    sync.Mutex
 	here  int // guarded by mu; requests that run or wait
-	// pauseUntil is the time until which the server turns requests away and asks for the pause.
+	// pauseUntil is the time until which the server turns some requests away and asks for the pause.
 	pauseUntil time.Time     // guarded by mu
 	pause      time.Duration // guarded by mu
 	arrivals   []arrival     // guarded by mu
@@ -39,6 +40,9 @@
 const (
 	plainSlots = 6
 	plainQueue = 24
+	// shedShare is the share of the requests that a server turns away while it does so, a dose
+	// of the site file.
+	shedShare = 0.45
 )
 
 func (w *world) addPlain(i int) (*plain, error) {
@@ -55,7 +59,7 @@
 	return s, nil
 }
 
-// turnAway makes the server turn away what arrives within a time, and ask for a pause.
+// turnAway makes the server turn away shedShare of what arrives within a time, and ask for a pause.
 func (s *plain) turnAway(within, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,7 +71,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := arrival{at: time.Now(), request: request, server: s.id}
-	if a.at.Before(s.pauseUntil) {
+	if a.at.Before(s.pauseUntil) && rand.Float64() < shedShare {
 		a.pause = s.pause
 	}
 	s.arrivals = append(s.arrivals, a)
--- a/review/rig/retryafter.go
+++ b/review/rig/retryafter.go
@@ -38,7 +38,7 @@
 	for i := range 6 {
 		s := servers[i%len(servers)]
 		if w.trouble {
-			w.log.add("%s turns away what arrives within %v", s.id, within)
+			w.log.add("%s turns away some of what arrives within %v", s.id, within)
 			s.turnAway(within, asked)
 		}
 		pause(ctx, 6*time.Second)
