dispatch: a call is not sent to a server that has asked its host for a pause

Cause: the pause is known to the host that was asked for it. It did not name the server among those that it must not be assigned, and did not look at the answer of the dispatcher, which comes after a wait. A host that chooses by itself keeps pauses (fleet.candidates), which rules out the other paths of a call.

Found beside it: a pause that the dispatcher itself was asked for kept all hosts from the server, up to two minutes, and a call without a server waited at the dispatcher until its caller's time was nearly over.

Change: the host names all servers that it must not use (pause, leaving, pool, refused, denied; lost or failed ones if there are others), anew with each question, and checks the answer. The dispatcher says at once that no server is left for a call. A call that may not use a free server keeps back no other. The dispatcher's own pause holds for its own calls.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -63,7 +63,8 @@
 	Priority int // 0 is the most urgent
 	// UntilObjective and UntilDeadline are the times left for the caller.
 	UntilObjective, UntilDeadline time.Duration
-	// Except lists the servers that the call must not be sent to.
+	// Except lists the servers that the call must not be sent to. A call that asks again names
+	// them anew.
 	Except []ident.BackendID
 	// Optional is set for a second attempt beside the first one: it gets a server only if
 	// one is free at once.
@@ -74,6 +75,8 @@
 type Answer struct {
 	// Server runs the call; empty if none does yet.
 	Server ident.BackendID
+	// NoServer is set if the call must not be sent to any of the servers.
+	NoServer bool
 	// Refused is set if the call cannot be served in time. Room is then the time after which
 	// there is room.
 	Refused bool
@@ -170,16 +173,19 @@
 		return Answer{Server: l.server}
 	}
 	if w := s.waiterOf(c.ID); w != nil {
-		w.askedAt = now
+		w.askedAt, w.call.Except = now, c.Except
 		return Answer{}
 	}
+	if !s.allows(c.Except) {
+		return Answer{NoServer: true}
+	}
 	w := &waiter{call: c, askedAt: now, objective: now.Add(c.UntilObjective), deadline: now.Add(c.UntilDeadline)}
 	if c.UntilObjective == urgency.NoObjective {
 		w.objective = w.deadline
 	}
 	s.shares.Asked(now, c.Route)
 	s.coming.add(now)
-	if len(s.waiting) == 0 || c.Optional {
+	if c.Optional || !s.anyServeable(now) {
 		if x := s.choose(now, w); x != nil {
 			return s.grant(now, w, x)
 		}
@@ -256,6 +262,10 @@
 	var list []Grant
 	overloaded := s.coming.perSecond(now) > overloadFactor*s.rate(now)
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiter) bool {
+		if !s.allows(w.call.Except) {
+			list = append(list, Grant{w.call.ID, Answer{NoServer: true}})
+			return true
+		}
 		reason := ""
 		switch work := s.fastest(now); {
 		case w.deadline.Sub(now) < work:
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -174,3 +174,79 @@
 		}
 	}
 }
+
+// Guards against a free slot that is kept back from calls which may use it, because a call that
+// may not waits before them.
+func TestCallThatMustWaitKeepsNoOtherBack(t *testing.T) {
+	s := newService(2, 2)
+	s.End(at(0), s.occupy(at(0), "b", 1), End{}) // both have been used
+	number := uint64(100)
+	for c := call(number); s.Ask(at(1), except(c, "a")).Server != ""; c = call(number) {
+		number++ // fills b
+	}
+	if waiting, _ := s.Counts(); waiting != 1 {
+		t.Fatalf("%d calls wait, want 1", waiting)
+	}
+	if a := s.Ask(at(1), call(1000)); a.Server != "a" {
+		t.Errorf("answer %+v, want the free server", a)
+	}
+	urgent := except(call(1001), "a")
+	if a := s.Ask(at(1), urgent); a.Server != "" || a.Refused || a.NoServer {
+		t.Errorf("answer %+v, want a wait", a)
+	}
+}
+
+// occupy assigns a call to one server and returns its id.
+func (s *Service) occupy(now time.Time, server ident.BackendID, number uint64) ID {
+	c := call(number)
+	for _, x := range s.ordered {
+		if x.id != server {
+			c.Except = append(c.Except, x.id)
+		}
+	}
+	s.Ask(now, c)
+	return c.ID
+}
+
+func except(c Call, servers ...ident.BackendID) Call {
+	c.Except = servers
+	return c
+}
+
+// Guards against a call that waits for its caller's time to end because it must not be sent to
+// any of the servers: those that remain for it have left since, or have asked its host for a
+// pause.
+func TestCallWithoutServer(t *testing.T) {
+	s := newService(1, 1)
+	if a := s.Ask(at(0), except(call(1), "a", "b")); !a.NoServer {
+		t.Errorf("answer %+v, want that there is no server", a)
+	}
+	fill(s, at(0), 10)
+	s.Ask(at(0), except(call(2), "a"))
+	s.SetServers([]Server{{ID: "a", Slots: 1}})
+	got := s.Next(at(5))
+	if len(got) != 1 || got[0].ID.Number != 2 || !got[0].Answer.NoServer {
+		t.Errorf("granted %+v after the only server of call 2 has left", got)
+	}
+	s.Ask(at(6), call(3))
+	s.Ask(at(7), except(call(3), "a"))
+	if got = s.Next(at(8)); len(got) != 1 || got[0].ID.Number != 3 || !got[0].Answer.NoServer {
+		t.Errorf("granted %+v after call 3 has named its only server", got)
+	}
+	if waiting, _ := s.Counts(); waiting != 1 { // the last one of fill
+		t.Errorf("%d calls wait", waiting)
+	}
+}
+
+// Guards against refusing calls while no server at all is listed, which a moment later may be.
+func TestCallsWaitWhileNoServerIsListed(t *testing.T) {
+	s := newService(1)
+	s.SetServers(nil)
+	if a := s.Ask(at(0), except(call(1), "a")); a != (Answer{}) {
+		t.Errorf("answer %+v, want a wait", a)
+	}
+	s.SetServers([]Server{{ID: "b", Slots: 1}})
+	if got := s.Next(at(5)); len(got) != 1 || got[0].Answer.Server != "b" {
+		t.Errorf("granted %+v", got)
+	}
+}
--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,14 +28,31 @@
 
 	asked, inTime, late, failed int
 	arrivals, full              int
+
+	// pauses makes one server after the other turn some calls away and ask their hosts for a
+	// pause. notKept counts the calls that reach it in such a pause, and ticks and idle the
+	// slots and those that were idle although a call waited that may use them.
+	pauses      bool
+	notKept     int
+	ticks, idle int
 }
 
+// Figures of the pauses that servers ask for.
+const (
+	pauseEvery  = 6 * time.Second
+	pauseWindow = 100 * time.Millisecond // in which calls are turned away
+	pauseShare  = 0.45                   // of them
+	pauseAsked  = 4 * time.Second
+	pauseSlack  = 500 * time.Millisecond // after which the pause must be kept
+)
+
 type playServer struct {
 	id      ident.BackendID
 	speed   float64 // time of a call, as a multiple of the usual
 	noisy   float64 // the same for a moment
 	running int
 	waiting []*playCall
+	told    map[int]time.Time // when hosts were last asked for a pause
 }
 
 type playCall struct {
@@ -44,6 +62,7 @@
 	id      ID
 	sentAt  time.Time
 	except  fleet.Exclude
+	waits   bool // at the dispatcher
 }
 
 type playEvent struct {
@@ -82,7 +101,7 @@
 	var list []Server
 	for i, speed := range []float64{0.55, 0.8, 1, 1.2} {
 		id := ident.BackendID(fmt.Sprint("s", i))
-		p.servers = append(p.servers, &playServer{id: id, speed: speed, noisy: 1})
+		p.servers = append(p.servers, &playServer{id: id, speed: speed, noisy: 1, told: map[int]time.Time{}})
 		list = append(list, Server{ID: id, Slots: playSlots})
 	}
 	if dispatched {
@@ -125,6 +144,7 @@
 		p.after(600*time.Millisecond, noise)
 	}
 	tick = func() {
+		p.countIdle()
 		p.next()
 		p.after(5*time.Millisecond, tick)
 	}
@@ -157,7 +177,8 @@
 	c.id = ID{ident.HostID(fmt.Sprint("h", c.host)), p.number}
 	p.pending[c.id] = c
 	p.after(2*oneWay, func() {
-		a := p.service.Ask(p.now, Call{ID: c.id, Route: "r", UntilObjective: playObjective - p.now.Sub(c.at), UntilDeadline: left})
+		a := p.service.Ask(p.now, Call{ID: c.id, Route: "r", UntilObjective: playObjective - p.now.Sub(c.at), UntilDeadline: left, Except: p.except(c)})
+		c.waits = a == (Answer{})
 		p.decided(c.id, a)
 	})
 	p.askAgain(c)
@@ -167,7 +188,7 @@
 func (p *loadPlay) askAgain(c *playCall) {
 	p.after(120*time.Millisecond, func() {
 		if p.pending[c.id] == c {
-			p.decided(c.id, p.service.Ask(p.now, Call{ID: c.id, Route: "r", UntilObjective: time.Millisecond, UntilDeadline: time.Millisecond}))
+			p.decided(c.id, p.service.Ask(p.now, Call{ID: c.id, Route: "r", UntilObjective: time.Millisecond, UntilDeadline: time.Millisecond, Except: p.except(c)}))
 			p.askAgain(c)
 		}
 	})
@@ -186,22 +207,58 @@
 	c := p.pending[id]
 	switch {
 	case c == nil:
+	case a.NoServer:
+		delete(p.pending, id)
+		p.after(oneWay, func() { p.refused(c, p.hosts[c.host].BackoffLeft(p.now, "s")) })
 	case a.Refused:
 		delete(p.pending, id)
 		p.after(oneWay, func() { p.refused(c, a.Room) })
 	case a.Server != "":
 		delete(p.pending, id)
-		p.after(oneWay, func() { p.send(c, a.Server) })
+		p.after(oneWay, func() {
+			if slices.Contains(p.except(c), a.Server) {
+				p.after(oneWay, func() { p.service.Cancel(id); p.next() })
+				p.begin(c)
+				return
+			}
+			p.send(c, a.Server)
+		})
+	}
+}
+
+// except returns the servers that a call must not be assigned to.
+func (p *loadPlay) except(c *playCall) fleet.Exclude {
+	return p.hosts[c.host].Assignable(p.now, "s", fleet.Pool{}).Except(c.except, nil)
+}
+
+// countIdle counts the slots that are idle although a call waits that may use them.
+func (p *loadPlay) countIdle() {
+	for _, s := range p.servers {
+		p.ticks += playSlots
+		usable := 0
+		for _, c := range p.pending {
+			if c.waits && !slices.Contains(p.except(c), s.id) {
+				usable++
+			}
+		}
+		p.idle += min(usable, playSlots-s.running)
 	}
 }
 
+// turnsAway reports whether a server turns an arriving call away and asks for a pause.
+func (p *loadPlay) turnsAway(s *playServer) bool {
+	since := p.now.Sub(at(0))
+	number := int(since / pauseEvery)
+	return p.pauses && p.servers[number%len(p.servers)] == s && since%pauseEvery < pauseWindow && p.rng.Float64() < pauseShare
+}
+
 // refused lets the client come back once, or go elsewhere after a full server.
 func (p *loadPlay) refused(c *playCall, room time.Duration) {
 	if c.retried++; c.retried > 2 || p.now.Add(room).Sub(c.at) > playDeadline {
 		p.failed++
 		return
 	}
-	c.except = nil
+	c.except, c.waits = nil, false
 	p.after(room, func() { p.begin(c) })
 }
 
@@ -212,7 +269,16 @@
 	p.after(oneWay, func() {
 		s := p.serverOf(id)
 		p.arrivals++
+		if since := p.now.Sub(s.told[c.host]); since > pauseSlack && since < pauseAsked {
+			p.notKept++
+		}
 		switch {
+		case p.turnsAway(s):
+			s.told[c.host] = p.now
+			p.after(oneWay, func() {
+				host.RecordRetryAfter(p.now, host.Server(id), pauseAsked)
+				p.turnedAway(s, c)
+			})
 		case s.running < playSlots:
 			p.start(s, c)
 		case len(s.waiting) < playQueue:
@@ -303,3 +369,24 @@
 		}
 	}
 }
+
+// Guards against calls that reach a server in the pause that it has asked their host for, and
+// against an assignment that serves callers worse, while servers ask for pauses, than hosts that
+// choose by themselves.
+func TestPausesUnderLoad(t *testing.T) {
+	for seed := range uint64(4) {
+		alone, together := newLoadPlay(seed, false), newLoadPlay(seed, true)
+		for name, p := range map[string]*loadPlay{"each host by itself": alone, "dispatcher": together} {
+			p.pauses = true
+			p.run(220, 30*time.Second)
+			t.Logf("seed %d, %s: in time %.3f, failed %.3f, slots idle while calls wait for them %.5f", seed, name,
+				p.share(p.inTime), p.share(p.failed), float64(p.idle)/float64(p.ticks))
+			if p.notKept > 0 {
+				t.Errorf("seed %d, %s: %d calls reach a server in a pause", seed, name, p.notKept)
+			}
+		}
+		if together.share(together.inTime) < alone.share(alone.inTime) || together.share(together.failed) > alone.share(alone.failed) {
+			t.Errorf("seed %d: callers are served worse", seed)
+		}
+	}
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -150,6 +150,31 @@
 	return best
 }
 
+// anyServeable reports whether a server is free for a call that waits. Calls that wait for a
+// server which others may not be sent to, or for a faster one, do not keep back the others.
+func (s *Service) anyServeable(now time.Time) bool {
+	if len(s.waiting) == 0 || !s.anyFree(now) {
+		return false
+	}
+	return slices.ContainsFunc(s.waiting, func(w *waiter) bool { return s.choose(now, w) != nil })
+}
+
+// allows reports whether a call may be sent to a server, now or later, or there is no server
+// at all, which may change.
+func (s *Service) allows(except []ident.BackendID) bool {
+	if len(except) == 0 {
+		return true
+	}
+	none := true
+	for _, x := range s.ordered {
+		if x.usable && !slices.Contains(except, x.id) {
+			return true
+		}
+		none = none && !x.usable
+	}
+	return none
+}
+
 func (s *Service) anyFree(now time.Time) bool {
 	for _, x := range s.ordered {
 		if x.usable && !now.Before(x.pausedUntil) && x.occupied(now) < x.capacity() {
--- a/internal/fleet/choose.go
+++ b/internal/fleet/choose.go
@@ -217,20 +217,6 @@
 	return int(fraction * float64(memory))
 }
 
-// OutsidePool returns the servers of a service that are not in a pool.
-func (f *Fleet) OutsidePool(now time.Time, service string, pool Pool) Exclude {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	allowed := f.poolOf(service, pool, now)
-	var list Exclude
-	for _, s := range f.servers {
-		if s.Service == service && !allowed(s) {
-			list = append(list, s.ID)
-		}
-	}
-	return list
-}
-
 // ChoosePlain chooses the server of a plain service with the lowest cost, which is the
 // expected wait plus penalties for recent failures. It chooses at random among servers
 // of equal cost, which spreads requests that all hosts send at once.
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -84,7 +84,7 @@
 }
 
 // Assign implements gateway.Dispatcher.
-func (n *Node) Assign(ctx context.Context, service string, c dispatch.Call) (gateway.Assignment, bool) {
+func (n *Node) Assign(ctx context.Context, service string, c dispatch.Call, except func(time.Time) []ident.BackendID) (gateway.Assignment, bool) {
 	now := time.Now()
 	if now.Before(n.dispatcher.pausedUntil.Load()) {
 		return gateway.Assignment{}, false
@@ -99,15 +99,17 @@
 	deadline := now.Add(c.UntilDeadline)
 	heard := false
 	for timeout := firstAskTimeout; ; {
-		n.ask(time.Now(), elected, self, service, c)
+		asked := time.Now()
+		c.Except = except(asked)
+		n.ask(asked, elected, self, service, c)
 		timer := time.NewTimer(timeout)
 		a, got, gone := awaitAssigned(ctx, answers, timer, time.Until(deadline))
 		timer.Stop()
 		heard = heard || got
 		switch {
-		case a.Server != "" || a.Refused:
+		case a.Decided():
 			return gateway.Assignment{Service: service, Number: c.ID.Number, Dispatcher: elected.Host, Answer: dispatch.Answer{
-				Server: a.Server, Refused: a.Refused, Room: time.Duration(a.RoomMs) * time.Millisecond, Reason: a.Reason,
+				Server: a.Server, NoServer: a.NoServer, Refused: a.Refused, Room: time.Duration(a.RoomMs) * time.Millisecond, Reason: a.Reason,
 			}}, true
 		case gone:
 			n.endCall(time.Now(), elected, self, mesh.CallEnd{Service: service, Number: c.ID.Number, NotSent: true})
@@ -133,7 +135,7 @@
 		select {
 		case a = <-answers:
 			got = true
-			if a.Server != "" || a.Refused {
+			if a.Decided() {
 				return a, true, false
 			}
 			if timer.Stop() {
@@ -249,7 +251,7 @@
 
 // answerAsk sends a decision to the host of a call.
 func (n *Node) answerAsk(s *dispatched, g dispatch.Grant) {
-	x := mesh.Assigned{Number: g.ID.Number, Server: g.Answer.Server, Refused: g.Answer.Refused, RoomMs: g.Answer.Room.Milliseconds(), Reason: g.Answer.Reason}
+	x := mesh.Assigned{Number: g.ID.Number, Server: g.Answer.Server, NoServer: g.Answer.NoServer, Refused: g.Answer.Refused, RoomMs: g.Answer.Room.Milliseconds(), Reason: g.Answer.Reason}
 	if g.ID.Host == n.settings.Host {
 		n.onAssigned(time.Now(), x)
 		return
@@ -314,7 +316,7 @@
 
 func (n *Node) serversToAssign(now time.Time, service string) []dispatch.Server {
 	var list []dispatch.Server
-	for _, s := range n.fleet.Accepting(now, service, "") {
+	for _, s := range n.fleet.RunningServers(now, service) {
 		list = append(list, dispatch.Server{ID: s.ID, Slots: s.Slots})
 	}
 	return list
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/internal/dispatch"
@@ -13,8 +14,9 @@
 // Dispatcher assigns the calls of all hosts to the servers of plain services.
 type Dispatcher interface {
 	// Assign waits for a server for a call, and returns false if the host is to choose one
-	// itself.
-	Assign(ctx context.Context, service string, c dispatch.Call) (Assignment, bool)
+	// itself. except returns the servers that the call must not be sent to, which may change
+	// while it waits.
+	Assign(ctx context.Context, service string, c dispatch.Call, except func(now time.Time) []ident.BackendID) (Assignment, bool)
 	// EndAssigned tells how a call has ended that was assigned to a server. sent is not set
 	// if nothing was sent.
 	EndAssigned(a Assignment, e dispatch.End, sent bool)
@@ -30,43 +32,67 @@
 
 // assign asks the dispatcher for a server. decided is not set if the host is to choose one
 // itself. It returns no server for a call that was turned away.
+//
+// The dispatcher does not know what servers have told this host, and servers may have said more
+// while the call waited. A server that the call must not be sent to by now is given back, and
+// another one is asked for.
 func (e *exchange) assign(now time.Time, optional bool) (s *fleet.Server, decided bool) {
 	if e.g.Dispatch == nil {
 		return nil, false
 	}
-	a, ok := e.g.Dispatch.Assign(e.ctx, e.service.Name, dispatch.Call{
-		Route: e.route.Name, Team: e.team, Priority: e.priority(), Optional: optional,
-		UntilObjective: e.untilObjective(now), UntilDeadline: e.timeLeft(now), Except: e.notAssignable(now),
-	})
-	if !ok {
-		return nil, false
-	}
-	if a.Refused {
-		if !optional {
+	for {
+		a, ok := e.askDispatcher(now, optional)
+		switch {
+		case !ok || a.NoServer:
+			return nil, false
+		case a.Refused && !optional:
 			e.addStep("turned away by %s: %s, room in %dms", a.Dispatcher, a.Reason, a.Room.Milliseconds())
 			e.turnedAway, e.turnedAwayReason = a.Room, a.Reason
+			return nil, true
+		case a.Refused:
+			return nil, true
 		}
-		return nil, true
-	}
-	s = e.g.Fleet.Server(a.Server)
-	if s == nil {
-		e.g.Dispatch.EndAssigned(a, dispatch.End{}, false)
-		return nil, false // this host does not know the server yet
-	}
-	if !e.permitted(s, PurposeFits) {
-		e.g.Dispatch.EndAssigned(a, dispatch.End{}, false)
-		return nil, false
+		asked := now
+		now = time.Now()
+		s = e.g.Fleet.Server(a.Server)
+		if s != nil && slices.Contains(e.notAssignable(now), s.ID) {
+			e.g.Dispatch.EndAssigned(a, dispatch.End{}, false)
+			e.g.Metrics.assignmentsDeclined.Inc(1)
+			e.addStep("%s, assigned by %s, accepts no request of this host now", s.ID, a.Dispatcher)
+			continue
+		}
+		if s == nil || !e.permitted(s, PurposeFits) {
+			e.g.Dispatch.EndAssigned(a, dispatch.End{}, false)
+			return nil, false // this host does not know the server yet, or its limit allows none
+		}
+		if wait := now.Sub(asked); wait > noteworthyWait {
+			e.addStep("waited %dms for %s, assigned by %s", wait.Milliseconds(), a.Server, a.Dispatcher)
+		}
+		e.keepAssigned(s, a)
+		return s, true
 	}
-	if wait := time.Since(now); wait > noteworthyWait {
-		e.addStep("waited %dms for %s, assigned by %s", wait.Milliseconds(), a.Server, a.Dispatcher)
+}
+
+// askDispatcher asks the dispatcher for a server, and returns false if it is not to be asked
+// because no server may run the call, or if it does not answer.
+func (e *exchange) askDispatcher(now time.Time, optional bool) (Assignment, bool) {
+	if servers := e.assignable(now); !servers.Allows(e.except(servers)) {
+		return Assignment{}, false
 	}
+	return e.g.Dispatch.Assign(e.ctx, e.service.Name, dispatch.Call{
+		Route: e.route.Name, Team: e.team, Priority: e.priority(), Optional: optional,
+		UntilObjective: e.untilObjective(now), UntilDeadline: e.timeLeft(now),
+	}, e.notAssignable)
+}
+
+// keepAssigned records the server that is assigned to the next attempt.
+func (e *exchange) keepAssigned(s *fleet.Server, a Assignment) {
 	e.assignedMu.Lock()
 	defer e.assignedMu.Unlock()
 	if e.assigned == nil {
 		e.assigned = map[ident.BackendID]Assignment{}
 	}
 	e.assigned[s.ID] = a
-	return s, true
 }
 
 // noteworthyWait is the wait for a server from which on it is logged.
@@ -102,18 +128,20 @@
 	return t.Rank(e.service.Name, e.priority()), true
 }
 
-// notAssignable returns the servers that the call must not be sent to, those that have failed
-// it only if there are others.
-func (e *exchange) notAssignable(now time.Time) fleet.Exclude {
+// assignable returns which servers of the service may be assigned to the request now.
+func (e *exchange) assignable(now time.Time) fleet.Assignable {
 	e.choosePool(now)
-	except := e.g.Fleet.OutsidePool(now, e.service.Name, e.pool)
-	except = append(except, e.unavailable...)
-	except = append(except, e.denied...)
-	all := append(except[:len(except):len(except)], e.exclude...)
-	if len(e.exclude) > 0 && len(e.g.Fleet.OfService(e.service.Name)) > len(all) {
-		return all
-	}
-	return except
+	return e.g.Fleet.Assignable(now, e.service.Name, e.pool)
+}
+
+// notAssignable returns the servers that the call must not be sent to now, those that have
+// failed it or are lost only if there are others.
+func (e *exchange) notAssignable(now time.Time) []ident.BackendID {
+	return e.except(e.assignable(now))
+}
+
+func (e *exchange) except(servers fleet.Assignable) fleet.Exclude {
+	return servers.Except(slices.Concat(e.unavailable, e.denied), e.exclude)
 }
 
 // giveBack frees a server that was assigned to an attempt which is not made.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,11 +16,13 @@
 	invalidHeaders tally.Counter
 	denied         tally.Counter
 	skipped        tally.Counter
-	pathsLost      tally.Counter
-	sends          map[sendPurpose]tally.Counter
-	resumes        map[string]tally.Counter
-	resumeTime     tally.Histogram
-	firstEventTime tally.Histogram
+	// assignmentsDeclined counts servers that were assigned and to which the call is not sent.
+	assignmentsDeclined tally.Counter
+	pathsLost           tally.Counter
+	sends               map[sendPurpose]tally.Counter
+	resumes             map[string]tally.Counter
+	resumeTime          tally.Histogram
+	firstEventTime      tally.Histogram
 }
 
 // Ways in which a stream resumes after a loss: from the copy of its run, or by
@@ -42,12 +44,13 @@
 // NewMetrics registers the metrics of a Gateway.
 func NewMetrics(scope tally.Scope) *Metrics {
 	return &Metrics{
-		scope:          scope,
-		probes:         telemetry.Probes.Counter(scope),
-		invalidHeaders: telemetry.InvalidHeaders.Counter(scope),
-		denied:         telemetry.BackendDenied.Counter(scope),
-		skipped:        telemetry.BackendSkipped.Counter(scope),
-		pathsLost:      telemetry.PathsLost.Counter(scope),
+		scope:               scope,
+		probes:              telemetry.Probes.Counter(scope),
+		invalidHeaders:      telemetry.InvalidHeaders.Counter(scope),
+		denied:              telemetry.BackendDenied.Counter(scope),
+		skipped:             telemetry.BackendSkipped.Counter(scope),
+		assignmentsDeclined: telemetry.AssignmentsDeclined.Counter(scope),
+		pathsLost:           telemetry.PathsLost.Counter(scope),
 		sends: map[sendPurpose]tally.Counter{
 			sendFirst:  telemetry.BackendSends.Counter(scope, string(sendFirst)),
 			sendRepeat: telemetry.BackendSends.Counter(scope, string(sendRepeat)),
--- a/internal/peer/mesh/message.go
+++ b/internal/peer/mesh/message.go
@@ -197,13 +197,18 @@
 // Assigned is the answer to an AskServer with the same number. It has neither a server nor a
 // refusal for a call that waits.
 type Assigned struct {
-	Number  uint64          `json:"n"`
-	Server  ident.BackendID `json:"s,omitempty"`
-	Refused bool            `json:"r,omitempty"`
-	RoomMs  int64           `json:"m,omitempty"`
-	Reason  string          `json:"w,omitempty"`
+	Number uint64          `json:"n"`
+	Server ident.BackendID `json:"s,omitempty"`
+	// NoServer is set if the call must not be sent to any of the servers.
+	NoServer bool   `json:"o,omitempty"`
+	Refused  bool   `json:"r,omitempty"`
+	RoomMs   int64  `json:"m,omitempty"`
+	Reason   string `json:"w,omitempty"`
 }
 
+// Decided reports whether the answer ends the wait of its call.
+func (a Assigned) Decided() bool { return a.Server != "" || a.NoServer || a.Refused }
+
 // CallEnd tells the end of a call that was assigned to a server, or that it is not sent.
 type CallEnd struct {
 	Service string         `json:"s"`
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -43,6 +43,7 @@
 	BackendSends            = Metric{"backend_sends_total", Counter, "requests", []string{"purpose"}, "Requests sent to backend servers: first attempts, repeats of calls and streams, and calls of the node's own."}
 	BackendSkipped          = Metric{"backend_skipped_answers_total", Counter, "answers", nil, "Answers of backend servers to other requests that were skipped, such as late copies."}
 	BackendDenied           = Metric{"backend_limit_denied_total", Counter, "requests", nil, "Requests that were not sent to a backend server because of the limit that it names."}
+	AssignmentsDeclined     = Metric{"dispatch_declined_total", Counter, "assignments", nil, "Servers that a dispatcher assigned to a call and that the host of the call does not send to: they have asked it for a pause, are leaving or lost."}
 	Relayed                 = Metric{"relayed_requests_total", Counter, "requests", []string{"side", "outcome"}, "Requests that went through a second host: sent to it or received by it, by outcome."}
 	PathsLost               = Metric{"paths_lost_total", Counter, "losses", nil, "Losses of the network path from this host to the servers of a service."}
 	RolloutPhases           = Metric{"rollout_phases_total", Counter, "phases", []string{"phase"}, "Phases of roll-outs that the node has entered."}
@@ -62,6 +63,6 @@
 		&RingDropped, &Refused, &QueueLength,
 		&ContractSequence, &ContractFreshAgeSeconds, &Isolated,
 		&Peers, &PeerCalls, &PlatformCalls, &Claims, &Backends, &Quarantined, &ExplainObjects, &OrdersTotal,
-		&RoutedRequests, &RoutedSeconds, &InvalidEras, &InvalidHeaders, &Probes, &BackendSends, &BackendSkipped, &BackendDenied, &Relayed, &PathsLost, &RolloutPhases, &ConnectionsClosed,
+		&RoutedRequests, &RoutedSeconds, &InvalidEras, &InvalidHeaders, &Probes, &BackendSends, &BackendSkipped, &BackendDenied, &AssignmentsDeclined, &Relayed, &PathsLost, &RolloutPhases, &ConnectionsClosed,
 	}
 }
