connreset: an answer that a reset cuts off during a long upload is not whole

What clients saw: a server answered a long request at once, without a length, sent a part of its answer and reset the connection while the request was still being written.

Cause: the kernel reports the error of a connection once. The write of the request, which runs beside the reading of the answer, took it, and the read found an orderly end. Megabytes are not needed: with buffers of 4 KB requests of 60 KB do it.

Change: package connreset wraps a connection. A read that finds the end of the input ends a write that is still blocked, and returns the error that a write has taken. The deadline that ended the write and EPIPE, which a reset after an orderly end causes, are compatible with an orderly end, so that a whole answer whose server leaves the request unread stays whole.

TestWholeAnswerBeforeUploadIsRead and TestPartOfStoreAnswer rule out related paths.

--- a/internal/peer/backend/client.go
+++ b/internal/peer/backend/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/yuccahatch/yuccahatch/api/backendapi"
+	"github.com/yuccahatch/yuccahatch/internal/connreset"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
@@ -53,16 +54,23 @@
 // NewClient returns a Client with empty connection pools.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: connectTimeout}
+	return newClient(dialer.DialContext)
+}
+
+// newClient returns a Client that opens connections with dial. A service may answer without a
+// length, so its end must be told from a reset that the write of the call has taken.
+func newClient(dial connreset.DialFunc) *Client {
+	dial = connreset.Dialer(dial)
 	return &Client{
 		pooled: &http.Client{Transport: &http.Transport{
-			DialContext:           dialer.DialContext,
+			DialContext:           dial,
 			MaxIdleConnsPerHost:   64,
 			IdleConnTimeout:       idleConnTimeout,
 			ResponseHeaderTimeout: headerTimeout,
 			DisableCompression:    true,
 		}},
 		unpooled: &http.Client{Transport: &http.Transport{
-			DialContext:        dialer.DialContext,
+			DialContext:        dial,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 		}},
--- a/internal/peer/backendconn/conn.go
+++ b/internal/peer/backendconn/conn.go
@@ -24,6 +24,7 @@
 	"syscall"
 	"time"
 
+	"github.com/yuccahatch/yuccahatch/internal/connreset"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
@@ -77,7 +78,7 @@
 
 // Conn is a connection to a backend server.
 type Conn struct {
-	raw     net.Conn
+	raw     *connreset.Conn
 	reader  *bufio.Reader
 	aborted atomic.Bool
 	// released ends the pool's count of the connection.
@@ -261,7 +262,7 @@
 	if err := c.raw.SetReadDeadline(time.Time{}); err != nil {
 		return false
 	}
-	sc, ok := c.raw.(syscall.Conn)
+	sc, ok := c.raw.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/peer/backendconn/pool.go
+++ b/internal/peer/backendconn/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccahatch/yuccahatch/internal/connreset"
 	"github.com/yuccahatch/yuccahatch/internal/ident"
 )
 
@@ -193,7 +194,7 @@
 		}
 		return nil, newError(CodeConnect).Wrapf(err, "connecting to %s", server.Address)
 	}
-	c := &Conn{raw: raw, lastRead: time.Now(), released: sync.OnceFunc(func() { p.release(server) })}
+	c := &Conn{raw: connreset.New(raw), lastRead: time.Now(), released: sync.OnceFunc(func() { p.release(server) })}
 	if p.Dialed != nil {
 		c.opened = func(err error) { p.Dialed(server, err) }
 	}
