--- a/internal/fleet/announced.go
+++ b/internal/fleet/announced.go
@@ -46,6 +46,14 @@
 	return now.Before(s.backoffUntil)
 }
 
+// Refuses reports whether a server that was chosen for a request must not be sent it any more:
+// it was removed, is leaving, or has asked this node for a pause.
+func (f *Fleet) Refuses(s *Server, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[s.ID] != s || s.Draining || now.Before(s.backoffUntil)
+}
+
 // BackoffLeft returns the time until the first server of a service accepts requests, if
 // all usable ones have asked for a pause or their limits allow no request. It returns 0 otherwise.
 func (f *Fleet) BackoffLeft(now time.Time, service string) time.Duration {
--- a/internal/fleet/announced_test.go
+++ b/internal/fleet/announced_test.go
@@ -150,3 +150,29 @@
 		t.Errorf("%d of %d prompts are on one of the %d engines that are asked", found, streams, asked)
 	}
 }
+
+// Guards against sending to a server that was chosen before it said that it is leaving or wants
+// a pause, or before it left, and against giving up one that is only suspected to be lost.
+func TestRefuses(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	for name, c := range map[string]struct {
+		change  func(f *Fleet, s *Server)
+		refuses bool
+	}{
+		"no change": {func(*Fleet, *Server) {}, false},
+		"leaving":   {func(f *Fleet, s *Server) { f.RecordLeaving(s.ID, s.Incarnation) }, true},
+		"pause":     {func(f *Fleet, s *Server) { f.RecordRetryAfter(start, s, time.Second) }, true},
+		"removed":   {func(f *Fleet, s *Server) { f.Remove(start, s.ID, false) }, true},
+		"replaced":  {func(f *Fleet, s *Server) { f.Put(start, Entry{ID: s.ID, Incarnation: 8, Service: "s", Sequence: 1}) }, true},
+		"reset":     {func(f *Fleet, s *Server) { f.RecordLoss(start, s.ID, LossReset) }, false},
+		"reported":  {func(f *Fleet, s *Server) { f.RecordReport(start, s.ID, LossSilent) }, false},
+	} {
+		f := New("h", start)
+		f.Put(start, Entry{ID: "a", Incarnation: 7, Service: "s", Address: "10.0.0.1:80", Sequence: 1})
+		s := f.Server("a")
+		c.change(f, s)
+		if got := f.Refuses(s, start.Add(10*time.Millisecond)); got != c.refuses {
+			t.Errorf("%s: refuses %t, want %t", name, got, c.refuses)
+		}
+	}
+}
