--- a/internal/connreset/resettest/listen.go
+++ b/internal/connreset/resettest/listen.go
@@ -3,9 +3,12 @@
 package resettest
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 )
@@ -35,6 +38,33 @@
 	return listener
 }
 
+// ServeEarly accepts connections until the listener is closed, and answers the first request on
+// each of them before it has read its body. If whole is set, it then ends the response in order
+// and reads on; otherwise it resets the connection.
+func ServeEarly(listener net.Listener, response string, whole bool) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go answerEarly(conn, response, whole)
+	}
+}
+
+func answerEarly(conn net.Conn, response string, whole bool) {
+	defer conn.Close()
+	if _, err := http.ReadRequest(bufio.NewReaderSize(conn, Buffer)); err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, response) // an error shows in the test
+	if !whole {
+		Reset(conn)
+		return
+	}
+	_ = conn.(*net.TCPConn).CloseWrite()
+	_, _ = io.Copy(io.Discard, conn) // ends when the client closes the connection
+}
+
 // Dial opens a connection with a small send buffer.
 func Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	var d net.Dialer
--- a/internal/fleet/announced_test.go
+++ b/internal/fleet/announced_test.go
@@ -151,8 +151,8 @@
 	}
 }
 
-// Guards against sending to a server that was chosen before it said that it is leaving or wants
-// a pause, or before it left, and against giving up one that is only suspected to be lost.
+// Guards against sending to a server that was chosen before it said that it is leaving or asked
+// for a pause, or before it left, and against giving up one that is only suspected to be lost.
 func TestRefuses(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
 	for name, c := range map[string]struct {
--- a/internal/gateway/nextattempt.go
+++ b/internal/gateway/nextattempt.go
@@ -43,8 +43,8 @@
 		if !st.g.Fleet.Refuses(server, now) {
 			return st.run(server, backup, attempt), nil
 		}
-		// While the stream waited for the retry, the engine has said that it is leaving or
-		// wants a pause, or has left.
+		// While the stream waited for the retry, the engine has left, or has said that it is
+		// leaving or accepts nothing for some time.
 		st.addStep("%s accepts no request of this host any more", server.ID)
 		st.giveUpEngine(server)
 		st.retryReserved = st.attemptsReceived() > 0
--- a/internal/peer/backend/cutupload_test.go
+++ b/internal/peer/backend/cutupload_test.go
@@ -1,9 +1,6 @@
 package backend
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -22,7 +19,7 @@
 		t.Run(name, func(t *testing.T) {
 			listener := resettest.Listen(t)
 			answer := "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 1500)
-			go serveEarly(listener, answer, whole)
+			go resettest.ServeEarly(listener, answer, whole)
 			client := newClient(resettest.Dial)
 			for range cutTries {
 				response, err := client.Do(t.Context(), "http://"+listener.Addr().String(), Call{Method: http.MethodPost, Path: "/", Body: make([]byte, resettest.LongRequest)})
@@ -33,27 +30,3 @@
 		})
 	}
 }
-
-// serveEarly answers calls before it has read their bodies, and then ends the answer in order or
-// resets the connection.
-func serveEarly(listener net.Listener, answer string, whole bool) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			if _, err := http.ReadRequest(bufio.NewReaderSize(conn, resettest.Buffer)); err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, answer) // an error shows in the test
-			if !whole {
-				resettest.Reset(conn)
-				return
-			}
-			_ = conn.(*net.TCPConn).CloseWrite()
-			_, _ = io.Copy(io.Discard, conn) // reads on until the client closes the connection
-		}()
-	}
-}
--- a/internal/peer/backendconn/cutupload_test.go
+++ b/internal/peer/backendconn/cutupload_test.go
@@ -1,11 +1,9 @@
 package backendconn
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -38,7 +36,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener := resettest.Listen(t)
-			go serveCut(listener, "HTTP/1.1 200 OK\r\n"+c.head+"\r\n"+c.body, c.whole)
+			go resettest.ServeEarly(listener, "HTTP/1.1 200 OK\r\n"+c.head+"\r\n"+c.body, c.whole)
 			pool := NewPool(resettest.Dial)
 			server := Server{ID: "s", Address: listener.Addr().String()}
 			for range cutTries {
@@ -68,27 +66,3 @@
 	body, err := io.ReadAll(response.Body)
 	return len(body), err
 }
-
-// serveCut answers the requests on new connections without reading their bodies. If the
-// response is not whole, it resets the connection then.
-func serveCut(listener net.Listener, response string, whole bool) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			if _, err := http.ReadRequest(bufio.NewReaderSize(conn, resettest.Buffer)); err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, response) // an error shows in the test
-			if !whole {
-				resettest.Reset(conn)
-				return
-			}
-			_ = conn.(*net.TCPConn).CloseWrite()
-			_, _ = io.Copy(io.Discard, conn) // reads on until the client closes the connection
-		}()
-	}
-}
