--- a/internal/dispatch/play_test.go
+++ b/internal/dispatch/play_test.go
@@ -144,7 +144,9 @@
 		p.after(600*time.Millisecond, noise)
 	}
 	tick = func() {
-		p.countIdle()
+		if p.pauses {
+			p.countIdle()
+		}
 		p.next()
 		p.after(5*time.Millisecond, tick)
 	}
